--- a/src/main/java/cobaltwalk/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -1,4 +1,4 @@
-package cobaltwalk;
+package dockshed;
 
 import java.util.List;
 
--- a/src/main/java/cobaltwalk/benchlink/Fields.java
+++ b/src/main/java/dockshed/simhost/Fields.java
@@ -1,4 +1,4 @@
-package cobaltwalk.benchlink;
+package dockshed.simhost;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/src/main/java/cobaltwalk/benchlink/SettingsReader.java
+++ b/src/main/java/dockshed/simhost/SettingsReader.java
@@ -1,14 +1,14 @@
-package cobaltwalk.benchlink;
+package dockshed.simhost;
 
-import cobaltwalk.Director.Effect;
-import cobaltwalk.Director.Field;
-import cobaltwalk.Director.Kind;
-import cobaltwalk.Director.Ladder;
-import cobaltwalk.Director.Limits;
-import cobaltwalk.Director.Prices;
-import cobaltwalk.Director.Rules;
-import cobaltwalk.Director.SessionClass;
-import cobaltwalk.Director.Settings;
+import dockshed.Director.Effect;
+import dockshed.Director.Field;
+import dockshed.Director.Kind;
+import dockshed.Director.Ladder;
+import dockshed.Director.Limits;
+import dockshed.Director.Prices;
+import dockshed.Director.Rules;
+import dockshed.Director.SessionClass;
+import dockshed.Director.Settings;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/main/java/cobaltwalk/benchlink/BenchLink.java
+++ b/src/main/java/dockshed/simhost/SimHost.java
@@ -1,14 +1,14 @@
-package cobaltwalk.benchlink;
+package dockshed.simhost;
 
-import cobaltwalk.Choice;
-import cobaltwalk.Director;
-import cobaltwalk.Director.LoadReport;
-import cobaltwalk.Director.Outcome;
-import cobaltwalk.Director.Request;
-import cobaltwalk.Director.Scope;
-import cobaltwalk.Director.Server;
-import cobaltwalk.Director.State;
-import cobaltwalk.Director.Topic;
+import dockshed.Choice;
+import dockshed.Director;
+import dockshed.Director.LoadReport;
+import dockshed.Director.Outcome;
+import dockshed.Director.Request;
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.State;
+import dockshed.Director.Topic;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -29,18 +29,18 @@
 import java.util.Map;
 
 /** Hosts instances of the module behind the bench's wire: one line in, one line out. It decides nothing. */
-public final class BenchLink {
+public final class SimHost {
     private static final JsonFactory JSON = new JsonFactory();
 
     private final Map<String, Director> instances = new LinkedHashMap<>();
     private final Map<Integer, List<Server>> rosters = new HashMap<>();
     private JsonGenerator out;
 
-    private BenchLink() { }
+    private SimHost() { }
 
     /** Serves batches until the input ends; returns the process's exit status. */
     public static int run(InputStream in, OutputStream to, PrintStream complaints) {
-        BenchLink link = new BenchLink();
+        SimHost link = new SimHost();
         try {
             BufferedReader lines = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
             for (String line = lines.readLine(); line != null; line = lines.readLine()) {
@@ -49,11 +49,11 @@
             }
             return 0;
         } catch (JsonProcessingException e) {
-            complaints.println("benchlink: not JSON: " + e.getOriginalMessage().replace('\n', ' '));
+            complaints.println("simhost: not JSON: " + e.getOriginalMessage().replace('\n', ' '));
         } catch (Fields.Malformed | IllegalArgumentException e) {
-            complaints.println("benchlink: " + e.getMessage());
+            complaints.println("simhost: " + e.getMessage());
         } catch (IOException e) {
-            complaints.println("benchlink: input or output failed: " + e.getMessage());
+            complaints.println("simhost: input or output failed: " + e.getMessage());
         }
         return 1;
     }
--- a/src/test/java/cobaltwalk/Bench.java
+++ b/src/test/java/dockshed/Bench.java
@@ -1,21 +1,21 @@
-package cobaltwalk;
-
-import cobaltwalk.Director.Effect;
-import cobaltwalk.Director.Field;
-import cobaltwalk.Director.Kind;
-import cobaltwalk.Director.Ladder;
-import cobaltwalk.Director.Limits;
-import cobaltwalk.Director.LoadReport;
-import cobaltwalk.Director.Outcome;
-import cobaltwalk.Director.Prices;
-import cobaltwalk.Director.Request;
-import cobaltwalk.Director.Rules;
-import cobaltwalk.Director.Scope;
-import cobaltwalk.Director.Server;
-import cobaltwalk.Director.SessionClass;
-import cobaltwalk.Director.Settings;
-import cobaltwalk.Director.State;
-import cobaltwalk.Director.Topic;
+package dockshed;
+
+import dockshed.Director.Effect;
+import dockshed.Director.Field;
+import dockshed.Director.Kind;
+import dockshed.Director.Ladder;
+import dockshed.Director.Limits;
+import dockshed.Director.LoadReport;
+import dockshed.Director.Outcome;
+import dockshed.Director.Prices;
+import dockshed.Director.Request;
+import dockshed.Director.Rules;
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.SessionClass;
+import dockshed.Director.Settings;
+import dockshed.Director.State;
+import dockshed.Director.Topic;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cobaltwalk/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -1,15 +1,15 @@
-package cobaltwalk;
+package dockshed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cobaltwalk.Director.Effect;
-import cobaltwalk.Director.Ladder;
-import cobaltwalk.Director.Outcome;
-import cobaltwalk.Director.Scope;
-import cobaltwalk.Director.SessionClass;
-import cobaltwalk.Director.Topic;
+import dockshed.Director.Effect;
+import dockshed.Director.Ladder;
+import dockshed.Director.Outcome;
+import dockshed.Director.Scope;
+import dockshed.Director.SessionClass;
+import dockshed.Director.Topic;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/cobaltwalk/ChoiceTextTest.java
+++ b/src/test/java/dockshed/ChoiceTextTest.java
@@ -1,4 +1,4 @@
-package cobaltwalk;
+package dockshed;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +11,7 @@
 class ChoiceTextTest {
     @Test
     void staysWithinItsLimits() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/cobaltwalk/Choice.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/dockshed/Choice.java"));
         assertTrue(lines.stream().filter(l -> !l.isBlank()).count() <= 850, "850 non-blank lines at most");
         assertTrue(lines.stream().allMatch(l -> l.length() <= 110), "110 characters a line at most");
         assertTrue(String.join("\n", lines.subList(0, 25)).contains("Director.java"), "the top names the interface");
--- a/src/test/java/cobaltwalk/MethodTwoTest.java
+++ b/src/test/java/dockshed/MethodTwoTest.java
@@ -1,4 +1,4 @@
-package cobaltwalk;
+package dockshed;
 
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
--- a/src/test/java/cobaltwalk/RulesTest.java
+++ b/src/test/java/dockshed/RulesTest.java
@@ -1,18 +1,18 @@
-package cobaltwalk;
+package dockshed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cobaltwalk.Director.Effect;
-import cobaltwalk.Director.LoadReport;
-import cobaltwalk.Director.Outcome;
-import cobaltwalk.Director.Rules;
-import cobaltwalk.Director.Scope;
-import cobaltwalk.Director.SessionClass;
-import cobaltwalk.Director.State;
-import cobaltwalk.Director.Topic;
+import dockshed.Director.Effect;
+import dockshed.Director.LoadReport;
+import dockshed.Director.Outcome;
+import dockshed.Director.Rules;
+import dockshed.Director.Scope;
+import dockshed.Director.SessionClass;
+import dockshed.Director.State;
+import dockshed.Director.Topic;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/cobaltwalk/BenchLinkTest.java
+++ b/src/test/java/dockshed/SimHostTest.java
@@ -1,9 +1,9 @@
-package cobaltwalk;
+package dockshed;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import cobaltwalk.benchlink.BenchLink;
+import dockshed.simhost.SimHost;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 
 /** The wire: what comes in, what goes out, and plain words on what is malformed. */
-class BenchLinkTest {
+class SimHostTest {
     private static final String BOOT = """
             {"boot":{"director_id":"director/0","entropy":5138197539985895,"later":1,"options":{"balancers":1,"me":0,
             "zone":"z","classes":[{"deadline":4000.0,"effect":"idempotent","goal_time":800.0,"name":"c","points":1.0}],
@@ -39,7 +39,7 @@
     private int raw(String in) {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         ByteArrayOutputStream e = new ByteArrayOutputStream();
-        int status = BenchLink.run(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), o,
+        int status = SimHost.run(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), o,
                 new PrintStream(e, true, StandardCharsets.UTF_8));
         out = o.toString(StandardCharsets.UTF_8);
         err = e.toString(StandardCharsets.UTF_8);
@@ -58,15 +58,15 @@
     @Test
     void malformedInputNamesTheEventAndTheMember() {
         assertEquals(1, run(BOOT, CALL.replace("\"kind\":\"c\",", "")));
-        assertEquals("benchlink: call: member 'kind' is missing\n", err);
+        assertEquals("simhost: call: member 'kind' is missing\n", err);
         assertEquals(1, run(BOOT, CALL.replace("\"budget\":4000.0", "\"budget\":\"long\"")));
-        assertEquals("benchlink: call: member 'budget' has the wrong type\n", err);
+        assertEquals("simhost: call: member 'budget' has the wrong type\n", err);
         assertEquals(1, run(BOOT, "{\"surprise\":{\"director_id\":\"director/0\"}}"));
-        assertEquals("benchlink: unknown event 'surprise'\n", err);
+        assertEquals("simhost: unknown event 'surprise'\n", err);
         assertEquals(1, run(BOOT, "{\"datagram\":{\"director_id\":\"director/0\",\"author\":1,\"bytes\":\"xyz\"}}"));
-        assertEquals("benchlink: datagram: member 'bytes' is not hex\n", err);
+        assertEquals("simhost: datagram: member 'bytes' is not hex\n", err);
         assertEquals(1, raw("not json\n"));
-        assertTrue(err.startsWith("benchlink: not JSON: ") && err.endsWith("\n") && err.lines().count() == 1, err);
+        assertTrue(err.startsWith("simhost: not JSON: ") && err.endsWith("\n") && err.lines().count() == 1, err);
         assertEquals(1, run(BOOT.replace("\"points\":1.0", "\"points\":0")));
         assertTrue(err.contains("worth of class c"), err);
     }
