--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -1,16 +1,27 @@
 package dockshed;
 
+import dockshed.config.Config;
+import dockshed.config.Fields;
 import dockshed.simhost.SimHost;
 
-/** Command line: runs the module behind the bench's wire. */
+/** Command line: the broker, or the module alone behind the simulator's wire. */
 public final class Main {
     private Main() { }
 
     public static void main(String[] args) {
-        if (args.length != 1 || !args[0].equals("simhost")) {
-            System.err.println("usage: java -jar dockshed.jar simhost");
+        String mode = args.length == 0 ? "" : args[0];
+        if (mode.equals("simhost") && args.length == 1) {
+            System.exit(SimHost.run(System.in, System.out, System.err));
+        }
+        if (!mode.equals("serve") || args.length > 1) {
+            System.err.println("usage: java -jar dockshed.jar serve | simhost");
+            System.exit(2);
+        }
+        try {
+            Wiring.start(Config.load(System.getenv()));
+        } catch (Fields.Malformed e) {
+            System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
         }
-        System.exit(SimHost.run(System.in, System.out, System.err));
     }
 }
--- /dev/null
+++ b/src/main/java/dockshed/Wiring.java
@@ -0,0 +1,95 @@
+package dockshed;
+
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.State;
+import dockshed.config.Config;
+import dockshed.core.Broker;
+import dockshed.core.Deadlines;
+import dockshed.edge.Edges;
+import dockshed.names.Names;
+import dockshed.net.Clock;
+import dockshed.net.Net;
+import dockshed.net.Signals;
+import dockshed.peers.UdpPeers;
+import dockshed.rtsp.RtspFront;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Puts the parts together; nothing is decided here. */
+final class Wiring {
+    private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
+
+    private final Config config;
+    private final Net net = new Net();
+    private final Clock clock = new Clock(net.loop());
+    private final Deadlines deadlines = new Deadlines(clock::wake);
+    private final UdpPeers peers;
+    private final Broker broker;
+    private final Edges edges;
+    private final RtspFront rtsp;
+    private final Map<String, Long> upSince = new HashMap<>();
+
+    private Wiring(Config config) {
+        this.config = config;
+        peers = new UdpPeers(config.peers(), config.peersAll());
+        Director.Settings s = config.settings();
+        broker = new Broker(s, actions -> new Choice(s, config.seed(), actions), peers, deadlines);
+        clock.onDue(broker::tick);
+        edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
+                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields()));
+        rtsp = new RtspFront(broker, edges, clock);
+    }
+
+    static void start(Config config) {
+        Wiring w = new Wiring(config);
+        CountDownLatch begun = new CountDownLatch(1);
+        w.net.loop().execute(() -> {
+            w.lists();
+            begun.countDown();
+        });
+        try {
+            begun.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return;
+        }
+        if (config.peerListen() != null) {
+            w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
+        }
+        w.net.listen(config.listen(), w.rtsp::accept).syncUninterruptibly();
+        new Signals(w.net, w.clock, w.deadlines, w.broker).watch();
+        LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), config.listen(),
+                w.upSince.size(), config.peers().size());
+    }
+
+    private void lists() {
+        Names names = new Names(this::news, clock, deadlines, config.names(), config.seed());
+        boolean first = true;
+        for (Config.Notice notice : config.known()) {
+            names.known(notice.number(), Config.scope(notice, first), notice.members());
+            first = false;
+        }
+        if (config.names() != null) {
+            names.start(net, new InetSocketAddress(config.listen().getAddress(), 0));
+        }
+    }
+
+    private void news(Scope scope, List<Server> servers, Map<String, InetSocketAddress> addresses) {
+        edges.addresses(addresses);
+        broker.members(clock.now(), "names", scope, servers);
+        for (Server s : servers) {
+            Long before = upSince.put(s.id(), s.upSince());
+            if (s.state() == State.GONE) {
+                edges.gone(s.id(), clock.now());
+            } else if (before != null && s.upSince() > before) {
+                edges.gone(s.id(), s.upSince());
+            }
+        }
+    }
+}
--- a/src/main/java/dockshed/simhost/SettingsReader.java
+++ b/src/main/java/dockshed/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package dockshed.simhost;
+package dockshed.config;
 
 import dockshed.Director.Effect;
 import dockshed.Director.Field;
@@ -13,10 +13,10 @@
 import java.util.List;
 
 /** The wire's settings as the module's. */
-final class SettingsReader {
+public final class SettingsReader {
     private SettingsReader() { }
 
-    static Settings read(Fields options) {
+    public static Settings read(Fields options) {
         Fields family = options.object("family_info");
         Fields limits = options.object("limits");
         Fields rules = options.object("invariants");
@@ -46,29 +46,30 @@
         List<Double> top = family.numbers("top_by_class");
         List<Double> seats = family.numbers("class_seats");
         for (Object each : options.list("classes")) {
-            Fields c = new Fields("boot.options.classes", each);
+            Fields c = new Fields(options.owner() + ".classes", each);
             int i = out.size();
-            out.add(new SessionClass(c.text("name"), effect(c.text("effect")), c.micros("goal_time"),
-                    c.micros("deadline"), c.number("points"), at(scale, i, "class_scale"),
-                    (int) at(floor, i, "lowest_rung"), (int) at(top, i, "top_by_class"),
-                    (int) at(seats, i, "class_seats")));
+            out.add(new SessionClass(c.text("name"), effect(c), c.micros("goal_time"),
+                    c.micros("deadline"), c.number("points"), at(family, scale, i, "class_scale"),
+                    (int) at(family, floor, i, "lowest_rung"), (int) at(family, top, i, "top_by_class"),
+                    (int) at(family, seats, i, "class_seats")));
         }
         return out;
     }
 
-    private static double at(List<Double> list, int i, String name) {
+    private static double at(Fields family, List<Double> list, int i, String name) {
         if (i >= list.size()) {
-            throw new Fields.Malformed("boot.options.family_info: member '" + name + "' is too short");
+            throw new Fields.Malformed(family.owner() + ": member '" + name + "' is too short");
         }
         return list.get(i);
     }
 
-    private static Effect effect(String word) {
+    private static Effect effect(Fields c) {
+        String word = c.text("effect");
         return switch (word) {
             case "idempotent" -> Effect.SAFE;
             case "deduplicated" -> Effect.KEYED;
             case "at_most_once" -> Effect.AT_MOST_ONCE;
-            default -> throw new Fields.Malformed("boot.options.classes: member 'effect' is unknown: " + word);
+            default -> throw new Fields.Malformed(c.owner() + ": member 'effect' is unknown: " + word);
         };
     }
 
@@ -76,7 +77,7 @@
         List<Kind> out = new ArrayList<>();
         List<Double> slots = family.numbers("kind_slots");
         for (String name : options.texts("kinds")) {
-            out.add(new Kind(name, (int) at(slots, out.size(), "kind_slots")));
+            out.add(new Kind(name, (int) at(options.object("family_info"), slots, out.size(), "kind_slots")));
         }
         return out;
     }
--- /dev/null
+++ b/src/main/java/dockshed/core/Broker.java
@@ -0,0 +1,687 @@
+package dockshed.core;
+
+import dockshed.Director;
+import dockshed.Director.Effect;
+import dockshed.Director.LoadReport;
+import dockshed.Director.Outcome;
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.SessionClass;
+import dockshed.Director.Settings;
+import dockshed.Director.State;
+import dockshed.Director.Topic;
+import dockshed.core.Deadlines.Deadline;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The broker without its wires: carries requests, attempts and outcomes between fronts, the decision module and
+ * servers, and keeps the rules whichever of them errs. Every call brings the time, in microseconds; all come from
+ * one thread. What the module asks for takes effect at once, but what follows from it reaches the module only after
+ * its own call has returned.
+ */
+public final class Broker implements Director.Actions {
+    /** The answer to a viewer goes out this long before its time is up, so that it still arrives. */
+    static final long ANSWER_MARGIN = 10_000;
+    /** Of the grace for drains, what is kept for the way to the server. */
+    static final long DRAIN_MARGIN = 100_000;
+    /** How long an end that no connection could carry is kept for the next one. */
+    static final long TELL_WITHIN = 8_000_000;
+    /** A connection that closes so soon after an end was written to it may not have carried it. */
+    static final long MAYBE_UNHEARD = 300_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
+
+    /** A request, then the session that it became. */
+    private static final class Call {
+        long handle;
+        String id;
+        final Wish wish;
+        final Front front;
+        final Servers via;
+        final SessionClass cls;
+        final long came;
+        long connection;
+        Box box;                    // where an attempt is out or the session stands
+        int attempts;
+        boolean out, stands, ran, answered;
+        int rung, rungSent;
+        long stoodSince;
+        Deadline attemptEnds, patienceEnds;
+
+        Call(Wish wish, Front front, Servers via, SessionClass cls, long connection, long now) {
+            this.wish = wish;
+            this.front = front;
+            this.via = via;
+            this.cls = cls;
+            this.connection = connection;
+            came = now;
+        }
+    }
+
+    /** A server as the broker knows it. */
+    private static final class Box {
+        final String id;
+        final Map<Servers, Integer> standing = new HashMap<>();
+        final Map<String, Server> listings = new LinkedHashMap<>();
+        Server info;
+        long closedSince = Deadlines.NEVER; // told to drain or to be gone
+
+        Box(String id) {
+            this.id = id;
+        }
+    }
+
+    /** An end of a session that its viewer has still to hear of. */
+    private record Owed(Front front, String name, Outcome outcome, long until) { }
+
+    private record Told(Owed owed, long at) { }
+
+    private static final class Connection {
+        final Front front;
+        final ArrayDeque<Told> told = new ArrayDeque<>();
+
+        Connection(Front front) {
+            this.front = front;
+        }
+    }
+
+    private final Settings settings;
+    private final Director director;
+    private final Peers peers;
+    private final Deadlines deadlines;
+    private final Map<String, SessionClass> classes = new HashMap<>();
+    private final SlotTable<Call> calls = new SlotTable<>();
+    private final SlotTable<Connection> connections = new SlotTable<>();
+    private final Map<String, Call> byName = new HashMap<>();
+    private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();
+    private final ArrayDeque<Owed> owed = new ArrayDeque<>();
+    private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
+    private boolean busy;
+    private long now;
+    private int unanswered;
+    private final Counts counts = new Counts();
+
+    /** What has happened since the start, for the log. */
+    public static final class Counts {
+        public long requests, served, refused, failed, gone, opened, over, reset, moved, breaches;
+
+        @Override
+        public String toString() {
+            return "requests=" + requests + " served=" + served + " refused=" + refused + " failed=" + failed
+                    + " gone=" + gone + " opened=" + opened + " over=" + over + " reset=" + reset
+                    + " moved=" + moved + " breaches=" + breaches;
+        }
+    }
+
+    public Broker(Settings settings, Function<Director.Actions, Director> module, Peers peers, Deadlines deadlines) {
+        this.settings = settings;
+        this.peers = peers;
+        this.deadlines = deadlines;
+        for (SessionClass c : settings.classes()) {
+            classes.put(c.name(), c);
+        }
+        director = module.apply(this);
+    }
+
+    /** Runs an event, or keeps it until the one in hand is over. */
+    private void event(long at, LongConsumer what) {
+        events.add(what);
+        if (busy) {
+            return;
+        }
+        busy = true;
+        try {
+            now = Math.max(now, at);
+            for (LongConsumer next = events.poll(); next != null; next = events.poll()) {
+                try {
+                    next.accept(now);
+                } catch (RuntimeException e) {  // one request's trouble must not become every viewer's
+                    LOG.error("internal error, gone on after it", e);
+                }
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    // ---- From the fronts.
+
+    /** A connection from viewers has come up; {@code known} hears its handle before anything is sent on it. */
+    public long connected(long at, Front front, LongConsumer known) {
+        long handle = connections.add(new Connection(front));
+        known.accept(handle);
+        event(at, t -> {
+            if (owed.isEmpty()) {
+                return;
+            }
+            List<Owed> waiting = new ArrayList<>(owed);
+            owed.clear();
+            for (Owed o : waiting) {
+                if (o.until() > t) {
+                    tellEnd(o, 0);
+                }
+            }
+        });
+        return handle;
+    }
+
+    /** A connection is gone: whoever waited on it for an answer has left. */
+    public void disconnected(long at, long connection) {
+        Connection c = connections.remove(connection);
+        if (c == null) {
+            return;
+        }
+        event(at, t -> {
+            List<Call> left = new ArrayList<>();
+            calls.each(call -> {
+                if (call.connection == connection && !call.stands) {
+                    left.add(call);
+                }
+            });
+            left.forEach(this::abandon);
+            for (Told told : c.told) {
+                if (t - told.at() < MAYBE_UNHEARD) {
+                    tellEnd(told.owed(), 0);
+                }
+            }
+        });
+    }
+
+    /** The viewer has confirmed that it heard of an end. */
+    public void heard(long connection, String name) {
+        Connection c = connections.get(connection);
+        if (c != null) {
+            c.told.removeIf(t -> t.owed().name().equals(name));
+        }
+    }
+
+    /** A viewer's request; false where a session or request of that name is held already. */
+    public boolean request(long at, long connection, Front front, Servers via, Wish wish) {
+        SessionClass cls = classes.get(wish.className());
+        if (cls == null || byName.containsKey(wish.name())) {
+            return false;
+        }
+        Call call = add(new Call(wish, front, via, cls, connection, at));
+        unanswered++;
+        counts.requests++;
+        event(at, t -> {
+            long ends = call.came + Math.max(0, wish.patience() - ANSWER_MARGIN);
+            call.patienceEnds = deadlines.at(ends, due -> event(due, x -> patienceOver(call)));
+            director.request(t, wish.request(call.id));
+        });
+        return true;
+    }
+
+    /** A session that plays already, as its viewer tells; one that is held already stays as it is. */
+    public void open(long at, Front front, Servers via, Wish wish, String server) {
+        SessionClass cls = classes.get(wish.className());
+        if (cls == null || byName.containsKey(wish.name())) {
+            return;
+        }
+        Call call = add(new Call(wish, front, via, cls, 0, at));
+        call.box = boxes.computeIfAbsent(server, Box::new);
+        call.attempts = 1;
+        call.rung = cls.floor();
+        call.rungSent = cls.floor();
+        call.answered = true;
+        counts.opened++;
+        event(at, t -> {
+            stand(call, t);
+            director.open(t, wish.request(call.id), server);
+        });
+    }
+
+    /** The viewer has given its request up, or has ended its session. */
+    public void leave(long at, String name) {
+        event(at, t -> {
+            Call call = byName.get(name);
+            if (call != null && call.stands) {
+                call.via.release(call.box.id, name);
+                end(call, Outcome.CANCELLED, LoadReport.NONE);
+            } else if (call != null) {
+                abandon(call);
+            }
+        });
+    }
+
+    /** An answer could not be passed on whole: the session has nobody to play to. */
+    public void undelivered(long at, String name) {
+        leave(at, name);
+    }
+
+    // ---- From the servers.
+
+    /** A set-up has been answered: the session stands. */
+    public void answered(long at, String server, String name, String description) {
+        event(at, t -> {
+            Call call = byName.get(name);
+            if (call == null || !call.out || !call.box.id.equals(server)) {
+                return;             // given up before
+            }
+            call.out = false;
+            deadlines.cancel(call.attemptEnds);
+            deadlines.cancel(call.patienceEnds);
+            answer(call);
+            counts.served++;
+            stand(call, t);
+            call.front.served(call.connection, name,
+                    new Front.Granted(server, description, call.cls.floor(), call.rung));
+            if (call.rung != call.rungSent) {
+                setRung(call);
+            }
+            director.first(t, call.id, call.attempts - 1, server);
+        });
+    }
+
+    /** A set-up has ended unanswered, or a session that stood is over. */
+    public void ended(long at, String server, String name, Outcome outcome, LoadReport report) {
+        event(at, t -> {
+            Call call = byName.get(name);
+            if (call == null || call.box == null || !call.box.id.equals(server)) {
+                return;
+            }
+            if (call.out) {
+                attemptOver(call, outcome, report);
+            } else if (call.stands) {
+                Outcome end = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? outcome : Outcome.RESET;
+                if (end != Outcome.CANCELLED) {
+                    tellEnd(new Owed(call.front, name, end, t + TELL_WITHIN), call.connection);
+                }
+                end(call, end, report);
+            }
+        });
+    }
+
+    /** A figure about a session that stands. */
+    public void note(long at, String server, String name, Topic topic, double value) {
+        event(at, t -> {
+            Call call = byName.get(name);
+            if (call != null && call.stands && call.box.id.equals(server)) {
+                if (topic == Topic.RUNG) {
+                    call.rung = (int) value;
+                    call.rungSent = call.rung;
+                }
+                director.note(t, call.id, server, topic, value);
+            }
+        });
+    }
+
+    /** The server's process is gone, and its sessions of this adapter that began before {@code since} with it. */
+    public void lost(long at, Servers via, String server, long since) {
+        event(at, t -> {
+            List<Call> broken = new ArrayList<>();
+            calls.each(call -> {
+                if (call.stands && call.via == via && call.box.id.equals(server) && call.stoodSince < since) {
+                    broken.add(call);
+                }
+            });
+            if (!broken.isEmpty()) {
+                LOG.warn("server lost: id={} sessions={}", server, broken.size());
+            }
+            for (Call call : broken) {
+                tellEnd(new Owed(call.front, call.wish.name(), Outcome.RESET, t + TELL_WITHIN), call.connection);
+                end(call, Outcome.RESET, LoadReport.NONE);
+            }
+        });
+    }
+
+    // ---- From the lists, the peers and the clock.
+
+    /** News of the servers from one of the lists; a server on several counts by the worst that is told of it. */
+    public void members(long at, String source, Scope scope, List<Server> servers) {
+        event(at, t -> {
+            List<Server> merged = new ArrayList<>();
+            if (scope == Scope.SNAPSHOT || scope == Scope.DISK) {
+                List<String> named = servers.stream().map(Server::id).toList();
+                for (Box b : boxes.values()) {
+                    if (b.listings.containsKey(source) && !named.contains(b.id)) {
+                        b.listings.remove(source);
+                        merged.add(merge(t, b));
+                    }
+                }
+            }
+            for (Server s : servers) {
+                Box b = boxes.computeIfAbsent(s.id(), Box::new);
+                b.listings.put(source, s);
+                merged.add(merge(t, b));
+            }
+            boolean alone = boxes.values().stream().allMatch(b -> b.listings.keySet().stream()
+                    .allMatch(source::equals));
+            Scope told = scope == Scope.SNAPSHOT && !alone ? Scope.CHANGES : scope;
+            director.members(t, told, merged);
+        });
+    }
+
+    private Server merge(long t, Box b) {
+        Server worst = null;
+        for (Server s : b.listings.values()) {
+            worst = worst == null || s.state().compareTo(worst.state()) > 0 && s.state() != State.GONE
+                    || worst.state() == State.GONE ? s : worst;
+        }
+        if (worst == null) {
+            Server was = b.info;
+            worst = new Server(was.id(), was.zone(), was.kind(), was.cell(), State.GONE, was.weight(), was.upSince());
+        }
+        b.info = worst;
+        if (worst.state() == State.UP) {
+            b.closedSince = Deadlines.NEVER;
+        } else if (b.closedSince == Deadlines.NEVER) {
+            b.closedSince = t;
+        }
+        return worst;
+    }
+
+    public void told(long at, int from, byte[] message) {
+        event(at, t -> director.told(t, from, message));
+    }
+
+    /** Does what has come due. */
+    public void tick(long at) {
+        now = Math.max(now, at);
+        deadlines.run(now);
+    }
+
+    /** Whether something new may still go to the server. */
+    public boolean takes(long at, String server) {
+        Box b = boxes.get(server);
+        return b != null && b.info != null
+                && (b.closedSince == Deadlines.NEVER || at - b.closedSince < settings.rules().drainGrace() - DRAIN_MARGIN);
+    }
+
+    /** Requests taken that have no final answer yet. */
+    public int unanswered() {
+        return unanswered;
+    }
+
+    /** Sessions that stand. */
+    public int standing() {
+        return calls.size() - unanswered;
+    }
+
+    public Counts counts() {
+        return counts;
+    }
+
+    /** At a planned end: tells every viewer and server that its session is over. */
+    public void releaseAll(long at) {
+        event(at, t -> {
+            List<Call> all = new ArrayList<>();
+            calls.each(call -> {
+                if (call.stands) {
+                    all.add(call);
+                }
+            });
+            for (Call call : all) {
+                call.via.release(call.box.id, call.wish.name());
+                tellEnd(new Owed(call.front, call.wish.name(), Outcome.RESET, t + TELL_WITHIN), call.connection);
+                end(call, Outcome.RESET, LoadReport.NONE);
+            }
+        });
+    }
+
+    // ---- The module's actions.
+
+    @Override
+    public void send(String request, String server, long allow) {
+        Call call = call(request);
+        Box box = boxes.get(server);
+        if (call == null || call.answered || call.out) {
+            breach("send", request, call == null ? "unknown request" : call.out ? "attempt out" : "answered");
+            return;
+        }
+        call.attempts++;
+        int attempt = call.attempts - 1;
+        String why = box == null ? "unknown server"
+                : !takes(now, server) ? "server drains or is gone"
+                : call.ran && call.cls.effect() != Effect.SAFE ? "may have run already"
+                : call.attempts > settings.limits().attempts() ? "too many attempts" : null;
+        long left = Math.max(0, call.came + call.wish.patience() - ANSWER_MARGIN - now);
+        if (why != null || left == 0) {
+            if (why != null) {
+                breach("send", request, why);
+            }
+            events.add(t -> director.outcome(t, call.id, attempt, server, Outcome.MOOT, call.answered,
+                    LoadReport.NONE));
+            return;
+        }
+        long wait = allow > 0 ? Math.min(allow, left) : left;
+        call.out = true;
+        call.box = box;
+        call.rungSent = call.rung;
+        call.attemptEnds = deadlines.at(now + wait, due -> event(due, t -> attemptTimedOut(call)));
+        call.via.setUp(server, new Servers.SetUp(call.wish.name(), call.wish.className(), call.wish.title(), wait,
+                call.rung, call.wish.description()));
+    }
+
+    @Override
+    public void refuse(String request, long comeBack) {
+        Call call = call(request);
+        if (call == null || call.answered) {
+            breach("refuse", request, "answered already");
+            return;
+        }
+        if (call.out || call.ran && call.cls.effect() != Effect.SAFE) {
+            breach("refuse", request, "may have run");
+            fail(request);
+            return;
+        }
+        finish(call);
+        counts.refused++;
+        call.front.refused(call.connection, call.wish.name(), comeBack);
+    }
+
+    @Override
+    public void fail(String request) {
+        Call call = call(request);
+        if (call == null || call.answered) {
+            return;                 // the module also fails what has ended by itself
+        }
+        boolean late = now >= call.came + call.wish.patience() - ANSWER_MARGIN;
+        finish(call);
+        counts.failed++;
+        call.front.failed(call.connection, call.wish.name(), late);
+    }
+
+    @Override
+    public void rate(String request, int rung) {
+        Call call = call(request);
+        if (call == null) {
+            return;
+        }
+        int kept = Math.max(call.cls.floor(), Math.min(rung, Math.min(call.wish.top(), call.cls.top())));
+        if (kept != rung) {
+            breach("rate", request, "rung " + rung + " outside the class");
+        }
+        call.rung = kept;
+        if (call.stands) {
+            setRung(call);
+        }
+    }
+
+    @Override
+    public void move(String request) {
+        Call call = call(request);
+        if (call == null || !call.stands) {
+            breach("move", request, "does not stand");
+            return;
+        }
+        counts.moved++;
+        long connection = anyConnection(call.front, call.connection);
+        if (connection != 0 || !call.front.needsConnection()) {
+            call.front.moved(connection, call.wish.name());
+        } else {
+            tellEnd(new Owed(call.front, call.wish.name(), Outcome.RESET, now + TELL_WITHIN), 0);
+        }
+        call.via.release(call.box.id, call.wish.name());
+        events.add(t -> end(call, Outcome.CANCELLED, LoadReport.NONE));
+    }
+
+    @Override
+    public void probe(String server) {
+        breach("probe", server, "probes are not allowed");
+    }
+
+    @Override
+    public void tell(byte[] message) {
+        if (settings.limits().peers()) {
+            peers.tell(message);
+        }
+    }
+
+    @Override
+    public void timer(String key, long at) {
+        deadlines.at(at, due -> event(due, t -> director.timer(t, key)));
+    }
+
+    // ---- Inside.
+
+    private Call add(Call call) {
+        call.handle = calls.add(call);
+        call.id = Long.toHexString(call.handle);
+        byName.put(call.wish.name(), call);
+        return call;
+    }
+
+    private Call call(String id) {
+        return calls.get(Long.parseUnsignedLong(id, 16));
+    }
+
+    private void breach(String action, String what, String why) {
+        counts.breaches++;
+        LOG.warn("rule kept against the module: action={} of={} why={}", action, what, why);
+    }
+
+    private void answer(Call call) {
+        call.answered = true;
+        unanswered--;
+    }
+
+    /** Books the final answer of a request that is not served, and forgets it. */
+    private void finish(Call call) {
+        if (call.out) {
+            call.out = false;
+            call.via.giveUp(call.box.id, call.wish.name());
+        }
+        answer(call);
+        forget(call);
+    }
+
+    private void forget(Call call) {
+        deadlines.cancel(call.attemptEnds);
+        deadlines.cancel(call.patienceEnds);
+        calls.remove(call.handle);
+        byName.remove(call.wish.name());
+    }
+
+    private void stand(Call call, long t) {
+        call.stands = true;
+        call.stoodSince = t;
+        if (call.box.standing.merge(call.via, 1, Integer::sum) == 1) {
+            call.via.hold(call.box.id, true);
+        }
+    }
+
+    /** A session that stood is over. */
+    private void end(Call call, Outcome outcome, LoadReport report) {
+        if (!call.stands) {
+            return;
+        }
+        call.stands = false;
+        if (call.box.standing.merge(call.via, -1, Integer::sum) == 0) {
+            call.via.hold(call.box.id, false);
+        }
+        forget(call);
+        counts.over++;
+        if (outcome == Outcome.RESET) {
+            counts.reset++;
+        }
+        director.outcome(now, call.id, call.attempts - 1, call.box.id, outcome, true, report);
+    }
+
+    /** The viewer left before its answer. */
+    private void abandon(Call call) {
+        if (call.answered) {
+            return;
+        }
+        finish(call);
+        counts.gone++;
+        director.gone(now, call.id);
+    }
+
+    private void attemptTimedOut(Call call) {
+        if (call.out) {
+            call.via.giveUp(call.box.id, call.wish.name());
+            attemptOver(call, Outcome.TIMEOUT, LoadReport.NONE);
+        }
+    }
+
+    private void attemptOver(Call call, Outcome outcome, LoadReport report) {
+        call.out = false;
+        deadlines.cancel(call.attemptEnds);
+        boolean proof = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.MOOT;
+        call.ran |= !proof;
+        director.outcome(now, call.id, call.attempts - 1, call.box.id, outcome, false, report);
+    }
+
+    private void patienceOver(Call call) {
+        if (call.answered) {
+            return;
+        }
+        if (call.out) {
+            attemptTimedOut(call);
+        }
+        if (!call.answered) {       // the module holds it still
+            fail(call.id);
+            director.gone(now, call.id);
+        }
+    }
+
+    private void setRung(Call call) {
+        if (call.rungSent != call.rung) {
+            call.rungSent = call.rung;
+            call.via.rate(call.box.id, call.wish.name(), call.rung);
+            call.front.rung(call.wish.name(), call.rung);
+        }
+    }
+
+    /** Tells a viewer of its session's end: on its own connection, on any other, or on the next that comes. */
+    private void tellEnd(Owed o, long own) {
+        if (!o.front().needsConnection()) {
+            o.front().over(0, o.name(), o.outcome());
+            return;
+        }
+        long connection = anyConnection(o.front(), own);
+        if (connection == 0) {
+            owed.add(o);
+            return;
+        }
+        Connection c = connections.get(connection);
+        while (!c.told.isEmpty() && now - c.told.peekFirst().at() > MAYBE_UNHEARD) {
+            c.told.removeFirst();
+        }
+        c.told.add(new Told(o, now));
+        o.front().over(connection, o.name(), o.outcome());
+    }
+
+    private long anyConnection(Front front, long own) {
+        if (connections.get(own) != null) {
+            return own;
+        }
+        long[] found = {0};
+        connections.eachHandle((handle, c) -> {
+            if (c.front == front) {
+                found[0] = handle;
+            }
+        });
+        return found[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/core/Servers.java
@@ -0,0 +1,20 @@
+package dockshed.core;
+
+/** The servers behind one adapter. What comes of a call is reported to the broker, at once or later. */
+public interface Servers {
+    /** A set-up as it goes out; {@code left}: microseconds for which its answer is waited for. */
+    record SetUp(String name, String className, String title, long left, int rung, String description) { }
+
+    void setUp(String server, SetUp setUp);
+
+    /** Gives up a set-up that is out. */
+    void giveUp(String server, String name);
+
+    /** Ends a session that stands. */
+    void release(String server, String name);
+
+    void rate(String server, String name, int rung);
+
+    /** Whether sessions stand at the server, of which news may come at any time. */
+    void hold(String server, boolean sessions);
+}
--- /dev/null
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -0,0 +1,451 @@
+package dockshed.edge;
+
+import dockshed.Director.LoadReport;
+import dockshed.Director.Outcome;
+import dockshed.Director.Topic;
+import dockshed.core.Broker;
+import dockshed.core.Deadlines;
+import dockshed.core.Servers;
+import dockshed.net.ByteHandler;
+import dockshed.net.Clock;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The edge servers, over JSON lines. One line (a connection) to a server carries all its sessions; it is opened when
+ * first needed and kept while sessions stand there, since news of them comes on any connection. The adapter finds out
+ * that a server's process is gone: its connection breaks and a new one is refused, or it falls silent and new ones
+ * do not come up.
+ */
+public final class Edges implements Servers {
+    static final int LINE_LIMIT = 16 * 1024;
+    /** A connection is not used for a set-up so shortly before the server may close it as idle. */
+    private static final long IDLE_MARGIN = 3_000_000;
+    /** How often in a row a connection to a server with sessions must fail to come up, and the time between. */
+    private static final int LOST_AFTER = 3;
+    private static final long RETRY = 400_000;
+    private static final int BACKLOG = 1000;
+    private static final Logger LOG = LoggerFactory.getLogger(Edges.class);
+
+    /** The figures of the settings that bear on the connections; times in microseconds. */
+    public record Terms(long connectTimeout, long idleClose, long tell, long see, List<String> reportFields) { }
+
+    /** A server and the one line to it. */
+    private final class Box {
+        final String id;
+        InetSocketAddress at;
+        Line line;
+        boolean hold;
+        int failures;               // connections in a row that did not come up
+        long heardAt;
+        final ArrayDeque<Message> owed = new ArrayDeque<>();    // releases for when a line is up again
+
+        Box(String id) {
+            this.id = id;
+        }
+    }
+
+    private static final class Pending {
+        final String text;
+        boolean written;            // all of it has left
+
+        Pending(String text) {
+            this.text = text;
+        }
+    }
+
+    private final Broker broker;
+    private final Net net;
+    private final Clock clock;
+    private final Deadlines deadlines;
+    private final Terms terms;
+    private final Map<String, Box> boxes = new HashMap<>();
+
+    public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms) {
+        this.broker = broker;
+        this.net = net;
+        this.clock = clock;
+        this.deadlines = deadlines;
+        this.terms = terms;
+        deadlines.at(clock.now() + 1_000_000, this::lookAround);
+    }
+
+    /** Where the servers listen, as far as they are listed; the others are forgotten once nothing is left there. */
+    public void addresses(Map<String, InetSocketAddress> listed) {
+        listed.forEach((id, at) -> {
+            Box b = boxes.computeIfAbsent(id, Box::new);
+            if (!at.equals(b.at)) {
+                b.at = at;
+                drop(b);
+                if (b.hold) {
+                    connect(b);
+                }
+            }
+        });
+        for (Box b : new ArrayList<>(boxes.values())) {
+            if (!listed.containsKey(b.id) && !b.hold && (b.line == null || b.line.open.isEmpty())) {
+                drop(b);
+                boxes.remove(b.id);
+            }
+        }
+    }
+
+    /** The list tells that the process is gone, or was started anew at {@code since}: older sessions are over. */
+    public void gone(String server, long since) {
+        Box b = boxes.get(server);
+        if (b != null) {
+            drop(b);
+            broker.lost(clock.now(), this, server, since);
+        }
+    }
+
+    // ---- From the broker.
+
+    @Override
+    public void setUp(String server, SetUp s) {
+        Box b = boxes.get(server);
+        if (b == null || b.at == null) {
+            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            return;
+        }
+        Map<String, String> fields = new LinkedHashMap<>();
+        fields.put("class", s.className());
+        fields.put("key", s.title());
+        fields.put("left", Long.toString(Math.max(1, s.left() / 1000)));
+        fields.put("rung", Integer.toString(s.rung()));
+        Line line = usable(b);
+        if (line.open.size() >= BACKLOG || line.up && !line.channel.isWritable()) {
+            LOG.warn("set-up held back: server={} open={} why=server does not read", server, line.open.size());
+            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            return;
+        }
+        Pending p = new Pending(new Message("setup", s.name(), fields, -1, s.description()).write());
+        line.open.put(s.name(), p);
+        if (line.up) {
+            line.write(p);
+        }
+    }
+
+    @Override
+    public void giveUp(String server, String name) {
+        Box b = boxes.get(server);
+        if (b == null || b.line == null) {
+            return;
+        }
+        Pending p = b.line.open.remove(name);
+        if (b.line.up && p != null) {
+            b.line.send(new Message("release", name, Map.of(), 16, null));
+        }
+    }
+
+    @Override
+    public void release(String server, String name) {
+        Box b = boxes.get(server);
+        if (b == null) {
+            return;
+        }
+        Message m = new Message("release", name, Map.of(), 31, null);
+        if (b.line != null && b.line.up) {
+            b.line.send(m);
+        } else if (b.owed.size() < BACKLOG) {
+            b.owed.add(m);
+            connect(b);
+        }
+    }
+
+    @Override
+    public void rate(String server, String name, int rung) {
+        Box b = boxes.get(server);
+        if (b == null) {
+            return;
+        }
+        Message m = new Message("rate", name, Map.of("rung", Integer.toString(rung)), -1, null);
+        if (b.line != null && b.line.up) {
+            b.line.send(m);
+        } else if (b.owed.size() < BACKLOG) {
+            b.owed.add(m);
+            connect(b);
+        }
+    }
+
+    @Override
+    public void hold(String server, boolean sessions) {
+        Box b = boxes.computeIfAbsent(server, Box::new);
+        b.hold = sessions;
+        if (sessions) {
+            b.heardAt = clock.now();
+            connect(b);
+        }
+    }
+
+    // ---- Lines.
+
+    /** The line for a set-up: the one in use, unless the server may be about to close it. */
+    private Line usable(Box b) {
+        Line l = b.line;
+        if (l != null && l.up && l.open.isEmpty() && clock.now() - l.usedAt > terms.idleClose() - IDLE_MARGIN) {
+            drop(b);
+        }
+        connect(b);
+        return b.line;
+    }
+
+    private void connect(Box b) {
+        if (b.line == null && b.at != null) {
+            b.line = new Line(b);
+            b.line.start();
+        }
+    }
+
+    /** Ends the line; what was out on it is over. */
+    private void drop(Box b) {
+        Line l = b.line;
+        if (l != null) {
+            b.line = null;
+            l.end(Outcome.RESET);
+        }
+    }
+
+    /**
+     * Once a second: lines that the server would soon close as idle are renewed, and a server that has sessions but
+     * said nothing for longer than its reports may take is tried with a new line.
+     */
+    private void lookAround(long due) {
+        long now = clock.now();
+        deadlines.at(now + 1_000_000, this::lookAround);
+        long silence = terms.tell() > 0 ? terms.tell() + terms.see() + 500_000 : Long.MAX_VALUE;
+        for (Box b : List.copyOf(boxes.values())) {
+            Line l = b.line;
+            if (l != null && l.up && l.open.isEmpty() && now - l.usedAt > terms.idleClose() - IDLE_MARGIN) {
+                drop(b);
+            } else if (b.hold && l != null && l.up && now - b.heardAt > silence) {
+                LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
+                b.heardAt = now;
+                if (l.open.isEmpty()) {
+                    drop(b);
+                }
+            }
+            if (b.hold) {
+                connect(b);
+            }
+        }
+    }
+
+    private final class Line extends ByteHandler {
+        final Box box;
+        final Map<String, Pending> open = new LinkedHashMap<>();
+        private final LineDecoder decoder = new LineDecoder(LINE_LIMIT);
+        Channel channel;
+        boolean up, over;
+        long usedAt = clock.now();
+
+        Line(Box box) {
+            this.box = box;
+        }
+
+        void start() {
+            ChannelFuture coming = net.connect(box.at, (int) (terms.connectTimeout() / 1000), () -> this);
+            channel = coming.channel();
+            coming.addListener(done -> {
+                if (over) {
+                    channel.close();
+                } else if (done.isSuccess()) {
+                    came();
+                } else {
+                    failed(done.cause());
+                }
+            });
+        }
+
+        private void came() {
+            up = true;
+            box.failures = 0;
+            usedAt = clock.now();
+            for (Message m = box.owed.poll(); m != null; m = box.owed.poll()) {
+                send(m);
+            }
+            for (Pending p : List.copyOf(open.values())) {
+                write(p);
+            }
+        }
+
+        private void failed(Throwable why) {
+            boolean refused = why instanceof java.net.ConnectException
+                    && !(why instanceof io.netty.channel.ConnectTimeoutException);
+            LOG.info("edge server not reached: id={} refused={} waiting={}", box.id, refused, open.size());
+            box.line = null;
+            box.failures++;
+            end(Outcome.CONNECT_FAILED);
+            if (!box.hold) {
+                return;
+            }
+            if (refused || box.failures >= LOST_AFTER) {
+                box.failures = 0;
+                broker.lost(clock.now(), Edges.this, box.id, clock.now());
+            } else {
+                deadlines.at(clock.now() + RETRY, t -> {
+                    if (box.hold) {
+                        connect(box);
+                    }
+                });
+            }
+        }
+
+        /** No more of this line: what never left in full did not run, the rest may have. */
+        void end(Outcome unwritten) {
+            over = true;
+            up = false;
+            if (channel != null) {
+                channel.close();
+            }
+            Map<String, Pending> left = new LinkedHashMap<>(open);
+            open.clear();
+            left.forEach((name, p) -> broker.ended(clock.now(), box.id, name,
+                    p.written ? Outcome.RESET : unwritten == Outcome.RESET ? Outcome.MOOT : unwritten,
+                    LoadReport.NONE));
+        }
+
+        void write(Pending p) {
+            usedAt = clock.now();
+            channel.writeAndFlush(Net.buf(p.text.getBytes(StandardCharsets.UTF_8)))
+                    .addListener(done -> p.written |= done.isSuccess());
+        }
+
+        void send(Message m) {
+            usedAt = clock.now();
+            channel.writeAndFlush(Net.buf(m.write().getBytes(StandardCharsets.UTF_8)));
+        }
+
+        @Override
+        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            usedAt = clock.now();
+            box.heardAt = usedAt;
+            decoder.add(bytes);
+            try {
+                for (String line = decoder.next(); line != null; line = decoder.next()) {
+                    if (!line.isBlank()) {
+                        message(this, Message.read(line));
+                    }
+                }
+            } catch (LineDecoder.TooLong | Message.Malformed e) {
+                LOG.warn("edge server's message malformed: id={} why={}", box.id, e.getMessage());
+                ctx.close();
+            }
+        }
+
+        @Override
+        protected void closed(ChannelHandlerContext ctx, boolean reset) {
+            if (over) {
+                return;
+            }
+            LOG.info("line to edge server closed: id={} reset={} open={} sessions={}", box.id, reset, open.size(),
+                    box.hold);
+            if (box.line == this) {
+                box.line = null;
+            }
+            end(Outcome.RESET);
+            if (box.hold) {
+                connect(box);
+            }
+        }
+
+        /** Writing has no bearing on reading here: what the server tells is what frees it. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) { }
+    }
+
+    // ---- From the servers.
+
+    private void message(Line line, Message m) {
+        long now = clock.now();
+        String server = line.box.id;
+        switch (m.type()) {
+            case "answer" -> {
+                if (line.open.remove(m.id()) != null) {
+                    broker.answered(now, server, m.id(), m.sdp() == null ? "" : m.sdp());
+                }
+            }
+            case "release" -> {
+                boolean first = line.open.remove(m.id()) != null;
+                broker.ended(now, server, m.id(), first ? beforeAnswer(m.cause()) : afterAnswer(m.cause()),
+                        report(m.fields().get("load")));
+            }
+            case "note" -> note(now, server, m);
+            case "ping" -> line.send(new Message("pong", m.id(), Map.of(), 1, null));
+            default -> { }          // progress and what is free mean nothing
+        }
+    }
+
+    private static Outcome beforeAnswer(int cause) {
+        return switch (cause) {
+            case 34 -> Outcome.FULL;
+            case 47 -> Outcome.ERROR;
+            case 102 -> Outcome.MOOT;
+            default -> Outcome.RESET;
+        };
+    }
+
+    private static Outcome afterAnswer(int cause) {
+        return switch (cause) {
+            case 16 -> Outcome.OK;
+            case 31 -> Outcome.CANCELLED;
+            default -> Outcome.RESET;
+        };
+    }
+
+    private void note(long now, String server, Message m) {
+        Topic topic = switch (m.fields().getOrDefault("note", "")) {
+            case "fill" -> Topic.DELIVERED;
+            case "grade" -> Topic.RUNG;
+            case "local" -> Topic.LINK;
+            case "upstream" -> Topic.UPLINK;
+            default -> null;
+        };
+        try {
+            double value = Double.parseDouble(m.fields().getOrDefault("value", ""));
+            if (topic != null && Double.isFinite(value)) {
+                broker.note(now, server, m.id(), topic, value);
+            }
+        } catch (NumberFormatException e) {
+            LOG.warn("edge server's note without a figure: id={}", server);
+        }
+    }
+
+    /** A report as {@code x0:12;x1:40}; none unless every field of the settings is there. */
+    private LoadReport report(String load) {
+        if (load == null) {
+            return LoadReport.NONE;
+        }
+        Map<String, Double> values = new HashMap<>();
+        for (String pair : load.split(";")) {
+            int colon = pair.indexOf(':');
+            try {
+                if (colon > 0) {
+                    values.put(pair.substring(0, colon).strip(), Double.valueOf(pair.substring(colon + 1).strip()));
+                }
+            } catch (NumberFormatException e) {
+                return LoadReport.NONE;
+            }
+        }
+        List<Double> out = new ArrayList<>();
+        for (String field : terms.reportFields()) {
+            if (!values.containsKey(field)) {
+                return LoadReport.NONE;
+            }
+            out.add(values.get(field));
+        }
+        return new LoadReport(out);
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/names/Listing.java
@@ -0,0 +1,7 @@
+package dockshed.names;
+
+import dockshed.Director.Server;
+import java.net.InetSocketAddress;
+
+/** A server of the list and where it listens. */
+public record Listing(Server server, InetSocketAddress at) { }
--- /dev/null
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -0,0 +1,51 @@
+package dockshed.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.io.IOException;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One connection's events: bytes, the end, and whether the peer keeps up with what is written to it. */
+public abstract class ByteHandler extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = LoggerFactory.getLogger(ByteHandler.class);
+
+    /** Whether the connection was broken off rather than closed. */
+    private boolean broken;
+
+    protected abstract void bytes(ChannelHandlerContext ctx, byte[] bytes);
+
+    protected abstract void closed(ChannelHandlerContext ctx, boolean reset);
+
+    @Override
+    public final void channelRead(ChannelHandlerContext ctx, Object msg) {
+        ByteBuf buf = (ByteBuf) msg;
+        try {
+            bytes(ctx, Net.bytes(buf));
+        } finally {
+            buf.release();
+        }
+    }
+
+    @Override
+    public final void channelInactive(ChannelHandlerContext ctx) {
+        closed(ctx, broken);
+    }
+
+    /** A peer that does not read what it is sent is not read from either, until it has caught up. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+    }
+
+    @Override
+    public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (cause instanceof IOException) {
+            broken = true;
+        } else {
+            LOG.error("connection closed after an internal error: remote={}", ctx.channel().remoteAddress(), cause);
+        }
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/net/Net.java
@@ -0,0 +1,77 @@
+package dockshed.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.function.Supplier;
+
+/** The one event loop and the sockets on it. */
+public final class Net {
+    /** Bytes that may wait on a connection before its reader is seen as slow, and may be left for it to catch up. */
+    private static final WriteBufferWaterMark BACKLOG = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+
+    public EventLoop loop() {
+        return group.next();
+    }
+
+    public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler) {
+        return new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 512)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
+                .childHandler(initializer(handler)).bind(at);
+    }
+
+    public ChannelFuture connect(InetSocketAddress to, int timeoutMillis, Supplier<ChannelHandler> handler) {
+        return new Bootstrap().group(group).channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
+                .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
+                .handler(initializer(handler)).connect(to);
+    }
+
+    public ChannelFuture datagrams(InetSocketAddress at, ChannelHandler handler) {
+        return new Bootstrap().group(group).channel(NioDatagramChannel.class)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new io.netty.channel.FixedRecvByteBufAllocator(9000))
+                .handler(handler).bind(at);
+    }
+
+    private static ChannelInitializer<Channel> initializer(Supplier<ChannelHandler> handler) {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel ch) {
+                ch.pipeline().addLast(handler.get());
+            }
+        };
+    }
+
+    public static byte[] bytes(ByteBuf buf) {
+        byte[] out = new byte[buf.readableBytes()];
+        buf.readBytes(out);
+        return out;
+    }
+
+    public static ByteBuf buf(byte[] bytes) {
+        return Unpooled.wrappedBuffer(bytes);
+    }
+
+    public void close() {
+        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -0,0 +1,62 @@
+package dockshed.peers;
+
+import dockshed.core.Broker;
+import dockshed.core.Peers;
+import dockshed.net.Clock;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Datagrams between the brokers of the tier; they may be late or lost, and hold 256 bytes at most. */
+public final class UdpPeers implements Peers {
+    static final int LIMIT = 256;
+    private static final Logger LOG = LoggerFactory.getLogger(UdpPeers.class);
+
+    private final List<InetSocketAddress> each;
+    private final InetSocketAddress all;
+    private Channel channel;
+
+    /** {@code all} may be null: then each is written to. */
+    public UdpPeers(List<InetSocketAddress> each, InetSocketAddress all) {
+        this.each = List.copyOf(each);
+        this.all = all;
+    }
+
+    public void listen(Net net, InetSocketAddress at, Broker broker, Clock clock) {
+        channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                int from = each.indexOf(packet.sender());
+                if (from < 0 || packet.content().readableBytes() > LIMIT) {
+                    LOG.debug("datagram from nobody known: sender={}", packet.sender());
+                    return;
+                }
+                broker.told(clock.now(), from, Net.bytes(packet.content()));
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                LOG.warn("datagram not handled: why={}", cause.toString());
+            }
+        }).syncUninterruptibly().channel();
+    }
+
+    @Override
+    public void tell(byte[] message) {
+        if (channel == null || message.length > LIMIT) {
+            LOG.warn("datagram not sent: bytes={}", message.length);
+            return;
+        }
+        List<InetSocketAddress> to = all != null ? List.of(all)
+                : each.stream().filter(a -> !a.equals(channel.localAddress())).toList();
+        for (InetSocketAddress a : to) {
+            channel.writeAndFlush(new DatagramPacket(Net.buf(message), a));
+        }
+    }
+}
--- a/src/main/java/dockshed/simhost/SimHost.java
+++ b/src/main/java/dockshed/simhost/SimHost.java
@@ -9,10 +9,13 @@
 import dockshed.Director.Server;
 import dockshed.Director.State;
 import dockshed.Director.Topic;
+import dockshed.config.Fields;
+import dockshed.config.SettingsReader;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -58,11 +61,49 @@
         return 1;
     }
 
+    /** Reads the value at the parser's current token: maps, lists, doubles, strings, booleans or null. */
+    private static Object read(JsonParser in) throws IOException {
+        JsonToken token = in.currentToken();
+        if (token == JsonToken.START_OBJECT) {
+            Map<String, Object> map = new LinkedHashMap<>();
+            while (in.nextToken() != JsonToken.END_OBJECT) {
+                String name = in.currentName();
+                in.nextToken();
+                map.put(name, read(in));
+            }
+            return map;
+        }
+        if (token == JsonToken.START_ARRAY) {
+            List<Object> list = new ArrayList<>();
+            while (in.nextToken() != JsonToken.END_ARRAY) {
+                list.add(read(in));
+            }
+            return list;
+        }
+        if (token == JsonToken.VALUE_STRING) {
+            return in.getText();
+        }
+        if (token == JsonToken.VALUE_NUMBER_INT) {
+            return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                    ? (Object) in.getBigIntegerValue().longValue() : (Object) in.getLongValue();
+        }
+        if (token == JsonToken.VALUE_NUMBER_FLOAT) {
+            return in.getDoubleValue();
+        }
+        if (token == JsonToken.VALUE_TRUE || token == JsonToken.VALUE_FALSE) {
+            return token == JsonToken.VALUE_TRUE;
+        }
+        if (token == null) {
+            throw new Fields.Malformed("line ends early");
+        }
+        return null;
+    }
+
     private String batch(String line) throws IOException {
         Fields batch;
         try (JsonParser parser = JSON.createParser(line)) {
             parser.nextToken();
-            batch = new Fields("batch", Fields.read(parser));
+            batch = new Fields("batch", read(parser));
         }
         long now = batch.micros("now");
         StringWriter reply = new StringWriter();
