--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -22,6 +22,9 @@
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
+        } catch (RuntimeException e) {
+            System.err.println("dockshed: cannot serve: " + e);
+            System.exit(1);
         }
     }
 }
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -17,7 +17,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -26,17 +25,20 @@
     private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
 
     private final Config config;
-    private final Net net = new Net();
-    private final Clock clock = new Clock(net.loop());
-    private final Deadlines deadlines = new Deadlines(clock::wake);
+    private final Net net;
+    private final Clock clock;
+    private final Deadlines deadlines;
     private final UdpPeers peers;
     private final Broker broker;
     private final Edges edges;
     private final RtspFront rtsp;
     private final Map<String, Long> upSince = new HashMap<>();
 
-    private Wiring(Config config) {
+    private Wiring(Config config, Net net) {
         this.config = config;
+        this.net = net;
+        clock = new Clock(net.loop());
+        deadlines = new Deadlines(clock::wake);
         peers = new UdpPeers(config.peers(), config.peersAll());
         Director.Settings s = config.settings();
         broker = new Broker(s, actions -> new Choice(s, config.seed(), actions), peers, deadlines);
@@ -46,19 +48,14 @@
         rtsp = new RtspFront(broker, edges, clock);
     }
 
+    /** Begins to serve; returns once viewers can connect. Throws IllegalStateException where it cannot. */
     static void start(Config config) {
-        Wiring w = new Wiring(config);
-        CountDownLatch begun = new CountDownLatch(1);
-        w.net.loop().execute(() -> {
-            w.lists();
-            begun.countDown();
+        Net net = new Net();
+        Wiring w = net.call(() -> {     // all state belongs to the loop's thread from its first moment
+            Wiring made = new Wiring(config, net);
+            made.lists();
+            return made;
         });
-        try {
-            begun.await();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return;
-        }
         if (config.peerListen() != null) {
             w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
         }
--- a/src/main/java/dockshed/names/Names.java
+++ b/src/main/java/dockshed/names/Names.java
@@ -8,6 +8,7 @@
 import dockshed.names.Dns.Answer;
 import dockshed.names.Dns.Record;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
@@ -75,7 +76,7 @@
     /** Begins to ask the name server, from a port of the address given. */
     public void start(Net net, InetSocketAddress from) {
         answeredAt = clock.now();
-        channel = net.datagrams(from, new SimpleChannelInboundHandler<DatagramPacket>() {
+        ChannelFuture bound = net.datagrams(from, new SimpleChannelInboundHandler<DatagramPacket>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                 try {
@@ -89,8 +90,15 @@
             public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
                 LOG.debug("name server not reached: why={}", cause.toString());
             }
-        }).syncUninterruptibly().channel();
-        ask(clock.now());
+        });
+        channel = bound.channel();
+        bound.addListener(done -> {
+            if (done.isSuccess()) {
+                ask(clock.now());
+            } else {
+                LOG.error("name server cannot be asked: from={} why={}", from, done.cause().toString());
+            }
+        });
     }
 
     private void ask(long due) {
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -16,6 +16,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
 import java.util.function.Supplier;
 
 /** The one event loop and the sockets on it. */
@@ -29,6 +31,18 @@
         return group.next();
     }
 
+    /** Runs something on the loop and waits for it. */
+    public <T> T call(Callable<T> what) {
+        try {
+            return loop().submit(what).get();
+        } catch (ExecutionException e) {
+            throw new IllegalStateException(e.getCause());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(e);
+        }
+    }
+
     public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler) {
         return new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
