--- /dev/null
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -0,0 +1,95 @@
+package dockshed.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/** One GET over HTTP/1.1 on a connection of its own. */
+public final class HttpFetch {
+    /** What came of it; exactly one of these is called, unless the fetch is cancelled first. */
+    public interface Listener {
+        void answered(Headed answer);
+
+        /** {@code ran}: the request may have reached the server. */
+        void broken(boolean ran, String why);
+    }
+
+    private final Listener listener;
+    private Channel channel;
+    private boolean over, written;
+
+    private HttpFetch(Listener listener) {
+        this.listener = listener;
+    }
+
+    public static HttpFetch get(Net net, InetSocketAddress to, String path, Map<String, String> headers,
+                                int connectMillis, int limit, Listener listener) {
+        HttpFetch f = new HttpFetch(listener);
+        StringBuilder head = new StringBuilder("GET ").append(path).append(" HTTP/1.1\r\nHost: ")
+                .append(to.getHostString()).append(':').append(to.getPort()).append("\r\nConnection: close\r\n");
+        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        byte[] request = head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
+        ChannelFuture coming = net.connect(to, connectMillis, () -> f.new Handler(limit));
+        f.channel = coming.channel();
+        coming.addListener(done -> {
+            if (!done.isSuccess()) {
+                f.broken(false, "not connected: " + done.cause().getMessage());
+            } else if (!f.over) {
+                f.channel.writeAndFlush(Net.buf(request)).addListener(w -> f.written |= w.isSuccess());
+            }
+        });
+        return f;
+    }
+
+    /** Ends it without a word. */
+    public void cancel() {
+        over = true;
+        channel.close();
+    }
+
+    private void broken(boolean ran, String why) {
+        if (!over) {
+            cancel();
+            listener.broken(ran, why);
+        }
+    }
+
+    private final class Handler extends ByteHandler {
+        private final HeadedDecoder decoder;
+
+        Handler(int limit) {
+            decoder = new HeadedDecoder(limit);
+        }
+
+        @Override
+        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            if (over) {
+                return;
+            }
+            decoder.add(bytes, 0, bytes.length);
+            try {
+                Headed m = decoder.next();
+                while (m != null && m.status() >= 100 && m.status() < 200) {
+                    m = decoder.next();         // interim answers
+                }
+                if (m != null && (!m.first().startsWith("HTTP/1.") || m.status() < 0)) {
+                    throw new Headed.Malformed("no HTTP answer");
+                }
+                if (m != null) {
+                    cancel();
+                    listener.answered(m);
+                }
+            } catch (Headed.Malformed e) {
+                broken(true, e.getMessage());
+            }
+        }
+
+        @Override
+        protected void closed(ChannelHandlerContext ctx, boolean reset) {
+            broken(written, "connection closed before the whole answer");
+        }
+    }
+}
