--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -2,6 +2,7 @@
 
 import dockshed.config.Config;
 import dockshed.config.Fields;
+import dockshed.config.HlsConfig;
 import dockshed.simhost.SimHost;
 
 /** Command line: the broker, or the module alone behind the simulator's wire. */
@@ -13,12 +14,13 @@
         if (mode.equals("simhost") && args.length == 1) {
             System.exit(SimHost.run(System.in, System.out, System.err));
         }
-        if (!mode.equals("serve") || args.length > 1) {
-            System.err.println("usage: java -jar dockshed.jar serve | simhost");
+        boolean hls = args.length == 3 && args[1].equals("--hls");
+        if (!mode.equals("serve") || args.length != 1 && !hls) {
+            System.err.println("usage: java -jar dockshed.jar serve [--hls FILE] | simhost");
             System.exit(2);
         }
         try {
-            Wiring.start(Config.load(System.getenv()));
+            Wiring.start(Config.load(System.getenv()), hls ? HlsConfig.load(args[2]) : null);
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -4,9 +4,14 @@
 import dockshed.Director.Server;
 import dockshed.Director.State;
 import dockshed.config.Config;
+import dockshed.config.HlsConfig;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
 import dockshed.edge.Edges;
+import dockshed.eureka.EurekaClient;
+import dockshed.hls.HlsFront;
+import dockshed.hls.Origins;
+import dockshed.names.Listing;
 import dockshed.names.Names;
 import dockshed.net.Clock;
 import dockshed.net.Net;
@@ -15,6 +20,7 @@
 import dockshed.rtsp.RtspFront;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.slf4j.Logger;
@@ -33,6 +39,10 @@
     private final Edges edges;
     private final RtspFront rtsp;
     private final Map<String, Long> upSince = new HashMap<>();
+    private Origins origins;
+    private HlsFront hlsFront;
+    private Map<String, Listing> boxes = Map.of();
+    private Scope last;
 
     private Wiring(Config config, Net net) {
         this.config = config;
@@ -49,17 +59,25 @@
     }
 
     /** Begins to serve; returns once viewers can connect. Throws IllegalStateException where it cannot. */
-    static void start(Config config) {
+    static void start(Config config, HlsConfig hls) {
         Net net = new Net();
         Wiring w = net.call(() -> {     // all state belongs to the loop's thread from its first moment
             Wiring made = new Wiring(config, net);
             made.lists();
+            if (hls != null) {
+                made.hls(hls);
+            }
             return made;
         });
         if (config.peerListen() != null) {
             w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
         }
         w.net.listen(config.listen(), w.rtsp::accept).syncUninterruptibly();
+        if (hls != null) {
+            w.net.listen(hls.listen(), w.hlsFront::accept).syncUninterruptibly();
+            LOG.info("serving HLS: listen={} servers={} eureka={}", hls.listen(), hls.servers().size(),
+                    hls.eureka() == null ? "none" : hls.eureka().at());
+        }
         new Signals(w.net, w.clock, w.deadlines, w.broker).watch();
         LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), config.listen(),
                 w.upSince.size(), config.peers().size());
@@ -77,6 +95,41 @@
         }
     }
 
+    private void hls(HlsConfig hls) {
+        Director.Settings s = config.settings();
+        origins = new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)));
+        hlsFront = new HlsFront(broker, origins, clock, deadlines, s, hls.idle(), config.sockets() / 6,
+                config.seed() ^ 0x5eed);
+        if (!hls.servers().isEmpty()) {
+            boxes(Scope.DISK, hls.servers());
+        }
+        if (hls.eureka() != null) {
+            new EurekaClient(hls.eureka(), net, clock, deadlines, list -> boxes(Scope.SNAPSHOT, list)).start();
+        }
+    }
+
+    /** The lesson boxes as HLS servers. */
+    private void boxes(Scope scope, List<Listing> list) {
+        Map<String, Listing> now = new LinkedHashMap<>();
+        list.forEach(l -> now.put(l.server().id(), l));
+        if (now.equals(boxes) && scope == last) {
+            return;
+        }
+        last = scope;
+        Map<String, Listing> before = boxes;
+        boxes = now;
+        Map<String, InetSocketAddress> addresses = new HashMap<>();
+        now.forEach((id, l) -> addresses.put(id, l.at()));
+        origins.addresses(addresses);
+        broker.members(clock.now(), "eureka", scope, now.values().stream().map(Listing::server).toList());
+        before.forEach((id, was) -> {
+            Listing is = now.get(id);
+            if (is == null || is.server().upSince() > was.server().upSince()) {
+                broker.lost(clock.now(), origins, id, is == null ? clock.now() : is.server().upSince());
+            }
+        });
+    }
+
     private void news(Scope scope, List<Server> servers, Map<String, InetSocketAddress> addresses) {
         edges.addresses(addresses);
         broker.members(clock.now(), "names", scope, servers);
--- a/src/main/java/dockshed/config/Config.java
+++ b/src/main/java/dockshed/config/Config.java
@@ -142,8 +142,8 @@
         return first ? Scope.DISK : notice.complete() ? Scope.SNAPSHOT : Scope.CHANGES;
     }
 
-    private static Listing listing(Fields m) {
-        State state = switch (m.text("phase")) {
+    static Listing listing(Fields m) {
+        State state = switch (m.text("phase", "active")) {
             case "active" -> State.UP;
             case "leaving" -> State.DRAINING;
             case "left" -> State.GONE;
--- /dev/null
+++ b/src/main/java/dockshed/config/HlsConfig.java
@@ -0,0 +1,50 @@
+package dockshed.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import dockshed.names.Listing;
+
+/**
+ * The file that switches the HLS front on: where it listens, the servers known at the start, and Eureka, which may be
+ * left out. Times are microseconds.
+ */
+public record HlsConfig(InetSocketAddress listen, List<Listing> servers, Eureka eureka, long idle) {
+    private static final long DEFAULT_IDLE = 20_000_000;
+    private static final long DEFAULT_POLL = 5_000_000;
+
+    /** The registry and the name under which the lesson boxes are registered there. */
+    public record Eureka(InetSocketAddress at, String path, String app, long poll) { }
+
+    public static HlsConfig load(String file) {
+        return read(Config.object(Path.of(file), "hls"));
+    }
+
+    static HlsConfig read(Fields c) {
+        List<Listing> servers = new ArrayList<>();
+        if (c.has("servers")) {
+            for (Object each : c.list("servers")) {
+                servers.add(Config.listing(new Fields(c.owner() + ".servers", each)));
+            }
+        }
+        Eureka eureka = null;
+        if (c.has("eureka")) {
+            Fields e = c.object("eureka");
+            eureka = new Eureka(Config.address(e, "at"), e.text("path", "/eureka"), e.text("app"),
+                    period(e, "poll_ms", DEFAULT_POLL));
+        }
+        if (eureka == null && servers.isEmpty()) {
+            throw new Fields.Malformed(c.owner() + ": neither member 'servers' nor member 'eureka' names a server");
+        }
+        return new HlsConfig(Config.address(c, "listen"), servers, eureka, period(c, "idle_ms", DEFAULT_IDLE));
+    }
+
+    private static long period(Fields c, String key, long absent) {
+        long micros = c.micros(key, absent);
+        if (micros < 100_000) {
+            throw new Fields.Malformed(c.owner() + ": member '" + key + "' is under 100");
+        }
+        return micros;
+    }
+}
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -32,7 +32,7 @@
     /** The answer to a viewer goes out this long before its time is up, so that it still arrives. */
     static final long ANSWER_MARGIN = 10_000;
     /** Of the grace for drains, what is kept for the way to the server. */
-    static final long DRAIN_MARGIN = 100_000;
+    static final long DRAIN_MARGIN = 300_000;
     /** How long an end that no connection could carry is kept for the next one. */
     static final long TELL_WITHIN = 8_000_000;
     /** A connection that closes so soon after an end was written to it may not have carried it. */
@@ -253,6 +253,17 @@
         });
     }
 
+    /** A session that stands has come to its natural end, as its front found out. */
+    public void finished(long at, String name) {
+        event(at, t -> {
+            Call call = byName.get(name);
+            if (call != null && call.stands) {
+                call.via.release(call.box.id, name);
+                end(call, Outcome.OK, LoadReport.NONE);
+            }
+        });
+    }
+
     /** An answer could not be passed on whole: the session has nobody to play to. */
     public void undelivered(long at, String name) {
         leave(at, name);
@@ -459,7 +470,7 @@
         call.rungSent = call.rung;
         call.attemptEnds = deadlines.at(now + wait, due -> event(due, t -> attemptTimedOut(call)));
         call.via.setUp(server, new Servers.SetUp(call.wish.name(), call.wish.className(), call.wish.title(), wait,
-                call.rung, call.wish.description()));
+                call.cls.floor(), call.rung, call.wish.description()));
     }
 
     @Override
--- a/src/main/java/dockshed/core/Servers.java
+++ b/src/main/java/dockshed/core/Servers.java
@@ -2,8 +2,11 @@
 
 /** The servers behind one adapter. What comes of a call is reported to the broker, at once or later. */
 public interface Servers {
-    /** A set-up as it goes out; {@code left}: microseconds for which its answer is waited for. */
-    record SetUp(String name, String className, String title, long left, int rung, String description) { }
+    /**
+     * A set-up as it goes out; {@code left}: microseconds for which its answer is waited for; from {@code floor} to
+     * {@code rung}: the rungs that the session may be given.
+     */
+    record SetUp(String name, String className, String title, long left, int floor, int rung, String description) { }
 
     void setUp(String server, SetUp setUp);
 
