--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -13,7 +13,7 @@
 import dockshed.hls.Origins;
 import dockshed.names.Listing;
 import dockshed.names.Names;
-import dockshed.net.Clock;
+import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import dockshed.net.Signals;
 import dockshed.peers.UdpPeers;
@@ -32,7 +32,7 @@
 
     private final Config config;
     private final Net net;
-    private final Clock clock;
+    private final LoopClock clock;
     private final Deadlines deadlines;
     private final UdpPeers peers;
     private final Broker broker;
@@ -47,7 +47,7 @@
     private Wiring(Config config, Net net) {
         this.config = config;
         this.net = net;
-        clock = new Clock(net.loop());
+        clock = new LoopClock(net.loop());
         deadlines = new Deadlines(clock::wake);
         peers = new UdpPeers(config.peers(), config.peersAll());
         Director.Settings s = config.settings();
--- a/src/main/java/dockshed/net/Clock.java
+++ b/src/main/java/dockshed/net/Clock.java
@@ -1,50 +1,6 @@
 package dockshed.net;
 
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
-import java.time.Instant;
-import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
-
-/** Unix time in microseconds that never goes back, and one wake-up on the event loop. */
-public final class Clock {
-    private static final long START = micros(Instant.now());
-    private static final long NANOS = System.nanoTime();
-
-    private final EventLoop loop;
-    private LongConsumer due;
-    private ScheduledFuture<?> armed;
-    private long armedFor = Long.MAX_VALUE;
-
-    public Clock(EventLoop loop) {
-        this.loop = loop;
-    }
-
-    private static long micros(Instant t) {
-        return t.getEpochSecond() * 1_000_000 + t.getNano() / 1000;
-    }
-
-    public long now() {
-        return START + (System.nanoTime() - NANOS) / 1000;
-    }
-
-    public void onDue(LongConsumer what) {
-        due = what;
-    }
-
-    /** Asks for a wake-up at a time, unless one is coming sooner. */
-    public void wake(long at) {
-        if (at >= armedFor) {
-            return;
-        }
-        if (armed != null) {
-            armed.cancel(false);
-        }
-        armedFor = at;
-        armed = loop.schedule(() -> {
-            armed = null;
-            armedFor = Long.MAX_VALUE;
-            due.accept(now());
-        }, Math.max(0, at - now()), TimeUnit.MICROSECONDS);
-    }
+/** Tells the time: Unix time in microseconds. */
+public interface Clock {
+    long now();
 }
--- /dev/null
+++ b/src/test/java/dockshed/names/DnsTest.java
@@ -0,0 +1,181 @@
+package dockshed.names;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.State;
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** The name server's answers, and what a list changes. */
+class DnsTest {
+    /** Lays out an answer as a name server does, names compressed to pointers where they repeat. */
+    static final class Packet {
+        private final ByteArrayOutputStream out = new ByteArrayOutputStream();
+        private final Map<String, Integer> seen = new HashMap<>();
+        private int records;
+
+        Packet(int id, String question, int type) {
+            u16(id).u16(0x8400).u16(1).u16(0).u16(0).u16(0);
+            name(question).u16(type).u16(1);
+        }
+
+        Packet u16(int v) {
+            out.write(v >> 8);
+            out.write(v);
+            return this;
+        }
+
+        Packet name(String name) {
+            String rest = name;
+            while (!rest.isEmpty()) {
+                if (seen.containsKey(rest)) {
+                    return u16(0xc000 | seen.get(rest));
+                }
+                seen.put(rest, out.size());
+                String label = rest.split("\\.", 2)[0];
+                out.write(label.length());
+                out.writeBytes(label.getBytes(StandardCharsets.US_ASCII));
+                rest = rest.length() > label.length() ? rest.substring(label.length() + 1) : "";
+            }
+            out.write(0);
+            return this;
+        }
+
+        private Packet record(String name, int type, Runnable data) {
+            records++;
+            name(name).u16(type).u16(1).u16(0).u16(5);
+            int length = out.size();
+            u16(0);
+            data.run();
+            byte[] all = out.toByteArray();
+            int size = all.length - length - 2;
+            all[length] = (byte) (size >> 8);
+            all[length + 1] = (byte) size;
+            out.reset();
+            out.writeBytes(all);
+            return this;
+        }
+
+        Packet srv(String target, int priority, int weight, int port) {
+            return record(Names.SERVICE, Dns.SRV, () -> u16(priority).u16(weight).u16(port).name(target));
+        }
+
+        Packet a(String name, int last) {
+            return record(name, Dns.A, () -> out.writeBytes(new byte[] {127, 0, 0, (byte) last}));
+        }
+
+        Packet txt(String name, String... texts) {
+            return record(name, Dns.TXT, () -> {
+                for (String t : texts) {
+                    out.write(t.length());
+                    out.writeBytes(t.getBytes(StandardCharsets.US_ASCII));
+                }
+            });
+        }
+
+        Packet soa(int serial) {
+            return record("fleet.local", Dns.SOA, () -> name("ns.fleet.local").name("admin.fleet.local")
+                    .u16(serial >> 16).u16(serial).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1));
+        }
+
+        byte[] bytes() {
+            byte[] all = out.toByteArray();
+            all[7] = (byte) records;
+            return all;
+        }
+    }
+
+    private static byte[] fleet() {
+        return new Packet(7, Names.SERVICE, Dns.SRV)
+                .srv("s-1.east.hosts", 0, 40, 5080).srv("s-2.west.hosts", 1, 15, 5081).soa(70_000)
+                .a("s-1.east.hosts", 9).a("s-2.west.hosts", 10)
+                .txt("s-1.east.hosts", "kind=std", "cell=2", "started=0")
+                .txt("s-2.west.hosts", "kind=big", "cell=3", "started=1500.5").bytes();
+    }
+
+    @Test
+    void aQueryHasItsForm() {
+        assertArrayEquals(new byte[] {1, 2, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, 'a', 2, 'b', 'c', 0, 0, 33, 0, 1},
+                Dns.query(0x0102, "a.bc", Dns.SRV));
+    }
+
+    @Test
+    void theFleetIsReadFromCompressedNames() throws Exception {
+        Dns.Answer a = Dns.read(fleet());
+        assertEquals(7, a.id());
+        assertEquals(70_000, FleetList.serial(a.records()));
+        assertEquals(List.of(
+                new Listing(new Server("s-1", "east", "std", 2, State.UP, 4, 0), new InetSocketAddress("127.0.0.9", 5080)),
+                new Listing(new Server("s-2", "west", "big", 3, State.DRAINING, 1.5, 1_500_500),
+                        new InetSocketAddress("127.0.0.10", 5081))),
+                FleetList.listings(a.records(), Names.SERVICE));
+        assertEquals(List.of(), FleetList.lacking(a.records(), Dns.A));
+    }
+
+    @Test
+    void targetsWithoutAddressAreNamed() throws Exception {
+        List<Dns.Record> records = Dns.read(new Packet(1, Names.SERVICE, Dns.SRV)
+                .srv("s-1.east.hosts", 0, 40, 5080).soa(1).bytes()).records();
+        assertEquals(List.of("s-1.east.hosts"), FleetList.lacking(records, Dns.A));
+        assertThrows(Dns.Malformed.class, () -> FleetList.listings(records, Names.SERVICE));
+    }
+
+    @Test
+    void everyCutAndEveryPointerLoopIsMalformed() {
+        byte[] whole = fleet();
+        for (int i = 0; i < whole.length; i++) {
+            byte[] cut = Arrays.copyOf(whole, i);
+            assertThrows(Dns.Malformed.class, () -> Dns.read(cut), "cut at " + i);
+        }
+        byte[] loop = new Packet(1, "a", Dns.A).bytes();
+        loop[12] = (byte) 0xc0;
+        loop[13] = 12;
+        assertThrows(Dns.Malformed.class, () -> Dns.read(loop));
+        assertThrows(Dns.Malformed.class, () -> Dns.read(Dns.query(1, "a", Dns.A)), "a query is no answer");
+    }
+
+    @Property(seed = "20261201", tries = 2000)
+    void damageIsMalformedOrRead(@ForAll int where, @ForAll byte what, @ForAll byte[] garbage) {
+        byte[] hurt = fleet();
+        hurt[Math.floorMod(where, hurt.length)] = what;
+        for (byte[] packet : new byte[][] {hurt, garbage}) {
+            try {
+                assertTrue(Dns.read(packet).records() != null);
+            } catch (Dns.Malformed e) {
+                assertTrue(e.getMessage().length() > 0);
+            }
+        }
+    }
+
+    private static Listing listing(String id, State state, long since) {
+        return new Listing(new Server(id, "z", "k", 0, state, 1, since), new InetSocketAddress("127.0.0.1", 1));
+    }
+
+    @Test
+    void aWholeListTellsOnlyWhatChangedAndLateAnswersNothing() {
+        FleetList list = new FleetList();
+        list.known(3, Scope.DISK, List.of(listing("a", State.UP, 0), listing("b", State.UP, 0),
+                listing("c", State.UP, 0)));
+        assertEquals(List.of(), list.whole(3, List.of(listing("a", State.UP, 0), listing("b", State.UP, 0),
+                listing("c", State.UP, 0))), "the same list again changes nothing");
+        List<Server> changed = list.whole(5, List.of(listing("a", State.DRAINING, 0), listing("c", State.UP, 9)));
+        assertEquals(List.of("b GONE", "a DRAINING", "c UP"), changed.stream().map(s -> s.id() + " " + s.state()).toList());
+        assertEquals(List.of("a", "c"), List.copyOf(list.addresses().keySet()));
+        // An answer that was overtaken on its way must not bring a drained server back.
+        assertNull(list.whole(4, List.of(listing("a", State.UP, 0))));
+    }
+}
