--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -24,7 +24,7 @@
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
-        } catch (RuntimeException e) {
+        } catch (Exception e) {         // a failed bind comes as a checked exception that nothing declares
             System.err.println("dockshed: cannot serve: " + e);
             System.exit(1);
         }
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -19,6 +19,7 @@
 import dockshed.peers.UdpPeers;
 import dockshed.rtsp.RtspFront;
 import java.net.InetSocketAddress;
+import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -55,7 +56,7 @@
         clock.onDue(broker::tick);
         edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
                 config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields()));
-        rtsp = new RtspFront(broker, edges, clock);
+        rtsp = new RtspFront(broker, edges, clock, config.sockets() / 2);
     }
 
     /** Begins to serve; returns once viewers can connect. Throws IllegalStateException where it cannot. */
@@ -72,14 +73,14 @@
         if (config.peerListen() != null) {
             w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
         }
-        w.net.listen(config.listen(), w.rtsp::accept).syncUninterruptibly();
+        SocketAddress at = w.net.listen(config.listen(), w.rtsp::accept).syncUninterruptibly().channel().localAddress();
         if (hls != null) {
-            w.net.listen(hls.listen(), w.hlsFront::accept).syncUninterruptibly();
-            LOG.info("serving HLS: listen={} servers={} eureka={}", hls.listen(), hls.servers().size(),
+            at = w.net.listen(hls.listen(), w.hlsFront::accept).syncUninterruptibly().channel().localAddress();
+            LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
         new Signals(w.net, w.clock, w.deadlines, w.broker).watch();
-        LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), config.listen(),
+        LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), at,
                 w.upSince.size(), config.peers().size());
     }
 
@@ -136,9 +137,9 @@
         for (Server s : servers) {
             Long before = upSince.put(s.id(), s.upSince());
             if (s.state() == State.GONE) {
-                edges.gone(s.id(), clock.now());
+                edges.gone(s.id());
             } else if (before != null && s.upSince() > before) {
-                edges.gone(s.id(), s.upSince());
+                edges.reborn(s.id(), s.upSince());
             }
         }
     }
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -64,6 +64,7 @@
             this.cls = cls;
             this.connection = connection;
             came = now;
+            rung = cls.floor();
         }
     }
 
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -34,8 +34,9 @@
     /** A connection is not used for a set-up so shortly before the server may close it as idle. */
     private static final long IDLE_MARGIN = 3_000_000;
     /** How often in a row a connection to a server with sessions must fail to come up, and the time between. */
-    private static final int LOST_AFTER = 3;
-    private static final long RETRY = 400_000;
+    private static final int LOST_AFTER = 2;
+    private static final long RETRY = 300_000;
+    private static final long LOOK = 500_000;
     private static final int BACKLOG = 1000;
     private static final Logger LOG = LoggerFactory.getLogger(Edges.class);
 
@@ -79,7 +80,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.terms = terms;
-        deadlines.at(clock.now() + 1_000_000, this::lookAround);
+        deadlines.at(clock.now() + LOOK, this::lookAround);
     }
 
     /** Where the servers listen, as far as they are listed; the others are forgotten once nothing is left there. */
@@ -102,13 +103,22 @@
         }
     }
 
-    /** The list tells that the process is gone, or was started anew at {@code since}: older sessions are over. */
-    public void gone(String server, long since) {
+    /** The list tells that the process is gone: so are its sessions. */
+    public void gone(String server) {
         Box b = boxes.get(server);
         if (b != null) {
             drop(b);
-            broker.lost(clock.now(), this, server, since);
         }
+        broker.lost(clock.now(), this, server, clock.now());
+    }
+
+    /** The list tells that the process was started anew: older sessions are over, older lines lead nowhere. */
+    public void reborn(String server, long since) {
+        Box b = boxes.get(server);
+        if (b != null && b.line != null && b.line.begunAt < since) {
+            drop(b);
+        }
+        broker.lost(clock.now(), this, server, since);
     }
 
     // ---- From the broker.
@@ -126,6 +136,10 @@
         fields.put("left", Long.toString(Math.max(1, s.left() / 1000)));
         fields.put("rung", Integer.toString(s.rung()));
         Line line = usable(b);
+        if (line == null) {             // no socket was to be had
+            broker.ended(clock.now(), server, s.name(), Outcome.CONNECT_FAILED, LoadReport.NONE);
+            return;
+        }
         if (line.open.size() >= BACKLOG || line.up && !line.channel.isWritable()) {
             LOG.warn("set-up held back: server={} open={} why=server does not read", server, line.open.size());
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
@@ -219,23 +233,21 @@
     }
 
     /**
-     * Once a second: lines that the server would soon close as idle are renewed, and a server that has sessions but
+     * Every half second: lines that the server would soon close as idle are renewed, and a server that has sessions but
      * said nothing for longer than its reports may take is tried with a new line.
      */
     private void lookAround(long due) {
         long now = clock.now();
-        deadlines.at(now + 1_000_000, this::lookAround);
+        deadlines.at(now + LOOK, this::lookAround);
         long silence = terms.tell() > 0 ? terms.tell() + terms.see() + 500_000 : Long.MAX_VALUE;
         for (Box b : List.copyOf(boxes.values())) {
             Line l = b.line;
             if (l != null && l.up && l.open.isEmpty() && now - l.usedAt > terms.idleClose() - IDLE_MARGIN) {
                 drop(b);
-            } else if (b.hold && l != null && l.up && now - b.heardAt > silence) {
+            } else if (b.hold && l != null && l.up && l.open.isEmpty() && now - b.heardAt > silence) {
                 LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
                 b.heardAt = now;
-                if (l.open.isEmpty()) {
-                    drop(b);
-                }
+                drop(b);
             }
             if (b.hold) {
                 connect(b);
@@ -249,7 +261,8 @@
         private final LineDecoder decoder = new LineDecoder(LINE_LIMIT);
         Channel channel;
         boolean up, over;
-        long usedAt = clock.now();
+        final long begunAt = clock.now();
+        long usedAt = begunAt;
 
         Line(Box box) {
             this.box = box;
@@ -356,6 +369,9 @@
                 box.line = null;
             }
             end(Outcome.RESET);
+            if (reset) {                // only a dying process does that, and it cuts its sessions
+                broker.lost(clock.now(), Edges.this, box.id, clock.now());
+            }
             if (box.hold) {
                 connect(box);
             }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -29,9 +29,12 @@
     private final Broker broker;
     private final Servers servers;
     private final Clock clock;
+    private final int mostConnections;
     private final Map<Long, Channel> channels = new HashMap<>();
 
-    public RtspFront(Broker broker, Servers servers, Clock clock) {
+    /** Viewers keep to a third of the descriptors; beyond {@code mostConnections} new ones are closed. */
+    public RtspFront(Broker broker, Servers servers, Clock clock, int mostConnections) {
+        this.mostConnections = mostConnections;
         this.broker = broker;
         this.servers = servers;
         this.clock = clock;
@@ -42,28 +45,34 @@
         return new Connection();
     }
 
-    /** Connections from viewers that are open. */
-    public int open() {
-        return channels.size();
-    }
-
     private final class Connection extends ByteHandler {
         private final HeadedDecoder decoder = new HeadedDecoder(MESSAGE_LIMIT);
         private long handle;
+        private boolean ending;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
+            if (channels.size() >= mostConnections) {
+                LOG.warn("viewer's connection turned away: open={}", channels.size());
+                ending = true;
+                ctx.close();
+                return;
+            }
             handle = broker.connected(clock.now(), RtspFront.this, h -> channels.put(h, ctx.channel()));
         }
 
         @Override
         protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            if (ending) {
+                return;
+            }
             decoder.add(bytes, 0, bytes.length);
             try {
                 for (Headed m = decoder.next(); m != null; m = decoder.next()) {
                     message(ctx.channel(), handle, m);
                 }
             } catch (Headed.Malformed e) {
+                ending = true;
                 LOG.warn("viewer's message malformed: remote={} why={}", ctx.channel().remoteAddress(), e.getMessage());
                 reply(ctx.channel(), 400, "Bad Request", null, NOTHING, Map.of())
                         .addListener(ChannelFutureListener.CLOSE);
--- /dev/null
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -0,0 +1,130 @@
+package dockshed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.config.ConfigTest;
+import dockshed.net.Headed;
+import dockshed.net.HeadedDecoder;
+import java.io.BufferedReader;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program as a process: it starts, serves, and ends as planned. */
+class ProgramTest {
+    @TempDir
+    Path dir;
+    private Process process;
+    private BufferedReader log;
+
+    private void start(String config, String... arguments) throws Exception {
+        Path file = Files.writeString(dir.resolve("config.json"), config);
+        List<String> command = new java.util.ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+                System.getProperty("java.class.path"), "dockshed.Main"));
+        command.addAll(List.of(arguments));
+        ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
+        b.environment().put("EDGE_CONFIG", file.toString());
+        process = b.start();
+        log = process.inputReader();
+    }
+
+    @AfterEach
+    void stop() {
+        process.destroyForcibly();
+    }
+
+    private String line(String with) throws Exception {
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains(with)) {
+                return line;
+            }
+        }
+        throw new AssertionError("never logged: " + with);
+    }
+
+    private static int port(String line) {
+        return Integer.parseInt(line.replaceAll(".*listen=/?[0-9.]+:([0-9]+).*", "$1"));
+    }
+
+    private static Headed ask(Socket s, String text) throws Exception {
+        s.setSoTimeout(20_000);
+        s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+        HeadedDecoder d = new HeadedDecoder(1 << 16);
+        InputStream in = s.getInputStream();
+        byte[] buf = new byte[1 << 16];
+        Headed m = null;
+        for (int n = in.read(buf); m == null && n >= 0; n = m == null ? in.read(buf) : -1) {
+            d.add(buf, 0, n);
+            m = d.next();
+        }
+        return m;
+    }
+
+    private static final String TEST = "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n";
+
+    @Test
+    void itServesGoesOnAfterSigtermForAWhileAndEndsWithZero() throws Exception {
+        start(ConfigTest.WHOLE, "serve");
+        int port = port(line("serving:"));
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            assertEquals(200, ask(s, TEST).status());
+            process.toHandle().destroy();   // SIGTERM; the log stays open
+            line("planned end begun");
+            // Viewers still come at a planned end; they must be let in and answered.
+            try (Socket late = new Socket("127.0.0.1", port)) {
+                assertEquals(200, ask(late, TEST).status());
+                assertEquals(453, ask(late, "SETUP rtsp://media/t RTSP/1.0\r\nSession: 0123456789abcdef\r\n"
+                        + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 0\r\n\r\n").status());
+            }
+        }
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+    }
+
+    @Test
+    void itServesHlsWhereAFileSaysSo() throws Exception {
+        Path file = Files.writeString(dir.resolve("hls.json"), "{\"listen\":\"127.0.0.1:0\",\"servers\":"
+                + "[{\"id\":\"a\",\"host_port\":\"127.0.0.1:9\"}]}");
+        start(ConfigTest.WHOLE, "serve", "--hls", file.toString());
+        try (Socket s = new Socket("127.0.0.1", port(line("serving HLS:")))) {
+            assertEquals(404, ask(s, "GET /sessions/0/0.m3u8 HTTP/1.1\r\n\r\n").status());
+        }
+    }
+
+    @Test
+    void aFaultyConfigurationEndsItWithAWordOnTheKey() throws Exception {
+        start(ConfigTest.WHOLE.replace("\"seed\":\"8c1f30d27a5be964\",", ""), "serve");
+        assertTrue(line("dockshed: ").contains("member 'seed' is missing"));
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+    }
+
+    @Test
+    void anAddressInUseEndsItWithAWord() throws Exception {
+        try (java.net.ServerSocket taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+            start(ConfigTest.WHOLE.replace("\"listen\":\"127.0.0.1:0\"",
+                    "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""), "serve");
+            line("dockshed: cannot serve");
+            assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+            assertEquals(1, process.exitValue());
+        }
+    }
+
+    @Test
+    void wrongArgumentsAreToldTheRightOnes() throws Exception {
+        start(ConfigTest.WHOLE, "dance");
+        assertTrue(line("usage").contains("serve [--hls FILE] | simhost"));
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/config/ConfigTest.java
@@ -0,0 +1,118 @@
+package dockshed.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director.Scope;
+import dockshed.Director.State;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the program is told: read, checked, and complained of by the key at fault. */
+public class ConfigTest {
+    /** A whole configuration; the tests of the program use it too. */
+    public static final String WHOLE = """
+            {"name":"n3","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,
+            "sockets":512},"peer_listen":"127.0.0.1:0","peers":["127.0.0.1:7946"],"peers_all":"127.0.0.1:7947",
+            "names":"127.0.0.1:9","known":{"rev":2,"notices":[
+            {"rev":1,"pool":{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":"127.0.0.1:5080",
+            "locality":"east","flavor":"std","cell":2,"phase":"active","size":4,"up_since_ms":0}]}},
+            {"rev":2,"pool":{"revision":2,"complete":false,"members":[{"id":"s-1","host_port":"127.0.0.1:5080",
+            "locality":"east","flavor":"std","cell":2,"phase":"leaving","size":4,"up_since_ms":1500}]}}]},
+            "settings":{"balancers":2,"me":0,"zone":"east","classes":[{"deadline":4000.0,"effect":"at_most_once",
+            "goal_time":800.0,"name":"paid","points":1.0}],"family_info":{"cabinets":1,"cells":3,"class_scale":[1],
+            "class_seats":[0],"kind_slots":[22],"level_worth":[0.2,1.0],"links_kb":9000.0,"lowest_rung":[1],
+            "rates_kb":[200.0,900.0],"top_by_class":[1],"uplink_kb":9000.0,"weight_kb":9000.0,"reports_every":3000.0,
+            "see":500.0},"invariants":{"warm_up":12000.0,"cold_from":0.4,"drain_grace":1000.0},"kinds":["std"],
+            "limits":{"try_limit":3,"connect_timeout":250.0,"idle_close":20000.0,"peers":true},"prices":{},
+            "report":{"fields":["busy_reqs","x0"]}}}""";
+
+    private static Config read(String text) {
+        return Config.read(Config.parse(text, "config"), Map.of());
+    }
+
+    @Test
+    void allOfItIsRead() {
+        Config c = read(WHOLE);
+        assertEquals("n3", c.name());
+        assertEquals(0x8c1f30d27a5be964L, c.seed());
+        assertEquals(512, c.sockets());
+        assertEquals(9, c.names().getPort());
+        assertEquals(7947, c.peersAll().getPort());
+        assertEquals(20_000_000, c.idleClose());
+        assertEquals(List.of("busy_reqs", "x0"), c.reportFields());
+        assertEquals(1_000_000, c.settings().rules().drainGrace());
+        assertEquals(1, c.settings().classes().get(0).floor());
+        assertEquals(State.DRAINING, c.known().get(1).members().get(0).server().state());
+        assertEquals(1_500_000, c.known().get(1).members().get(0).server().upSince());
+        assertEquals(Scope.DISK, Config.scope(c.known().get(0), true));
+        assertEquals(Scope.CHANGES, Config.scope(c.known().get(1), false));
+        assertEquals(Scope.SNAPSHOT, Config.scope(c.known().get(0), false));
+    }
+
+    @Test
+    void whatMayBeAbsentHasADefaultAndTheEnvironmentComesFirst() {
+        String less = WHOLE.replace("\"peer_listen\":\"127.0.0.1:0\",", "").replace("\"peers_all\":\"127.0.0.1:7947\",", "")
+                .replace(",\"idle_close\":20000.0", "").replace("\"limits\":{\"cores\":1.0,\"memory_mb\":192,\n\"sockets\":512},", "");
+        Config c = Config.read(Config.parse(less, "config"),
+                Map.of("EDGE_NAME", "n9", "EDGE_LISTEN", "127.0.0.2:80"));
+        assertEquals("n9", c.name());
+        assertEquals("127.0.0.2", c.listen().getHostString());
+        assertNull(c.peerListen());
+        assertNull(c.peersAll());
+        assertEquals(30_000_000, c.idleClose());
+        assertEquals(1024, c.sockets());
+    }
+
+    private static void complains(String from, String to, String key) {
+        assertTrue(WHOLE.contains(from), from);
+        Fields.Malformed e = assertThrows(Fields.Malformed.class, () -> read(WHOLE.replace(from, to)), to);
+        assertTrue(e.getMessage().contains(key), e.getMessage());
+    }
+
+    @Test
+    void aComplaintNamesTheKey() {
+        complains("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"localhost:0\"", "config: member 'listen'");
+        complains("\"names\":\"127.0.0.1:9\"", "\"names\":\"127.0.0.1\"", "config: member 'names'");
+        complains("\"seed\":\"8c1f30d27a5be964\"", "\"seed\":\"soon\"", "'seed'");
+        complains("\"sockets\":512", "\"sockets\":3", "config.limits: member 'sockets'");
+        complains("\"phase\":\"leaving\"", "\"phase\":\"odd\"", "config.known.notices.pool.members: member 'phase'");
+        complains("\"id\":\"s-1\",", "", "config.known.notices.pool.members: member 'id'");
+        complains("\"try_limit\":3,", "", "config.settings.limits: member 'try_limit'");
+        complains("\"effect\":\"at_most_once\"", "\"effect\":\"odd\"", "config.settings.classes: member 'effect'");
+        complains("\"points\":1.0", "\"points\":0", "worth of class paid");
+        complains("\"lowest_rung\":[1]", "\"lowest_rung\":[]", "'lowest_rung'");
+        complains("\"peers\":[\"127.0.0.1:7946\"]", "\"peers\":[3]", "config: member 'peers'");
+        complains("{\"name\"", "{,\"name\"", "config: not JSON");
+        assertThrows(Fields.Malformed.class, () -> Config.load(Map.of()));
+        assertThrows(Fields.Malformed.class, () -> Config.load(Map.of("EDGE_CONFIG", "/nowhere/config.json")));
+    }
+
+    private static HlsConfig hls(String text) {
+        return HlsConfig.read(Config.parse(text, "hls"));
+    }
+
+    @Test
+    void theFileOfTheHlsFrontIsReadAndChecked() {
+        HlsConfig h = hls("{\"listen\":\"127.0.0.1:8080\",\"eureka\":{\"at\":\"127.0.0.1:8761\",\"app\":\"B\"},"
+                + "\"servers\":[{\"id\":\"a\",\"host_port\":\"127.0.0.1:9\",\"cell\":2}]}");
+        assertEquals(new HlsConfig.Eureka(h.eureka().at(), "/eureka", "B", 5_000_000), h.eureka());
+        assertEquals(20_000_000, h.idle());
+        assertEquals(State.UP, h.servers().get(0).server().state());
+        for (Map.Entry<String, String> bad : Map.of("{}", "servers", "{\"listen\":1,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}",
+                "'listen'", "{\"listen\":\"127.0.0.1:1\",\"eureka\":{\"at\":\"127.0.0.1:1\"}}", "hls.eureka: member 'app'",
+                "{\"listen\":\"127.0.0.1:1\",\"idle_ms\":5,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}", "'idle_ms'")
+                .entrySet()) {
+            Fields.Malformed e = assertThrows(Fields.Malformed.class, () -> hls(bad.getKey()), bad.getKey());
+            assertTrue(e.getMessage().contains(bad.getValue()), e.getMessage());
+        }
+    }
+
+    @Test
+    void theFileUnderDeployIsSound() {
+        assertEquals("LESSON-BOXES", HlsConfig.load("deploy/hls.json").eureka().app());
+    }
+}
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -146,6 +146,13 @@
         assertEquals(1, s.count("front served v1 1..1"));
     }
 
+    @Test
+    void aSetUpWithoutARungIsAtTheLowestOfItsClass() {
+        s.ask("v1", "paid");
+        s.broker.answered(s.now, "a", "v1", "answer");
+        assertEquals(1, s.count("front served v1 1..1"));
+    }
+
     @Test
     void aRungSetWhileTheAnswerIsOnItsWayFollowsIt() {
         String[] id = {""};
--- a/src/test/java/dockshed/core/Stage.java
+++ b/src/test/java/dockshed/core/Stage.java
@@ -14,6 +14,9 @@
 import dockshed.Director.Topic;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
@@ -24,6 +27,7 @@
     public static final long MS = 1000, S = 1_000_000;
 
     public final List<String> log = new ArrayList<>();
+    private final BlockingQueue<String> live = new LinkedBlockingQueue<>();
     /** What the module does when a request comes, when an attempt ends unanswered, and when its timer comes. */
     public Consumer<Request> onRequest = r -> this.actions.send(r.id(), "a", 0);
     public Consumer<String> onOutcome = id -> this.actions.fail(id);
@@ -44,7 +48,7 @@
         broker = new Broker(settings, a -> {
             actions = a;
             return this;
-        }, message -> log.add("peers " + message.length), deadlines);
+        }, message -> say("peers " + message.length), deadlines);
         list(Scope.DISK, State.UP, "a", "b");
         connection = broker.connected(now, this, h -> { });
         log.clear();
@@ -86,6 +90,21 @@
         broker.ended(now, server, name, outcome, LoadReport.NONE);
     }
 
+    private void say(String line) {
+        log.add(line);
+        live.add(line);
+    }
+
+    /** Waits for a line that begins so, passing over others; for tests on real sockets. */
+    public String await(String prefix) throws InterruptedException {
+        for (String line = live.poll(20, TimeUnit.SECONDS); line != null; line = live.poll(20, TimeUnit.SECONDS)) {
+            if (line.startsWith(prefix)) {
+                return line;
+            }
+        }
+        throw new AssertionError("never came: " + prefix);
+    }
+
     public long count(String prefix) {
         return log.stream().filter(l -> l.startsWith(prefix)).count();
     }
@@ -93,27 +112,27 @@
     // ---- Front.
     @Override
     public void served(long on, String name, Granted g) {
-        log.add("front served " + name + " " + g.floor() + ".." + g.rung());
+        say("front served " + name + " " + g.floor() + ".." + g.rung());
     }
 
     @Override
     public void refused(long on, String name, long comeBack) {
-        log.add("front refused " + name + " " + comeBack / MS);
+        say("front refused " + name + " " + comeBack / MS);
     }
 
     @Override
     public void failed(long on, String name, boolean late) {
-        log.add("front failed " + name + (late ? " late" : ""));
+        say("front failed " + name + (late ? " late" : ""));
     }
 
     @Override
     public void over(long on, String name, Outcome outcome) {
-        log.add("front over " + name + " " + outcome);
+        say("front over " + name + " " + outcome);
     }
 
     @Override
     public void moved(long on, String name) {
-        log.add("front moved " + name);
+        say("front moved " + name);
     }
 
     @Override
@@ -124,27 +143,27 @@
     // ---- Servers.
     @Override
     public void setUp(String server, SetUp s) {
-        log.add("box " + server + " setUp " + s.name() + " left=" + s.left() / MS);
+        say("box " + server + " setUp " + s.name() + " left=" + s.left() / MS);
     }
 
     @Override
     public void giveUp(String server, String name) {
-        log.add("box " + server + " giveUp " + name);
+        say("box " + server + " giveUp " + name);
     }
 
     @Override
     public void release(String server, String name) {
-        log.add("box " + server + " release " + name);
+        say("box " + server + " release " + name);
     }
 
     @Override
     public void rate(String server, String name, int rung) {
-        log.add("box " + server + " rate " + name + " " + rung);
+        say("box " + server + " rate " + name + " " + rung);
     }
 
     @Override
     public void hold(String server, boolean sessions) {
-        log.add("box " + server + " hold " + sessions);
+        say("box " + server + " hold " + sessions);
     }
 
     // ---- Module.
@@ -155,18 +174,19 @@
 
     @Override
     public void open(long at, Request r, String server) {
-        log.add("module open " + server);
+        say("module open " + server);
     }
 
     @Override
     public void first(long at, String request, int attempt, String server) {
-        log.add("module first " + attempt + " " + server);
+        say("module first " + attempt + " " + server);
     }
 
     @Override
     public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
                         LoadReport report) {
-        log.add("module outcome " + attempt + " " + server + " " + outcome + (last ? " last" : ""));
+        say("module outcome " + attempt + " " + server + " " + outcome + (last ? " last" : "")
+                + (report.values().isEmpty() ? "" : " " + report.values()));
         if (!last) {
             onOutcome.accept(request);
         }
@@ -174,17 +194,17 @@
 
     @Override
     public void note(long at, String request, String server, Topic topic, double value) {
-        log.add("module note " + topic + " " + value);
+        say("module note " + topic + " " + value);
     }
 
     @Override
     public void gone(long at, String request) {
-        log.add("module gone");
+        say("module gone");
     }
 
     @Override
     public void members(long at, Scope scope, List<Server> servers) {
-        servers.forEach(s -> log.add("module " + scope + " " + s.id() + " " + s.state()));
+        servers.forEach(s -> say("module " + scope + " " + s.id() + " " + s.state()));
     }
 
     @Override
@@ -192,11 +212,11 @@
 
     @Override
     public void told(long at, int from, byte[] message) {
-        log.add("module told " + from);
+        say("module told " + from);
     }
 
     @Override
     public void timer(long at, String key) {
-        log.add("module timer " + key);
+        say("module timer " + key);
     }
 }
--- /dev/null
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -0,0 +1,292 @@
+package dockshed.edge;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director;
+import dockshed.core.Broker;
+import dockshed.core.Deadlines;
+import dockshed.core.Stage;
+import dockshed.net.LoopClock;
+import dockshed.net.Net;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The lines to edge servers on loopback sockets; the test itself is the edge server, and scripts the module. */
+class EdgesTest {
+    private final Net net = new Net();
+    private final Stage stage = new Stage();
+    private Director.Actions act;
+    private LoopClock clock;
+    private Broker broker;
+    private Edges edges;
+    private ServerSocket server;
+    private Socket line;
+    private BufferedReader reads;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        server.setSoTimeout(20_000);
+        begin(30_000_000, 3_000_000);
+    }
+
+    private void begin(long idleClose, long tell) {
+        net.call(() -> {
+            clock = new LoopClock(net.loop());
+            Deadlines deadlines = new Deadlines(clock::wake);
+            broker = new Broker(stage.settings, a -> {
+                act = a;
+                return stage;
+            }, m -> { }, deadlines);
+            clock.onDue(broker::tick);
+            edges = new Edges(broker, net, clock, deadlines,
+                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0")));
+            stage.onRequest = r -> act.send(r.id(), "a", 0);
+            stage.onOutcome = id -> act.fail(id);
+            broker.connected(clock.now(), stage, h -> { });
+            broker.members(clock.now(), "names", Director.Scope.DISK,
+                    List.of(new Director.Server("a", "z", "k", 0, Director.State.UP, 1, 0)));
+            edges.addresses(Map.of("a", new InetSocketAddress("127.0.0.1", server.getLocalPort())));
+            return null;
+        });
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        net.close();
+        server.close();
+        if (line != null) {
+            line.close();
+        }
+    }
+
+    private void ask(String name, String cls) {
+        net.call(() -> broker.request(clock.now(), 0, stage, edges, Stage.wish(name, cls)));
+    }
+
+    private void accept() throws IOException {
+        line = server.accept();
+        line.setSoTimeout(20_000);
+        reads = new BufferedReader(new InputStreamReader(line.getInputStream(), StandardCharsets.UTF_8));
+    }
+
+    private Message read() throws Exception {
+        String text = reads.readLine();
+        return text == null ? null : Message.read(text);
+    }
+
+    private void say(String text) throws IOException {
+        line.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private void say(String type, String id, int cause, Map<String, String> fields) throws IOException {
+        say(new Message(type, id, fields, cause, null).write());
+    }
+
+    private void play(String name) throws Exception {
+        ask(name, "safe");
+        if (line == null) {
+            accept();
+        }
+        assertEquals("setup", read().type());
+        say(new Message("answer", name, Map.of(), -1, "v=0").write());
+        stage.await("front served " + name);
+    }
+
+    @Test
+    void aSetUpCarriesWhatThePageSays() throws Exception {
+        ask("v1", "paid");
+        accept();
+        Message m = read();
+        assertEquals("setup", m.type());
+        assertEquals("v1", m.id());
+        assertEquals("sdp", m.sdp());
+        assertEquals("paid title 1", m.fields().get("class") + " " + m.fields().get("key") + " " + m.fields().get("rung"));
+        int left = Integer.parseInt(m.fields().get("left"));
+        assertTrue(left > 0 && left <= 2990, "left " + left);
+    }
+
+    @Test
+    void aSessionsNewsAndEndComeThrough() throws Exception {
+        play("v1");
+        say("progress", "v1", -1, Map.of());
+        say("note", "v1", -1, Map.of("note", "fill", "value", "0.93"));
+        assertEquals("module note DELIVERED 0.93", stage.await("module note"));
+        say("note", "v1", -1, Map.of("note", "grade", "value", "2"));
+        assertEquals("module note RUNG 2.0", stage.await("module note"));
+        say("note", "v1", -1, Map.of("note", "local", "value", "x"));    // no figure: passed over
+        say("note", "v1", -1, Map.of("note", "local", "value", "1.5"));
+        assertEquals("module note LINK 1.5", stage.await("module note"));
+        say("note", "v1", -1, Map.of("note", "upstream", "value", "0.5"));
+        assertEquals("module note UPLINK 0.5", stage.await("module note"));
+        say("release", "v1", 16, Map.of("load", "x0:0.4;new:1;busy_reqs:12"));
+        assertEquals("front over v1 OK", stage.await("front over"));
+        assertEquals("module outcome 0 a OK last [12.0, 0.4]", stage.await("module outcome"));
+    }
+
+    @Test
+    void causesBeforeAndAfterTheAnswerMeanWhatThePageSays() throws Exception {
+        Map<Integer, String> before = Map.of(34, "FULL", 47, "ERROR", 102, "MOOT", 41, "RESET", 16, "RESET");
+        for (Map.Entry<Integer, String> e : before.entrySet()) {
+            ask("b" + e.getKey(), "safe");
+            if (line == null) {
+                accept();
+            }
+            Message m = read();
+            say("release", m.id(), e.getKey(), Map.of());
+            assertEquals("module outcome 0 a " + e.getValue(), stage.await("module outcome"));
+        }
+        for (Map.Entry<Integer, String> e : Map.of(16, "OK", 41, "RESET", 31, "CANCELLED", 99, "RESET").entrySet()) {
+            play("a" + e.getKey());
+            say("release", "a" + e.getKey(), e.getKey(), Map.of());
+            assertEquals("module outcome 0 a " + e.getValue() + " last", stage.await("module outcome"));
+        }
+    }
+
+    @Test
+    void aRefusedConnectionProvesThatNothingRan() throws Exception {
+        server.close();
+        ask("v1", "paid");
+        assertEquals("module outcome 0 a CONNECT_FAILED", stage.await("module outcome"));
+    }
+
+    @Test
+    void aLineLostAfterTheSetUpProvesNothing() throws Exception {
+        ask("v1", "paid");
+        accept();
+        read();
+        line.close();
+        assertEquals("module outcome 0 a RESET", stage.await("module outcome"));
+    }
+
+    @Test
+    void anAttemptOutOfTimeIsGivenUpOnTheWire() throws Exception {
+        stage.onRequest = r -> act.send(r.id(), "a", 50_000);
+        ask("v1", "safe");
+        accept();
+        read();
+        Message m = read();
+        assertEquals("release v1 16", m.type() + " " + m.id() + " " + m.cause());
+        stage.await("module outcome 0 a TIMEOUT");
+        say(new Message("answer", "v1", Map.of(), -1, "late").write());
+        say("ping", "x", 0, Map.of());
+        assertEquals("pong", read().type());
+        assertEquals(0, net.call(() -> stage.count("front served")));
+    }
+
+    @Test
+    void aDyingProcessEndsItsSessions() throws Exception {
+        play("v1");
+        line.setSoLinger(true, 0);
+        server.close();
+        line.close();               // with a reset
+        assertEquals("front over v1 RESET", stage.await("front over"));
+    }
+
+    @Test
+    void aLineClosedInPeaceIsRenewedAndTheSessionLivesOn() throws Exception {
+        play("v1");
+        line.close();
+        accept();
+        say("release", "v1", 16, Map.of());     // sent on the next connection that is opened
+        assertEquals("front over v1 OK", stage.await("front over"));
+    }
+
+    @Test
+    void aServerThatCannotBeReachedAnyMoreEndsItsSessions() throws Exception {
+        play("v1");
+        server.close();
+        line.close();
+        assertEquals("front over v1 RESET", stage.await("front over"));
+    }
+
+    @Test
+    void aSilentServerIsTriedWithANewLine() throws Exception {
+        // A machine that vanishes leaves its connections open and says nothing: only a new one can tell.
+        begin(30_000_000, 1000);
+        play("v1");
+        accept();
+        say("release", "v1", 41, Map.of());
+        assertEquals("front over v1 RESET", stage.await("front over"));
+    }
+
+    @Test
+    void aLineIsNotUsedForASetUpThatTheServerIsAboutToClose() throws Exception {
+        // Idle lines close after a time; a set-up written just then would be lost, and a paid one with it.
+        begin(3_000_000, 0);        // within the margin from the start
+        ask("v1", "safe");
+        accept();
+        say(new Message("release", read().id(), Map.of(), 34, null).write());
+        stage.await("module outcome 0 a FULL");
+        line = null;
+        ask("v2", "safe");
+        accept();
+        assertEquals("v2", read().id());
+    }
+
+    @Test
+    void garbageEndsTheLineAndItsSetUps() throws Exception {
+        ask("v1", "safe");
+        accept();
+        read();
+        say("no json\n");
+        assertEquals("module outcome 0 a RESET", stage.await("module outcome"));
+        assertEquals(null, reads.readLine());
+    }
+
+    @Test
+    void aRebornServersOlderSessionsAreOver() throws Exception {
+        play("v1");
+        net.call(() -> {
+            edges.reborn("a", clock.now() + 1);
+            return null;
+        });
+        assertEquals("front over v1 RESET", stage.await("front over"));
+        play2("v2");
+    }
+
+    private void play2(String name) throws Exception {
+        line = null;
+        play(name);
+    }
+
+    @Test
+    void releasesAndRungsGoOut() throws Exception {
+        String[] id = {""};
+        stage.onRequest = r -> {
+            id[0] = r.id();
+            act.send(r.id(), "a", 0);
+        };
+        play("v1");
+        net.call(() -> {
+            act.rate(id[0], 3);
+            broker.leave(clock.now(), "v1");
+            return null;
+        });
+        Message rate = read();
+        assertEquals("rate v1 3", rate.type() + " " + rate.id() + " " + rate.fields().get("rung"));
+        assertEquals("release v1", read().type() + " v1");
+    }
+
+    @Test
+    void aServerThatIsNotListedGetsNothing() throws Exception {
+        net.call(() -> {
+            edges.addresses(Map.of());
+            return null;
+        });
+        ask("v1", "paid");
+        assertEquals("module outcome 0 a MOOT", stage.await("module outcome"));
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -0,0 +1,417 @@
+package dockshed.hls;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director;
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.State;
+import dockshed.config.HlsConfig;
+import dockshed.core.Broker;
+import dockshed.core.Deadlines;
+import dockshed.core.Stage;
+import dockshed.eureka.EurekaClient;
+import dockshed.net.Headed;
+import dockshed.net.HeadedDecoder;
+import dockshed.net.LoopClock;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** The whole HLS path on loopback sockets, with stand-ins for players, lesson boxes and Eureka. */
+class HlsPathTest {
+    private static final String MASTER = "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=900\nmid.m3u8\n"
+            + "#EXT-X-STREAM-INF:BANDWIDTH=100\nlow.m3u8\n#EXT-X-STREAM-INF:BANDWIDTH=2000\ntop.m3u8\n";
+    private static final String MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\n0.ts\n#EXT-X-ENDLIST\n";
+
+    /** An HTTP server that answers with whatever text the function gives for the path; null: says nothing. */
+    static final class StandIn implements AutoCloseable {
+        final ServerSocket socket;
+        final List<String> asked = java.util.Collections.synchronizedList(new ArrayList<>());
+        final BlockingQueue<String> arrivals = new LinkedBlockingQueue<>();
+        volatile Function<String, String> answers;
+
+        StandIn(Function<String, String> answers) throws IOException {
+            this.answers = answers;
+            socket = new ServerSocket(0, 50, java.net.InetAddress.getLoopbackAddress());
+            Thread t = new Thread(this::serve, "stand-in");
+            t.setDaemon(true);
+            t.start();
+        }
+
+        private void serve() {
+            while (!socket.isClosed()) {
+                try {
+                    Socket s = socket.accept();
+                    Headed m = read(s.getInputStream(), new HeadedDecoder(1 << 16));
+                    asked.add(m.word(1));
+                    arrivals.add(m.word(1));
+                    String answer = answers.apply(m.word(1));
+                    if (answer != null) {
+                        s.getOutputStream().write(answer.getBytes(StandardCharsets.UTF_8));
+                        s.close();
+                    }
+                } catch (IOException | Headed.Malformed e) {
+                    arrivals.add("broken");
+                }
+            }
+        }
+
+        InetSocketAddress at() {
+            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static Headed read(InputStream in, HeadedDecoder d) throws IOException, Headed.Malformed {
+        byte[] buf = new byte[4096];
+        for (Headed m = d.next(); ; m = d.next()) {
+            if (m != null) {
+                return m;
+            }
+            int n = in.read(buf);
+            if (n < 0) {
+                throw new IOException("closed before a whole message");
+            }
+            d.add(buf, 0, n);
+        }
+    }
+
+    private final Net net = new Net();
+    private final Stage module = new Stage();       // stands in for the decisions, which the tests script
+    private Director.Actions act;
+    private LoopClock clock;
+    private Deadlines deadlines;
+    private Broker broker;
+    private Origins origins;
+    private HlsFront front;
+    private Channel listening;
+    private StandIn box;
+    private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+    private volatile int rung = 2;
+    private volatile long ahead;        // of the real time, for the front
+
+    @BeforeEach
+    void start() throws Exception {
+        box = new StandIn(path -> ok(path.endsWith("master.m3u8") ? MASTER : MEDIA));
+        net.call(() -> {
+            clock = new LoopClock(net.loop());
+            deadlines = new Deadlines(clock::wake);
+            broker = new Broker(module.settings, a -> {
+                act = a;
+                return module;
+            }, m -> { }, deadlines);
+            clock.onDue(broker::tick);
+            origins = new Origins(broker, net, clock, 250);
+            front = new HlsFront(broker, origins, () -> clock.now() + ahead, deadlines, module.settings, 60_000_000, 50, 1);
+            module.onRequest = r -> {
+                requests.add(r.id());
+                act.rate(r.id(), rung);
+                act.send(r.id(), "a", 0);
+            };
+            module.onOutcome = id -> {
+                outcomes.add(id);
+                act.fail(id);
+            };
+            origins.addresses(Map.of("a", box.at()));
+            list(State.UP);
+            return null;
+        });
+        listening = net.listen(new InetSocketAddress("127.0.0.1", 0), front::accept).sync().channel();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        net.close();
+        box.close();
+    }
+
+    private void list(State state) {
+        broker.members(clock.now(), "eureka", Scope.SNAPSHOT, List.of(new Server("a", "east", "k", 0, state, 1, 0)));
+    }
+
+    /** What a player gets. */
+    private Headed fetch(String method, String target) throws Exception {
+        try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
+            s.setSoTimeout(20_000);
+            s.getOutputStream().write((method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            Headed m = read(s.getInputStream(), new HeadedDecoder(1 << 20));
+            assertEquals(m.body().length, Integer.parseInt(m.header("content-length")), "a cut answer would show");
+            return m;
+        }
+    }
+
+    private Headed get(String target) throws Exception {
+        return fetch("GET", target);
+    }
+
+    private static String lesson(String cls, String viewer) {
+        return "/lessons/milk%20sensor/master.m3u8?class=" + cls + "&viewer=" + viewer;
+    }
+
+    private static List<String> uris(Headed playlist) {
+        return playlist.text().lines().filter(l -> !l.startsWith("#")).toList();
+    }
+
+    /** The class terms, on every playlist that was fetched: the paid class is never offered the lowest rung. */
+    private static void keepsTerms(Headed playlist) {
+        assertEquals(200, playlist.status());
+        assertFalse(playlist.text().contains("BANDWIDTH=100\n"), playlist.text());
+        assertTrue(playlist.text().contains("BANDWIDTH=900\n"), playlist.text());
+    }
+
+    @Test
+    void aPaidLessonIsSetUpOnceAndPlayedThroughItsSession() throws Exception {
+        Headed first = get(lesson("paid", "v"));
+        keepsTerms(first);
+        assertEquals(List.of("/lessons/milk%20sensor/master.m3u8"), box.asked);
+        List<String> uris = uris(first);
+        assertEquals(2, uris.size());
+        Headed media = get(uris.get(0));
+        assertTrue(media.text().contains("\nhttp://127.0.0.1:" + box.at().getPort() + "/lessons/milk%20sensor/0.ts\n"));
+        // Fetched again by the lesson's or the session's address: the same session, no second set-up.
+        keepsTerms(get(lesson("paid", "v")));
+        keepsTerms(get(uris.get(0).replaceAll("[0-9]+\\.m3u8$", "master.m3u8")));
+        assertEquals(uris, uris(get(lesson("paid", "v"))));
+        assertEquals(1, requests.size());
+        assertEquals(1, box.asked.stream().filter(p -> p.endsWith("master.m3u8")).count());
+        // Another viewer's lesson is another session.
+        assertNotEquals(uris, uris(get(lesson("paid", "w"))));
+        assertEquals(2, requests.size());
+    }
+
+    @Test
+    void aRungChangeReachesTheNextFetch() throws Exception {
+        List<String> uris = uris(get(lesson("paid", "v")));
+        String id = requests.take();
+        net.call(() -> {
+            act.rate(id, 1);
+            return null;
+        });
+        Headed again = get(lesson("paid", "v"));
+        keepsTerms(again);
+        assertEquals(List.of(uris.get(0)), uris(again));
+        box.asked.clear();
+        assertEquals(200, get(uris.get(1)).status());
+        assertEquals(List.of("/lessons/milk%20sensor/mid.m3u8"), box.asked, "the top asked for, the middle given");
+    }
+
+    @Test
+    void theLowestRungCannotBeFetchedByGuessing() throws Exception {
+        String session = uris(get(lesson("paid", "v"))).get(0).replaceAll("[0-9]+\\.m3u8$", "");
+        assertEquals(404, get(session + "1.m3u8").status());
+        assertEquals(404, get(session + "99.m3u8").status());
+        assertFalse(box.asked.contains("/lessons/milk%20sensor/low.m3u8"));
+    }
+
+    @Test
+    void afterADrainTheBoxHearsNothingNew() throws Exception {
+        // The brief's hard case: a playlist fetched again after its box began to drain.
+        List<String> uris = uris(get(lesson("paid", "v")));
+        String held = get(uris.get(0)).text();
+        net.call(() -> {
+            list(State.DRAINING);
+            return null;
+        });
+        ahead = 1_000_000;
+        box.asked.clear();
+        keepsTerms(get(lesson("paid", "v")));
+        assertEquals(held, get(uris.get(0)).text());
+        assertEquals(410, get(uris.get(1)).status(), "not held: a final error");
+        assertEquals(410, get(uris.get(0)).status(), "and the session is over");
+        assertEquals(List.of(), box.asked);
+        assertEquals(1, requests.size());
+    }
+
+    @Test
+    void anUnknownSessionIsNeverSetUp() throws Exception {
+        assertEquals(404, get("/sessions/0123456789abcdef/master.m3u8").status());
+        assertEquals(404, get("/sessions/0123456789abcdef/0.m3u8").status());
+        assertEquals(404, fetch("DELETE", "/sessions/0123456789abcdef").status());
+        assertEquals(0, requests.size());
+    }
+
+    @Test
+    void aDeletedSessionIsGone() throws Exception {
+        String uri = uris(get(lesson("paid", "v"))).get(0);
+        assertEquals(204, fetch("DELETE", uri.replaceAll("/[0-9]+\\.m3u8$", "")).status());
+        assertEquals(410, get(uri).status());
+        assertEquals(0, (int) net.call(broker::standing));
+    }
+
+    @Test
+    void aRefusalTellsWhenToComeBack() throws Exception {
+        module.onRequest = r -> act.refuse(r.id(), 1_200_000);
+        Headed m = get(lesson("paid", "v"));
+        assertEquals(503, m.status());
+        assertEquals("2", m.header("retry-after"));
+    }
+
+    @Test
+    void aBoxThatSaysNothingIsATimeOutAndIsNotAskedTwice() throws Exception {
+        box.answers = path -> null;
+        assertEquals(504, get(lesson("paid", "v") + "&expires_ms=300").status());
+        assertEquals(1, box.asked.size());
+    }
+
+    @Test
+    void aBadUpstreamIsABadGateway() throws Exception {
+        for (String answer : List.of("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ok("no playlist"), "garbage\r\n\r\n",
+                ok(MASTER).substring(0, 70), "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+                ok("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\nonly.m3u8\n"))) {
+            box.answers = path -> answer;
+            assertEquals(502, get(lesson("paid", "v")).status(), answer);
+        }
+        assertEquals(6, box.asked.size(), "paid: each was tried once");
+        box.answers = path -> ok(path.endsWith("master.m3u8") ? MASTER : "HTTP/1.1 404 Not Found\r\n\r\n");
+        assertEquals(502, get(uris(get(lesson("paid", "v"))).get(0)).status());
+    }
+
+    @Test
+    void aMediaPlaylistElsewhereIsNotFetched() throws Exception {
+        box.answers = path -> ok("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\nx\n"
+                + "#EXT-X-STREAM-INF:BANDWIDTH=2\nhttp://127.0.0.1:1/other.m3u8\n");
+        assertEquals(502, get(uris(get(lesson("paid", "v"))).get(0)).status());
+    }
+
+    @Test
+    void badRequestsAreToldSo() throws Exception {
+        for (String bad : List.of("/lessons/t/master.m3u8", lesson("none", "v"), "/lessons/t/master.m3u8?class=paid",
+                lesson("paid", "v") + "&expires_ms=soon", lesson("paid", "v") + "&expires_ms=0", "/lessons/%zz/master.m3u8?class=paid&viewer=v")) {
+            assertEquals(400, get(bad).status(), bad);
+        }
+        assertEquals(404, get("/other").status());
+        assertEquals(405, fetch("POST", "/lessons/t/master.m3u8").status());
+        assertEquals(0, requests.size());
+    }
+
+    @Test
+    void pipelinedRequestsAreAnsweredInTurnAndGarbageEndsTheConnection() throws Exception {
+        try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
+            s.setSoTimeout(20_000);
+            s.getOutputStream().write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
+                    + "no header line\r\nat all\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            HeadedDecoder d = new HeadedDecoder(1 << 20);
+            InputStream in = s.getInputStream();
+            assertEquals(200, read(in, d).status());
+            assertEquals(404, read(in, d).status());
+            assertEquals(400, read(in, d).status());
+            assertEquals(-1, in.read());
+        }
+    }
+
+    @Test
+    void aViewerWhoAsksAgainWhileWaitingSharesTheOneSetUp() throws Exception {
+        CompletableFuture<String> may = new CompletableFuture<>();
+        box.answers = path -> may.join();
+        CompletableFuture<Headed> first = CompletableFuture.supplyAsync(() -> {
+            try {
+                return get(lesson("paid", "v"));
+            } catch (Exception e) {
+                throw new IllegalStateException(e);
+            }
+        });
+        box.arrivals.poll(20, TimeUnit.SECONDS);
+        try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
+            s.setSoTimeout(20_000);
+            // The unknown path's answer shows that the front has taken the lesson's request before it.
+            s.getOutputStream().write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\n")
+                    .getBytes(StandardCharsets.UTF_8));
+            assertEquals(404, get("/other").status());
+            may.complete(ok(MASTER));
+            keepsTerms(read(s.getInputStream(), new HeadedDecoder(1 << 20)));
+        }
+        keepsTerms(first.get(20, TimeUnit.SECONDS));
+        assertEquals(1, requests.size());
+        assertEquals(1, box.asked.size());
+    }
+
+    @Test
+    void aLostBoxEndsItsSessions() throws Exception {
+        String uri = uris(get(lesson("paid", "v"))).get(0);
+        net.call(() -> {
+            broker.lost(clock.now(), origins, "a", clock.now() + 1);
+            return null;
+        });
+        assertEquals(410, get(uri).status());
+    }
+
+    @Test
+    void eurekasListIsFetchedWholeThenByDeltaAndWholeAgainOnAMismatch() throws Exception {
+        String one = "{\"instanceId\":\"a\",\"app\":\"BOXES\",\"ipAddr\":\"127.0.0.1\",\"status\":\"UP\","
+                + "\"actionType\":\"ADDED\",\"port\":{\"$\":9001}}";
+        String two = one.replace("\"a\"", "\"b\"");
+        BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
+        List<String> script = List.of(apps("UP_1_", one), apps("UP_2_", two), apps("UP_9_"), apps("UP_1_", two));
+        int[] turn = {0};
+        try (StandIn eureka = new StandIn(path -> turn[0] < script.size() ? ok(script.get(turn[0]++)) : null)) {
+            net.call(() -> {
+                new EurekaClient(new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000), net, clock, deadlines,
+                        l -> sizes.add(l.size())).start();
+                return null;
+            });
+            List<Integer> seen = new ArrayList<>();
+            for (int i = 0; i < 3; i++) {
+                seen.add(sizes.poll(20, TimeUnit.SECONDS));
+            }
+            assertEquals(List.of(1, 2, 1), seen);
+            assertEquals(List.of("/eureka/apps", "/eureka/apps/delta", "/eureka/apps/delta", "/eureka/apps"),
+                    List.copyOf(eureka.asked).subList(0, 4));
+        }
+    }
+
+    @Test
+    void whileEurekaIsOutOfReachTheLastListStands() throws Exception {
+        BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
+        StandIn eureka = new StandIn(path -> ok(apps("")));
+        net.call(() -> {
+            new EurekaClient(new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000), net, clock, deadlines,
+                    l -> sizes.add(l.size())).start();
+            return null;
+        });
+        assertEquals(0, sizes.poll(20, TimeUnit.SECONDS));
+        eureka.answers = path -> "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+        eureka.arrivals.clear();
+        for (int i = 0; i < 4; i++) {
+            eureka.arrivals.poll(20, TimeUnit.SECONDS);
+        }
+        sizes.clear();
+        eureka.arrivals.poll(20, TimeUnit.SECONDS);
+        assertEquals(0, sizes.size(), "an error is no empty list");
+        eureka.close();
+    }
+
+    private static String apps(String hash, String... instances) {
+        return "{\"applications\":{\"apps__hashcode\":\"" + hash + "\",\"application\":[{\"name\":\"BOXES\",\"instance\":["
+                + String.join(",", instances) + "]}]}}";
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/hls/PlaylistsTest.java
@@ -0,0 +1,115 @@
+package dockshed.hls;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.hls.Playlists.Multivariant;
+import dockshed.hls.Playlists.Unfit;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import net.jqwik.api.constraints.UniqueElements;
+import org.junit.jupiter.api.Test;
+
+/** Playlists as a session sees them. */
+class PlaylistsTest {
+    private static final URI BASE = URI.create("http://127.0.0.1:9/lessons/t/master.m3u8");
+    private static final String LADDER = """
+            #EXTM3U
+            #EXT-X-VERSION:4
+            #EXT-X-MEDIA:TYPE=AUDIO,GROUP-ID="gu",NAME="Gujarati, plain",URI="audio/gu.m3u8"
+            #EXT-X-MEDIA:TYPE=VIDEO,GROUP-ID="tiny",NAME="tiny",URI="tiny/alt.m3u8"
+            #EXT-X-SESSION-KEY:METHOD=AES-128,URI="key.bin"
+            #EXT-X-STREAM-INF:BANDWIDTH=900000,CODECS="avc1,mp4a",AUDIO="gu"
+            mid/index.m3u8
+            #EXT-X-STREAM-INF:AVERAGE-BANDWIDTH=1,BANDWIDTH=200000,VIDEO="tiny",AUDIO="gu"
+            low/index.m3u8
+            #EXT-X-I-FRAME-STREAM-INF:BANDWIDTH=50000,URI="low/iframes.m3u8"
+            #EXT-X-STREAM-INF:BANDWIDTH=2000000,AUDIO="gu"
+            top/index.m3u8
+            """;
+
+    private static String rewrite(int floor, int rung) throws Unfit {
+        return Multivariant.read(LADDER).rewritten(floor, rung, BASE, n -> "/sessions/s/" + n + ".m3u8");
+    }
+
+    @Test
+    void onlyTheGrantedVariantsAreListedInWhateverOrderTheyCame() throws Exception {
+        assertEquals("""
+                #EXTM3U
+                #EXT-X-VERSION:4
+                #EXT-X-MEDIA:TYPE=AUDIO,GROUP-ID="gu",NAME="Gujarati, plain",URI="/sessions/s/0.m3u8"
+                #EXT-X-SESSION-KEY:METHOD=AES-128,URI="http://127.0.0.1:9/lessons/t/key.bin"
+                #EXT-X-STREAM-INF:BANDWIDTH=900000,CODECS="avc1,mp4a",AUDIO="gu"
+                /sessions/s/2.m3u8
+                """, rewrite(1, 1));
+        assertFalse(rewrite(1, 4).contains("BANDWIDTH=200000,") || rewrite(1, 4).contains("tiny"));
+        assertTrue(rewrite(1, 4).contains("2000000"));
+        assertTrue(rewrite(0, 0).contains("tiny"));
+    }
+
+    @Test
+    void noVariantLeftIsAFailure() throws Exception {
+        String single = "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=7\na.m3u8\n";
+        assertFalse(Multivariant.read(single).has(1, 4));
+        assertThrows(Unfit.class, () -> Multivariant.read(single).rewritten(1, 4, BASE, n -> "x"));
+    }
+
+    @Test
+    void aRungTakenAwayIsReplacedByTheBestUnderIt() throws Exception {
+        Multivariant m = Multivariant.read(LADDER);
+        assertEquals(4, m.instead(4, 1, 2), "granted: itself");
+        assertEquals(2, m.instead(4, 1, 1), "the top asked for, the middle granted");
+        assertEquals(-1, m.instead(3, 1, 2), "the lowest is under the floor, and nothing is under it");
+        assertEquals(0, m.instead(0, 1, 1), "sound belongs to no rung");
+    }
+
+    @Test
+    void whatIsNoMultivariantPlaylistIsUnfit() {
+        for (String bad : List.of("", "x", "#EXTM3U\n", "#EXTM3U\n#EXTINF:4,\na.ts\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:CODECS=\"x\"\na\n", "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=-1\na\n", "#EXTM3U\n#EXT-X-STREAM-INF:X=\"BANDWIDTH=1\na\n")) {
+            assertThrows(Unfit.class, () -> Multivariant.read(bad), bad);
+        }
+    }
+
+    @Test
+    void aMediaPlaylistNamesItsSegmentsOnTheBox() throws Exception {
+        String text = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-MAP:URI=\"init.mp4\",BYTERANGE=\"1@0\"\n"
+                + "#EXTINF:4.0,\r\nseg 1.ts\n".replace(" ", "") + "#EXTINF:2.5,\n/abs/2.ts\n#EXT-X-ENDLIST\n";
+        URI base = URI.create("http://127.0.0.1:9/lessons/t/low/index.m3u8");
+        String out = Playlists.media(text, base);
+        assertTrue(out.contains("#EXT-X-MAP:URI=\"http://127.0.0.1:9/lessons/t/low/init.mp4\",BYTERANGE=\"1@0\"\n"));
+        assertTrue(out.contains("\nhttp://127.0.0.1:9/lessons/t/low/seg1.ts\n"));
+        assertTrue(out.contains("\nhttp://127.0.0.1:9/abs/2.ts\n"));
+        assertEquals(6_500_000, Playlists.playtime(text));
+        assertEquals(12_000_000, Playlists.playtime(text.replace("#EXT-X-ENDLIST", "")));
+        assertThrows(Unfit.class, () -> Playlists.media("#EXTM3U\n#EXTINF:1,\nhttp://[\n", base));
+        assertThrows(Unfit.class, () -> Playlists.media(LADDER, base));
+    }
+
+    /** The class terms, for any ladder in any order: nothing listed lies under the floor or over the grant. */
+    @Property(seed = "20261201", tries = 500)
+    void everyListedVariantIsWithinTheTerms(
+            @ForAll @Size(min = 1, max = 7) @UniqueElements List<@IntRange(min = 1, max = 9) Integer> rates,
+            @ForAll @IntRange(max = 3) int floor, @ForAll @IntRange(max = 3) int above) throws Exception {
+        StringBuilder text = new StringBuilder("#EXTM3U\n");
+        rates.forEach(r -> text.append("#EXT-X-STREAM-INF:BANDWIDTH=").append(r).append("\n").append(r).append("\n"));
+        List<Integer> ladder = new ArrayList<>(rates);
+        ladder.sort(null);
+        Multivariant m = Multivariant.read(text.toString());
+        assertEquals(floor < rates.size(), m.has(floor, floor + above));
+        if (floor < rates.size()) {
+            List<Integer> listed = m.rewritten(floor, floor + above, BASE, n -> "n").lines()
+                    .filter(l -> l.startsWith("#EXT-X-STREAM-INF")).map(l -> Integer.valueOf(l.split("=")[1])).sorted()
+                    .toList();
+            assertEquals(ladder.subList(floor, Math.min(floor + above + 1, ladder.size())), listed);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/rtsp/ConnectionModelTest.java
@@ -0,0 +1,131 @@
+package dockshed.rtsp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director.Outcome;
+import dockshed.core.Stage;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/**
+ * A model of what viewers' connections owe, against random steps. A session is ASKED, then STANDS or is over; an
+ * ASKED one is answered once, on its own connection or, that gone, not at all; the end of one that stood is told once,
+ * on its own connection, else on any that is open, else on the next.
+ */
+class ConnectionModelTest {
+    private enum At { ASKED, STANDS, OVER }
+
+    private static final class Viewer {
+        At at = At.ASKED;
+        final int connection;
+        int steps;          // since it asked
+
+        Viewer(int connection) {
+            this.connection = connection;
+        }
+    }
+
+    private final Stage s = new Stage();
+    private final RtspFront front = new RtspFront(s.broker, s, () -> s.now, 100);
+    private final List<EmbeddedChannel> channels = new ArrayList<>();
+    private final Map<String, Viewer> viewers = new LinkedHashMap<>();
+    private final Map<String, Long> owed = new LinkedHashMap<>();      // since when; for eight seconds
+
+    @Property(seed = "20261201", tries = 300)
+    void whatIsOwedIsPaidOnce(@ForAll @Size(max = 60) List<@IntRange(max = 7) Integer> kinds,
+                              @ForAll @IntRange(max = 1000) int salt) {
+        ConnectionModelTest fresh = new ConnectionModelTest();
+        fresh.s.onOutcome = id -> fresh.s.actions.refuse(id, 0);
+        int turn = salt;
+        for (int kind : kinds) {
+            fresh.step(kind, turn = (turn * 31 + 17) % 9973);
+        }
+    }
+
+    private void step(int kind, int pick) {
+        Map<Integer, List<String>> due = new LinkedHashMap<>();
+        List<String> anywhere = new ArrayList<>();
+        int c = channels.isEmpty() ? -1 : pick % channels.size();
+        String name = viewers.isEmpty() ? "" : new ArrayList<>(viewers.keySet()).get(pick / 7 % viewers.size());
+        Viewer v = viewers.get(name);
+        if (kind == 0) {
+            channels.add(new EmbeddedChannel(front.accept()));
+            if (!owed.isEmpty()) {
+                owed.values().removeIf(since -> s.now - since >= 8 * Stage.S);
+                due.put(channels.size() - 1, new ArrayList<>(owed.keySet()));
+                owed.clear();
+            }
+        } else if (kind == 1 && c >= 0) {
+            channels.get(c).close();
+            viewers.values().stream().filter(x -> x.connection == c && x.at == At.ASKED).forEach(x -> x.at = At.OVER);
+        } else if (kind <= 3 && c >= 0 && channels.get(c).isOpen()) {
+            String fresh = RtspFrontTest.id(viewers.size());
+            viewers.put(fresh, new Viewer(c));
+            RtspFrontTest.say(channels.get(c), RtspFrontTest.setUp(fresh, ""));
+        } else if (kind == 4 && v != null) {
+            s.broker.answered(s.now, "a", name, "");
+            if (v.at == At.ASKED) {
+                v.at = At.STANDS;
+                due.put(v.connection, List.of("200 " + name));
+            }
+        } else if (kind == 5 && v != null) {
+            s.ended("a", name, Outcome.FULL);
+            if (v.at == At.ASKED) {
+                due.put(v.connection, List.of("453 " + name));
+            } else if (v.at == At.STANDS) {
+                anywhere.add(name);
+            }
+            v.at = At.OVER;
+        } else if (kind == 6 && v != null) {
+            s.broker.leave(s.now, name);
+            v.at = At.OVER;
+        } else if (kind == 7 && v != null) {
+            s.ended("a", name, Outcome.CANCELLED);
+            if (v.at == At.ASKED) {
+                due.put(v.connection, List.of("453 " + name));
+            }
+            v.at = At.OVER;
+        }
+        if (!anywhere.isEmpty() && channels.stream().noneMatch(EmbeddedChannel::isOpen)) {
+            anywhere.forEach(end -> owed.put(end, s.now));
+            anywhere.clear();
+        }
+        check(due, anywhere, v);
+        s.pass(400 * Stage.MS);         // so that no end may be taken for unheard; a request lives for eight steps
+        Map<Integer, List<String>> late = new LinkedHashMap<>();
+        viewers.forEach((id, x) -> {
+            if (++x.steps == 8 && x.at == At.ASKED) {
+                x.at = At.OVER;
+                late.computeIfAbsent(x.connection, k -> new ArrayList<>()).add("453 " + id);    // as the module says
+            }
+        });
+        check(late, List.of(), null);
+    }
+
+    /** Compares what the connections carried; {@code anywhere}: ends that any one may have carried. */
+    private void check(Map<Integer, List<String>> due, List<String> anywhere, Viewer own) {
+        List<String> left = new ArrayList<>(anywhere);
+        for (int i = 0; i < channels.size(); i++) {
+            List<String> expected = new ArrayList<>(due.getOrDefault(i, List.of()));
+            for (String text : RtspFrontTest.heard(channels.get(i))) {
+                String id = text.replaceAll("(?s).*\r\nSession: ([0-9a-f]+).*", "$1");
+                if (text.startsWith("TEARDOWN")) {
+                    boolean mine = own == null || own.connection == i || !channels.get(own.connection).isOpen();
+                    assertTrue(expected.remove(id) || mine && left.remove(id), "an end not owed: " + text);
+                } else {
+                    assertTrue(expected.remove(text.split(" ")[1] + " " + id), "an answer not owed: " + text);
+                }
+            }
+            assertEquals(List.of(), expected, "owed and not paid");
+        }
+        assertEquals(List.of(), left, "ends not told");
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -0,0 +1,190 @@
+package dockshed.rtsp;
+
+import static dockshed.core.Stage.MS;
+import static dockshed.core.Stage.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director.Outcome;
+import dockshed.core.Stage;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Viewers' RTSP on channels without sockets. */
+class RtspFrontTest {
+    private final Stage s = new Stage();
+    private final RtspFront front = new RtspFront(s.broker, s, () -> s.now, 3);
+    private final EmbeddedChannel ch = new EmbeddedChannel(front.accept());
+
+    static String setUp(String session, String more) {
+        return "SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: " + session
+                + "\r\nPriority-Class: safe\r\nExpires-Ms: 3000\r\n" + more + "Content-Length: 9\r\n\r\nabc\r\nd=e\n";
+    }
+
+    static String id(int n) {
+        return String.format("%016x", n);
+    }
+
+    static void say(EmbeddedChannel ch, String text) {
+        ch.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.UTF_8));
+    }
+
+    static List<String> heard(EmbeddedChannel ch) {
+        List<String> out = new ArrayList<>();
+        for (ByteBuf b = ch.readOutbound(); b != null; b = ch.readOutbound()) {
+            out.add(b.toString(StandardCharsets.UTF_8));
+            b.release();
+        }
+        return out;
+    }
+
+    @Test
+    void aSessionFromSetUpToItsEnd() {
+        say(ch, setUp(id(1), ""));
+        assertEquals(List.of("box a setUp " + id(1) + " left=2990"), s.log);
+        s.broker.answered(s.now, "a", id(1), "x\r\né");
+        s.ended("a", id(1), Outcome.OK);
+        assertEquals(List.of(
+                "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1) + "\r\nContent-Length: 5\r\n\r\nx\r\né",
+                "TEARDOWN rtsp://media/" + id(1) + " RTSP/1.0\r\nCSeq: 2\r\nSession: " + id(1)
+                        + "\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"), heard(ch));
+    }
+
+    @Test
+    void everyFieldOfASetUpReachesTheModule() {
+        List<Object> seen = new ArrayList<>();
+        s.onRequest = r -> {
+            seen.addAll(List.of(r.className(), r.viewer(), r.title(), r.patience(), r.length(), r.home(), r.copies(),
+                    r.top(), r.retry(), r.back()));
+            s.actions.fail(r.id());
+        };
+        say(ch, setUp(id(1), "P-Repeat: 1\r\nExpected-Ms: 8200.5\r\n"
+                + "P-Trunk-Info: home:4;copies:3;top:2;viewer:00000000b4d65521;again:1\r\n"));
+        assertEquals(List.of("safe", "00000000b4d65521", "7f3a9c21e0b4d655", 3 * S, 8_200_500L, 4, 3, 2, true, true), seen);
+        assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 500 "));
+    }
+
+    @Test
+    void aRefusalTellsHowLongToStayAway() {
+        s.onRequest = r -> s.actions.refuse(r.id(), 700 * MS);
+        say(ch, setUp(id(1), ""));
+        String answer = heard(ch).get(0);
+        assertTrue(answer.startsWith("RTSP/1.0 453 ") && answer.contains("\r\nP-Back-Off: 700\r\n"), answer);
+    }
+
+    @Test
+    void aRequestOutOfTimeIsAnsweredWithATimeOut() {
+        say(ch, setUp(id(1), ""));
+        s.pass(3 * S);
+        assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 504 "));
+    }
+
+    @Test
+    void aTestPassesWithItsOwnNumbers() {
+        say(ch, "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nSession: ab\r\nContent-Length: 0\r\n\r\n");
+        assertEquals(List.of("RTSP/1.0 200 OK\r\nCSeq: 3\r\nSession: ab\r\nContent-Length: 0\r\n\r\n"), heard(ch));
+    }
+
+    @Test
+    void aSetUpInPiecesAndTwoInOneAreTakenAlike() {
+        String both = setUp(id(1), "") + setUp(id(2), "");
+        for (char c : both.toCharArray()) {
+            say(ch, String.valueOf(c));
+        }
+        say(ch, setUp(id(3), "") + setUp(id(4), ""));
+        assertEquals(4, s.count("box a setUp"));
+    }
+
+    @Test
+    void aSetUpThatSaysTooLittleGetsA400AndTheConnectionGoesOn() {
+        for (String bad : List.of(setUp("xyz", ""), setUp(id(1), "").replace("safe", "none"),
+                setUp(id(1), "").replace("3000", "soon"), setUp(id(1), "").replace("3000", "-5"),
+                setUp(id(1), "").replace("3000", "NaN"), setUp(id(1), "P-Trunk-Info: home:x\r\n"),
+                setUp(id(1), "").replace("Expires-Ms: 3000\r\n", ""), setUp(id(1), "").replace("media/", "other/"))) {
+            say(ch, bad);
+            List<String> answers = heard(ch);
+            assertEquals(1, answers.size(), bad);
+            assertTrue(answers.get(0).startsWith("RTSP/1.0 400 "), bad);
+        }
+        assertTrue(ch.isOpen());
+        assertEquals(0, s.broker.unanswered());
+    }
+
+    @Test
+    void garbageGetsOne400AndIsClosedWithItsOpenSetUpsGivenUp() {
+        say(ch, setUp(id(1), ""));
+        say(ch, "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n" + setUp(id(2), ""));
+        List<String> answers = heard(ch);
+        assertEquals(1, answers.size());
+        assertTrue(answers.get(0).startsWith("RTSP/1.0 400 "));
+        assertFalse(ch.isOpen());
+        assertEquals(List.of("box a setUp " + id(1) + " left=2990", "box a giveUp " + id(1), "module gone"), s.log);
+    }
+
+    @Test
+    void aMessageOverTheLimitIsRefused() {
+        say(ch, setUp(id(1), "X: " + "y".repeat(16 * 1024) + "\r\n"));
+        assertFalse(ch.isOpen());
+        assertEquals(0, s.broker.unanswered());
+    }
+
+    @Test
+    void aTearDownGivesUpOrReleasesAndIsHeard() {
+        String bye = "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: " + id(1) + "\r\n";
+        say(ch, setUp(id(1), "") + bye + "\r\n");
+        assertEquals(1, s.count("box a giveUp"));
+        say(ch, setUp(id(1), ""));
+        s.broker.answered(s.now, "a", id(1), "");
+        say(ch, bye + "Reason: cause=31\r\n\r\n");
+        assertEquals(1, s.count("box a release"));
+        assertEquals(List.of("200", "200", "200"), heard(ch).stream().map(a -> a.split(" ")[1]).toList());
+    }
+
+    @Test
+    void anOpenSessionWantsNoAnswer() {
+        say(ch, setUp(id(1), "P-Trunk-Info: home:0;copies:3;top:4;viewer:00;at:b\r\n").repeat(2));
+        assertEquals(List.of(), heard(ch));
+        assertEquals(1, s.count("module open b"));
+    }
+
+    @Test
+    void theEndOfASessionComesOnAnotherConnectionIfItsOwnIsGone() {
+        say(ch, setUp(id(1), ""));
+        s.broker.answered(s.now, "a", id(1), "");
+        EmbeddedChannel other = new EmbeddedChannel(front.accept());
+        ch.close();
+        s.ended("a", id(1), Outcome.RESET);
+        assertTrue(heard(other).get(0).contains("\r\nReason: cause=41\r\n"));
+    }
+
+    @Test
+    void anAnswerThatCannotBeWrittenEndsItsSessionAtTheServer() {
+        // A server's answer may cross with the viewer's connection breaking: nobody would watch that session.
+        say(ch, setUp(id(1), ""));
+        ch.pipeline().addFirst(new io.netty.channel.ChannelOutboundHandlerAdapter() {
+            @Override
+            public void write(io.netty.channel.ChannelHandlerContext ctx, Object msg, io.netty.channel.ChannelPromise p) {
+                io.netty.util.ReferenceCountUtil.release(msg);
+                p.setFailure(new java.io.IOException("as a test"));
+            }
+        });
+        s.broker.answered(s.now, "a", id(1), "");
+        assertEquals(1, s.count("box a release " + id(1)));
+        assertEquals(0, s.broker.standing());
+    }
+
+    @Test
+    void connectionsBeyondTheirShareAreClosed() {
+        EmbeddedChannel second = new EmbeddedChannel(front.accept());
+        new EmbeddedChannel(front.accept());
+        assertFalse(new EmbeddedChannel(front.accept()).isOpen());
+        second.close();
+        assertTrue(new EmbeddedChannel(front.accept()).isOpen());
+    }
+}
