Test name queries and datagrams on sockets; take Eureka's whole list as it is

A whole list whose hash code does not fit is still the newest there is; only a delta is held to it. A box that leaves the list while it answers gives 502 and leaves no session standing.

--- a/src/main/java/dockshed/eureka/Registry.java
+++ b/src/main/java/dockshed/eureka/Registry.java
@@ -31,13 +31,13 @@
 
     private Map<String, JsonObject> instances = new LinkedHashMap<>();
 
+    /** Takes the whole list as it is: nothing better could be asked for, whatever hash code it carries. */
     void full(String json) throws Unfit {
         JsonObject all = applications(json);
         Map<String, JsonObject> read = new LinkedHashMap<>();
         for (JsonObject instance : instances(all)) {
             read.put(key(instance), instance);
         }
-        check(all, read);
         instances = read;
     }
 
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -409,9 +409,16 @@
         s.rung = granted.rung();
         s.base = origins.base(granted.server(), s.path.toString());
         try {
+            if (s.base == null) {
+                throw new Unfit("its box has left the list meanwhile");
+            }
             s.list = Multivariant.read(granted.description());
         } catch (Unfit e) {
-            throw new IllegalStateException(e);     // the adapter has read it before
+            LOG.warn("session cannot be given: session={} why={}", name, e.getMessage());
+            forget(s);
+            broker.leave(clock.now(), name);
+            take(s).forEach(x -> x.error(502, "Bad Gateway"));
+            return;
         }
         live(s, 0);
         watch(s);
--- a/src/test/java/dockshed/hls/HlsPathTest.java
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -355,6 +355,19 @@
         assertEquals(1, box.asked.size());
     }
 
+    @Test
+    void aBoxThatLeavesTheListWhileItAnswersIsABadGateway() throws Exception {
+        box.answers = path -> {
+            net.call(() -> {
+                origins.addresses(Map.of());
+                return null;
+            });
+            return ok(MASTER);
+        };
+        assertEquals(502, get(lesson("paid", "v")).status());
+        assertEquals(0, (int) net.call(broker::standing));
+    }
+
     @Test
     void aLostBoxEndsItsSessions() throws Exception {
         String uri = uris(get(lesson("paid", "v"))).get(0);
--- /dev/null
+++ b/src/test/java/dockshed/names/NamesTest.java
@@ -0,0 +1,111 @@
+package dockshed.names;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import dockshed.core.Deadlines;
+import dockshed.names.DnsTest.Packet;
+import dockshed.net.LoopClock;
+import dockshed.net.Net;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Asking a name server over UDP; the test itself is the name server. */
+class NamesTest {
+    private final Net net = new Net();
+    private final BlockingQueue<String> news = new LinkedBlockingQueue<>();
+    private DatagramSocket server;
+    private DatagramPacket last;
+
+    @BeforeEach
+    void start() throws Exception {
+        server = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server.setSoTimeout(20_000);
+        net.call(() -> {
+            LoopClock clock = new LoopClock(net.loop());
+            Deadlines deadlines = new Deadlines(clock::wake);
+            clock.onDue(deadlines::run);
+            new Names((scope, servers, addresses) -> news.add(scope + " "
+                    + servers.stream().map(s -> s.id() + " " + s.state()).toList() + " " + addresses.keySet()),
+                    clock, deadlines, new InetSocketAddress("127.0.0.1", server.getLocalPort()), 1)
+                    .start(net, new InetSocketAddress("127.0.0.1", 0));
+            return null;
+        });
+    }
+
+    @AfterEach
+    void stop() {
+        net.close();
+        server.close();
+    }
+
+    /** The next query; its number. */
+    private int query() throws Exception {
+        last = new DatagramPacket(new byte[512], 512);
+        server.receive(last);
+        return (last.getData()[0] & 0xff) << 8 | last.getData()[1] & 0xff;
+    }
+
+    private void answer(byte[] bytes) throws Exception {
+        server.send(new DatagramPacket(bytes, bytes.length, last.getSocketAddress()));
+    }
+
+    private String news() throws Exception {
+        return news.poll(20, TimeUnit.SECONDS);
+    }
+
+    private static Packet list(int id, int serial, String... ids) {
+        Packet p = new Packet(id, Names.SERVICE, Dns.SRV);
+        for (String s : ids) {
+            p.srv(s + ".east.hosts", 0, 10, 80);
+        }
+        p.soa(serial);
+        for (String s : ids) {
+            p.a(s + ".east.hosts", 9).txt(s + ".east.hosts", "kind=k", "cell=1", "started=0");
+        }
+        return p;
+    }
+
+    @Test
+    void lostAnswersAreAskedForAgainAndOnesToNoQueryPassedOver() throws Exception {
+        query();                                        // lost
+        int id = query();
+        answer(list(id + 1 & 0xffff, 9, "x").bytes());  // to a query that was never sent
+        answer(new byte[] {1, 2, 3});
+        answer(list(id, 1, "a", "b").bytes());
+        assertEquals("CHANGES [a UP, b UP] [a, b]", news());
+        answer(list(id, 5, "c").bytes());               // the same answer a second time
+        answer(list(query(), 2, "b").bytes());
+        assertEquals("CHANGES [a GONE] [b]", news());
+    }
+
+    @Test
+    void aLateAnswerThatWasOvertakenChangesNothing() throws Exception {
+        int late = query();
+        answer(list(query(), 3, "a").bytes());
+        assertEquals("CHANGES [a UP] [a]", news());
+        answer(list(late, 2, "a", "old").bytes());
+        answer(list(query(), 4, "a", "b").bytes());
+        assertEquals("CHANGES [b UP] [a, b]", news());
+    }
+
+    @Test
+    void whatTheListLacksIsAskedForByName() throws Exception {
+        answer(new Packet(query(), Names.SERVICE, Dns.SRV).srv("a.east.hosts", 1, 10, 80).soa(1).bytes());
+        for (int i = 0; i < 2; i++) {
+            int id = query();
+            boolean text = last.getData()[last.getLength() - 3] == Dns.TXT;
+            Packet p = new Packet(id, "a.east.hosts", text ? Dns.TXT : Dns.A);
+            answer((text ? p.txt("a.east.hosts", "cell=2") : p.a("a.east.hosts", 7)).bytes());
+        }
+        assertEquals("CHANGES [a DRAINING] [a]", news());
+    }
+}
