Close idle HLS connections, keep TCP connections alive, test backpressure

A player on a phone vanishes without a word; without an idle close its connection held a descriptor for ever, and the front's share of them would be used up. A viewer that does not read is not read from until it has caught up: now tested.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -38,6 +38,8 @@
  */
 public final class HlsFront implements Front {
     static final int REQUEST_LIMIT = 16 * 1024;
+    /** A connection with nothing in hand is closed after this. */
+    static final long IDLE_CONNECTION = 30_000_000;
     /** Requests of one connection that may wait for the one in hand. */
     private static final int PIPELINE = 32;
     private static final int REMEMBERED = 1000;
@@ -134,10 +136,13 @@
         private final ArrayDeque<Headed> queue = new ArrayDeque<>();
         private Channel channel;
         private boolean answering, closing;
+        private long usedAt;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
+            usedAt = clock.now();
+            lookIdle();
             if (++connections > mostConnections) {
                 LOG.warn("HLS connection turned away: open={}", connections);
                 ctx.close();
@@ -165,12 +170,24 @@
             next();
         }
 
+        private void lookIdle() {
+            deadlines.at(usedAt + IDLE_CONNECTION, t -> {
+                if (!closing && !answering && clock.now() - usedAt >= IDLE_CONNECTION) {
+                    channel.close();
+                } else if (!closing) {
+                    usedAt = answering ? clock.now() : usedAt;
+                    lookIdle();
+                }
+            });
+        }
+
         private void next() {
             Headed m = answering ? null : queue.poll();
             if (m == null) {
                 return;
             }
             answering = true;
+            usedAt = clock.now();
             boolean last = "close".equalsIgnoreCase(m.header("connection")) || m.word(2).equals("HTTP/1.0")
                     || closing && queue.isEmpty();
             request(new Exchange(this, last), m);
@@ -178,6 +195,7 @@
 
         private void write(byte[] bytes, boolean last) {
             answering = false;
+            usedAt = clock.now();
             var done = channel.writeAndFlush(Net.buf(bytes));
             if (last) {
                 done.addListener(ChannelFutureListener.CLOSE);
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -18,6 +19,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
 /** The one event loop and the sockets on it. */
@@ -48,6 +50,7 @@
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(ChannelOption.SO_KEEPALIVE, true)      // a phone that vanished lets its descriptor go
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
                 .childHandler(initializer(handler)).bind(at);
     }
@@ -62,7 +65,7 @@
 
     public ChannelFuture datagrams(InetSocketAddress at, ChannelHandler handler) {
         return new Bootstrap().group(group).channel(NioDatagramChannel.class)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, new io.netty.channel.FixedRecvByteBufAllocator(9000))
+                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(9000))
                 .handler(handler).bind(at);
     }
 
@@ -86,6 +89,6 @@
     }
 
     public void close() {
-        group.shutdownGracefully(0, 100, java.util.concurrent.TimeUnit.MILLISECONDS);
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -11,11 +11,14 @@
 import dockshed.net.HeadedDecoder;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -74,7 +77,7 @@
             } catch (Headed.Malformed e) {
                 ending = true;
                 LOG.warn("viewer's message malformed: remote={} why={}", ctx.channel().remoteAddress(), e.getMessage());
-                reply(ctx.channel(), 400, "Bad Request", null, NOTHING, Map.of())
+                reply(ctx.channel(), 400, "Bad Request", null)
                         .addListener(ChannelFutureListener.CLOSE);
             }
         }
@@ -100,11 +103,11 @@
             case "SETUP" -> setUp(ch, connection, m);
             case "TEARDOWN" -> {
                 broker.leave(clock.now(), m.header("session", ""));
-                reply(ch, 200, "OK", m, NOTHING, Map.of());
+                reply(ch, 200, "OK", m);
             }
-            case "OPTIONS" -> reply(ch, 200, "OK", m, NOTHING, Map.of());
+            case "OPTIONS" -> reply(ch, 200, "OK", m);
             case "ANNOUNCE", "REDIRECT", "SET_PARAMETER" -> { }    // want no answer
-            default -> reply(ch, 501, "Not Implemented", m, NOTHING, Map.of());
+            default -> reply(ch, 501, "Not Implemented", m);
         }
     }
 
@@ -114,7 +117,7 @@
             f = SetUpFields.read(m);
         } catch (IllegalArgumentException e) {
             LOG.warn("set-up refused as malformed: remote={} why={}", ch.remoteAddress(), e.getMessage());
-            reply(ch, 400, "Bad Request", m, NOTHING, Map.of());
+            reply(ch, 400, "Bad Request", m);
             return;
         }
         Wish wish = f.wish();
@@ -123,7 +126,7 @@
         } else if (!broker.request(clock.now(), connection, this, servers, wish)) {
             LOG.warn("set-up refused: session={} class={} why=held already or class unknown", wish.name(),
                     wish.className());
-            reply(ch, 400, "Bad Request", m, NOTHING, Map.of());
+            reply(ch, 400, "Bad Request", m);
         }
     }
 
@@ -191,18 +194,16 @@
     }
 
     /** Answers a request of the viewer's at once, with its own CSeq and session. */
-    private static io.netty.channel.ChannelFuture reply(Channel ch, int code, String phrase, Headed to, byte[] body,
-                                                        Map<String, String> more) {
+    private static ChannelFuture reply(Channel ch, int code, String phrase, Headed to) {
         Map<String, String> headers = new LinkedHashMap<>();
         if (to != null) {
-            for (String name : new String[] {"CSeq", "Session"}) {
-                String value = to.header(name.toLowerCase(java.util.Locale.ROOT));
+            for (String name : List.of("CSeq", "Session")) {
+                String value = to.header(name.toLowerCase(Locale.ROOT));
                 if (value != null) {
                     headers.put(name, value);
                 }
             }
         }
-        headers.putAll(more);
-        return ch.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)));
+        return ch.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, NOTHING)));
     }
 }
--- a/src/test/java/dockshed/hls/HlsPathTest.java
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -19,6 +19,7 @@
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -368,6 +369,23 @@
         assertEquals(0, (int) net.call(broker::standing));
     }
 
+    @Test
+    void anIdleConnectionIsClosed() throws Exception {
+        // Players on phones vanish without a word; their connections must not use up the descriptors.
+        long[] at = {0};
+        Deadlines own = new Deadlines(t -> { });
+        HlsFront f = new HlsFront(broker, origins, () -> at[0], own, module.settings, 60_000_000, 50, 1);
+        EmbeddedChannel ch = new EmbeddedChannel(f.accept());
+        at[0] = 20_000_000;
+        ch.writeInbound(Net.buf("GET /other HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.UTF_8)));
+        at[0] = 31_000_000;
+        own.run(at[0]);
+        assertTrue(ch.isOpen(), "used eleven seconds ago");
+        at[0] = 50_000_000;
+        own.run(at[0]);
+        assertFalse(ch.isOpen());
+    }
+
     @Test
     void aLostBoxEndsItsSessions() throws Exception {
         String uri = uris(get(lesson("paid", "v"))).get(0);
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -179,6 +179,16 @@
         assertEquals(0, s.broker.standing());
     }
 
+    @Test
+    void aViewerThatDoesNotReadIsNotReadFromUntilItHasCaughtUp() {
+        ch.unsafe().outboundBuffer().setUserDefinedWritability(1, false);
+        ch.runPendingTasks();
+        assertFalse(ch.config().isAutoRead());
+        ch.unsafe().outboundBuffer().setUserDefinedWritability(1, true);
+        ch.runPendingTasks();
+        assertTrue(ch.config().isAutoRead());
+    }
+
     @Test
     void connectionsBeyondTheirShareAreClosed() {
         EmbeddedChannel second = new EmbeddedChannel(front.accept());
