--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -38,6 +38,9 @@
     /** A connection that closes so soon after an end was written to it may not have carried it. */
     static final long MAYBE_UNHEARD = 300_000;
 
+    /** Notes on a set-up that are kept until its answer comes. */
+    private static final int EARLY = 8;
+
     private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
 
     /** A request, then the session that it became. */
@@ -56,6 +59,7 @@
         int rung, rungSent;
         long stoodSince;
         Deadline attemptEnds, patienceEnds;
+        final List<LongConsumer> early = new ArrayList<>(1);    // notes that came before the answer
 
         Call(Wish wish, Front front, Servers via, SessionClass cls, long connection, long now) {
             this.wish = wish;
@@ -291,6 +295,8 @@
                 setRung(call);      // set while the answer was on its way
             }
             director.first(t, call.id, call.attempts - 1, server);
+            call.early.forEach(told -> told.accept(t));
+            call.early.clear();
         });
     }
 
@@ -317,7 +323,11 @@
     public void note(long at, String server, String name, Topic topic, double value) {
         event(at, t -> {
             Call call = byName.get(name);
-            if (call != null && call.stands && call.box.id.equals(server)) {
+            if (call != null && call.out && call.box.id.equals(server)) {
+                if (call.early.size() < EARLY) {        // the server's word on a set-up may come before its answer
+                    call.early.add(later -> note(later, server, name, topic, value));
+                }
+            } else if (call != null && call.stands && call.box.id.equals(server)) {
                 if (topic == Topic.RUNG) {
                     call.rung = (int) value;    // in force when the server wrote it
                 }
@@ -466,6 +476,7 @@
         }
         long wait = allow > 0 ? Math.min(allow, left) : left;
         call.out = true;
+        call.early.clear();
         call.box = box;
         call.rungSent = call.rung;
         call.attemptEnds = deadlines.at(now + wait, due -> event(due, t -> attemptTimedOut(call)));
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -236,6 +236,28 @@
                 s.log.subList(s.log.size() - 3, s.log.size()));
     }
 
+    @Test
+    void aNoteThatComesBeforeTheAnswerReachesTheModuleAfterIt() {
+        // Edge servers write the link's reading at a set-up ahead of the answer. It was dropped, so newcomers never
+        // took their rung by it, and a later reading was taken for it.
+        s.ask("v1", "safe");
+        s.broker.note(s.now, "a", "v1", Topic.LINK, 0.5);
+        s.broker.note(s.now, "b", "v1", Topic.LINK, 0.9);
+        assertEquals(0, s.count("module note"));
+        s.broker.answered(s.now, "a", "v1", "answer");
+        assertEquals(List.of("module first 0 a", "module note LINK 0.5"), s.log.subList(s.log.size() - 2, s.log.size()));
+    }
+
+    @Test
+    void aNoteOfAnAttemptThatCameToNothingIsForgotten() {
+        s.onOutcome = id -> s.actions.send(id, "b", 0);
+        s.ask("v1", "safe");
+        s.broker.note(s.now, "a", "v1", Topic.LINK, 0.5);
+        s.ended("a", "v1", Outcome.FULL);
+        s.broker.answered(s.now, "b", "v1", "answer");
+        assertEquals(0, s.count("module note"));
+    }
+
     @Test
     void aLostServerEndsItsSessionsButNotThoseOfItsNextLife() {
         s.play("v1", "safe");
