Tell ends where viewers ask, and take a new name server on SIGHUP

Changed: open() keeps its connection; an end goes to the session's own connection, else to the one last asked on, those that carried a session or confirmed an end first; one that never brought a set-up carries none. Ends that wait go out with the next set-up, no more with the next connection. SIGHUP reads the file again off the loop and moves Names to the new address; a bad file is logged and changes nothing.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -4,6 +4,7 @@
 import dockshed.Director.Server;
 import dockshed.Director.State;
 import dockshed.config.Config;
+import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
@@ -40,6 +41,7 @@
     private final Edges edges;
     private final RtspFront rtsp;
     private final Map<String, Long> upSince = new HashMap<>();
+    private Names names;
     private Origins origins;
     private HlsFront hlsFront;
     private Map<String, Listing> boxes = Map.of();
@@ -79,13 +81,14 @@
             LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
+        Signals.onHangUp(w::reload);
         new Signals(w.net, w.clock, w.deadlines, w.broker).watch();
         LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), at,
                 w.upSince.size(), config.peers().size());
     }
 
     private void lists() {
-        Names names = new Names(this::news, clock, deadlines, config.names(), config.seed());
+        names = new Names(this::news, clock, deadlines, config.names(), config.seed());
         boolean first = true;
         for (Config.Notice notice : config.known()) {
             names.known(notice.number(), Config.scope(notice, first), notice.members());
@@ -96,6 +99,26 @@
         }
     }
 
+    /** Reads the configuration again. Of it only the name server's address may change while the program runs. */
+    private void reload() {
+        try {
+            InetSocketAddress to = Config.load(System.getenv()).names();
+            if (to == null) {
+                throw new Fields.Malformed("config: member 'names' is missing");
+            }
+            net.loop().execute(() -> {
+                if (config.names() == null) {
+                    LOG.warn("configuration read again, not taken: there was no name server at the start");
+                    return;
+                }
+                names.moveTo(to);
+                LOG.info("configuration read again: names={}", to);
+            });
+        } catch (RuntimeException e) {  // whatever is wrong with the file, what is in force stays
+            LOG.error("configuration not taken, the old one stands: why={}", e.getMessage());
+        }
+    }
+
     private void hls(HlsConfig hls) {
         Director.Settings s = config.settings();
         origins = new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)));
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -93,6 +93,8 @@
     private static final class Connection {
         final Front front;
         final ArrayDeque<Told> told = new ArrayDeque<>();
+        long askedAt = -1;          // when it last brought a set-up; -1: never
+        boolean proved;             // it carried a session, or confirmed an end: a viewer reads it
 
         Connection(Front front) {
             this.front = front;
@@ -164,21 +166,30 @@
     public long connected(long at, Front front, LongConsumer known) {
         long handle = connections.add(new Connection(front));
         known.accept(handle);
-        event(at, t -> {
-            if (owed.isEmpty()) {
-                return;
-            }
-            List<Owed> waiting = new ArrayList<>(owed);
-            owed.clear();
-            for (Owed o : waiting) {
-                if (o.until() > t) {
-                    tellEnd(o, 0);
-                }
-            }
-        });
         return handle;
     }
 
+    /** A connection has brought a set-up, so viewers use it: it can also carry the ends that wait for one. */
+    private void asks(long at, long connection, boolean proved) {
+        Connection c = connections.get(connection);
+        if (c == null) {
+            return;
+        }
+        c.askedAt = at;
+        c.proved |= proved;
+        if (!owed.isEmpty()) {
+            event(at, t -> {
+                List<Owed> waiting = new ArrayList<>(owed);
+                owed.clear();
+                for (Owed o : waiting) {
+                    if (o.until() > t) {
+                        tellEnd(o, 0);
+                    }
+                }
+            });
+        }
+    }
+
     /** A connection is gone: whoever waited on it for an answer has left. */
     public void disconnected(long at, long connection) {
         Connection c = connections.remove(connection);
@@ -205,7 +216,7 @@
     public void heard(long connection, String name) {
         Connection c = connections.get(connection);
         if (c != null) {
-            c.told.removeIf(t -> t.owed().name().equals(name));
+            c.proved |= c.told.removeIf(t -> t.owed().name().equals(name));
         }
     }
 
@@ -218,6 +229,7 @@
         Call call = add(new Call(wish, front, via, cls, connection, at));
         unanswered++;
         counts.requests++;
+        asks(at, connection, false);
         event(at, t -> {
             long ends = call.came + Math.max(0, wish.patience() - ANSWER_MARGIN);
             call.patienceEnds = deadlines.at(ends, due -> event(due, x -> patienceOver(call)));
@@ -227,12 +239,13 @@
     }
 
     /** A session that plays already, as its viewer tells; one that is held already stays as it is. */
-    public void open(long at, Front front, Servers via, Wish wish, String server) {
+    public void open(long at, long connection, Front front, Servers via, Wish wish, String server) {
         SessionClass cls = classes.get(wish.className());
         if (cls == null || byName.containsKey(wish.name())) {
             return;
         }
-        Call call = add(new Call(wish, front, via, cls, 0, at));
+        Call call = add(new Call(wish, front, via, cls, connection, at));
+        asks(at, connection, true);
         call.box = boxes.computeIfAbsent(server, Box::new);
         call.attempts = 1;
         call.rung = cls.floor();
@@ -288,6 +301,10 @@
             deadlines.cancel(call.patienceEnds);
             answer(call);
             counts.served++;
+            Connection own = connections.get(call.connection);
+            if (own != null) {
+                own.proved = true;
+            }
             stand(call, t);
             call.front.served(call.connection, name,
                     new Front.Granted(server, description, call.cls.floor(), call.rung));
@@ -692,14 +709,21 @@
         o.front().over(connection, o.name(), o.outcome());
     }
 
+    /**
+     * The session's own connection, else the one that was last asked on, of those known to be read before others. One
+     * that never brought a set-up is no viewer's way to hear of sessions: it may be held by something that reads no more.
+     */
     private long anyConnection(Front front, long own) {
         if (connections.get(own) != null) {
             return own;
         }
         long[] found = {0};
+        Connection[] best = {null};
         connections.eachHandle((handle, c) -> {
-            if (c.front == front) {
+            if (c.front == front && c.askedAt >= 0 && (best[0] == null
+                    || (c.proved == best[0].proved ? c.askedAt >= best[0].askedAt : c.proved))) {
                 found[0] = handle;
+                best[0] = c;
             }
         });
         return found[0];
--- a/src/main/java/dockshed/names/Names.java
+++ b/src/main/java/dockshed/names/Names.java
@@ -51,7 +51,7 @@
     private final Listener listener;
     private final Clock clock;
     private final Deadlines deadlines;
-    private final InetSocketAddress server;
+    private InetSocketAddress server;
     private final Random random;
     private final Map<Integer, Long> asked = new HashMap<>();   // by query number: when
     private Channel channel;
@@ -101,6 +101,19 @@
         });
     }
 
+    /** The name server has another address from now on: it is asked at once, and the numbers go on. */
+    public void moveTo(InetSocketAddress to) {
+        if (to.equals(server)) {
+            return;
+        }
+        LOG.info("name server moved: from={} to={} number={}", server, to, list.serial());
+        server = to;
+        partial = null;             // what one server began the other does not finish
+        if (channel != null && channel.isActive()) {
+            query(SERVICE, Dns.SRV);
+        }
+    }
+
     private void ask(long due) {
         long now = clock.now();
         deadlines.at(now + PERIOD, this::ask);
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -4,6 +4,7 @@
 import dockshed.core.Deadlines;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import sun.misc.Signal;
 
 /**
  * The planned end. After SIGTERM viewers still come for a while and are served as ever; once they have stopped
@@ -41,6 +42,14 @@
         }, "planned-end"));
     }
 
+    /**
+     * Runs something at each SIGHUP, which would end the program otherwise; not on the loop's thread, so that reading
+     * a file holds nobody up.
+     */
+    public static void onHangUp(Runnable what) {
+        Signal.handle(new Signal("HUP"), signal -> what.run());
+    }
+
     private void begin() {
         since = clock.now();
         LOG.info("planned end begun: unanswered={} standing={}", broker.unanswered(), broker.standing());
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -122,7 +122,7 @@
         }
         Wish wish = f.wish();
         if (f.at() != null) {
-            broker.open(clock.now(), this, servers, wish, f.at());
+            broker.open(clock.now(), connection, this, servers, wish, f.at());
         } else if (!broker.request(clock.now(), connection, this, servers, wish)) {
             LOG.warn("set-up refused: session={} class={} why=held already or class unknown", wish.name(),
                     wish.className());
--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -9,6 +9,9 @@
 import java.io.BufferedReader;
 import java.io.InputStream;
 import java.io.InputStreamReader;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -91,6 +94,38 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void sighupReadsTheConfigurationAgainAndABadFileLeavesTheOldOne() throws Exception {
+        // Without a handler a JVM takes SIGHUP for the planned end.
+        try (DatagramSocket first = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+             DatagramSocket second = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            String named = ConfigTest.WHOLE.replace("\"127.0.0.1:9\"", "\"127.0.0.1:PORT\"");
+            Path file = dir.resolve("config.json");
+            start(named.replace("PORT", "" + first.getLocalPort()), "serve");
+            int port = port(line("serving:"));
+            Files.writeString(file, "{\"names\": 7");
+            hangUp();
+            assertTrue(line("configuration not taken").contains("old one stands"));
+            asked(first);
+            Files.writeString(file, named.replace("PORT", "" + second.getLocalPort()));
+            hangUp();
+            line("configuration read again");
+            asked(second);
+            try (Socket s = new Socket("127.0.0.1", port)) {
+                assertEquals(200, ask(s, TEST).status());
+            }
+        }
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private static void asked(DatagramSocket names) throws Exception {
+        names.setSoTimeout(20_000);
+        names.receive(new DatagramPacket(new byte[512], 512));
+    }
+
     @Test
     void itServesHlsWhereAFileSaysSo() throws Exception {
         Path file = Files.writeString(dir.resolve("hls.json"), "{\"listen\":\"127.0.0.1:0\",\"servers\":"
--- a/src/test/java/dockshed/core/Stage.java
+++ b/src/test/java/dockshed/core/Stage.java
@@ -27,6 +27,8 @@
     public static final long MS = 1000, S = 1_000_000;
 
     public final List<String> log = new ArrayList<>();
+    /** The connections on which ends of sessions were told. */
+    public final List<Long> overOn = new ArrayList<>();
     private final BlockingQueue<String> live = new LinkedBlockingQueue<>();
     /** What the module does when a request comes, when an attempt ends unanswered, and when its timer comes. */
     public Consumer<Request> onRequest = r -> this.actions.send(r.id(), "a", 0);
@@ -127,6 +129,7 @@
 
     @Override
     public void over(long on, String name, Outcome outcome) {
+        overOn.add(on);
         say("front over " + name + " " + outcome);
     }
 
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -158,6 +158,7 @@
         say(ch, setUp(id(1), ""));
         s.broker.answered(s.now, "a", id(1), "");
         EmbeddedChannel other = new EmbeddedChannel(front.accept());
+        say(other, setUp(id(2), ""));
         ch.close();
         s.ended("a", id(1), Outcome.RESET);
         assertTrue(heard(other).get(0).contains("\r\nReason: cause=41\r\n"));
