Pause a server after three attempts in a row without an answer, not after one

Nothing was wrong with the servers: attempts answered before and after took 30 ms.

Ruled out: lateness of the loop outside the start (probe: 0 to 5 ms), lines that were closed (none was).

Changed: three attempts in a row that come to nothing pause a server; a refused connection, a full answer and a reset of a session that played still do at once. An attempt's RESET no longer makes its server count as started anew (rule 4); a refused connection and a lost session do.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -34,7 +34,8 @@
     static final double PRIOR_HEARD = 2;        // links that the assumed fullness weighs as much as
     static final double UPLINK_HOPE = 1.2;      // told uplink is tried so far up where only shortage can tell
     static final double UPLINK_RISE = 0.03;     // of the told uplink that a lowered estimate regains a second
-    static final long PAUSE = 3 * SECOND;       // after a failure at a server
+    static final long PAUSE = 3 * SECOND;       // after failures at a server
+    static final int STRIKES = 3;               // attempts in a row without an answer that make it failing
     static final double TRY_SHARE = 0.5;        // share of the goal time for an attempt if another can follow
 
     // ---- State.
@@ -101,6 +102,7 @@
         int streams = 1;
         double dice = 1;            // one throw a reading: spends a whole rung for its part of the room
         final LinkedHashMap<String, Session> mine = new LinkedHashMap<>();
+        int strikes;                // attempts in a row that came to nothing
         long pausedUntil, coldSince = Long.MIN_VALUE, lastSentAt = -60 * SECOND;
         boolean maybe;              // cold only for lack of news
         int quotaHigh, quotaLow;    // Method II's reserves in slots of the asked rung
@@ -467,6 +469,7 @@
         Session s = sessions.get(request);
         if (s == null || s.node == null || !s.node.info.id().equals(server)) return;
         s.playing = true;
+        s.node.strikes = 0;
         s.startAt = now;
         s.steppedAt = now;
         book(now, s.node, kb(s, s.rung), -kb(s, s.rung));
@@ -481,11 +484,11 @@
         if (s == null || s.node == null || !s.node.info.id().equals(server)) return;
         boolean played = s.playing;
         leave(now, s);
-        boolean broke = outcome == Outcome.RESET || outcome == Outcome.CONNECT_FAILED;
-        if (broke) n.coldSince = now;       // it may start anew (rule 4)
-        if (broke || outcome == Outcome.FULL || outcome == Outcome.TIMEOUT && !played) {
-            n.pausedUntil = now + PAUSE;    // failing, full, or draining before the list tells
-        }
+        boolean gone = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET && played;
+        if (gone) n.coldSince = now;        // its process may be gone, and start anew (rule 4)
+        // One lost or late answer tells more of its connection or of this director's hurry than of the server.
+        if (!played && outcome != Outcome.MOOT && outcome != Outcome.CANCELLED) n.strikes++;
+        if (gone || outcome == Outcome.FULL || n.strikes >= STRIKES) n.pausedUntil = now + PAUSE;
         if (played || last) {
             sessions.remove(request);
             if (played) {
@@ -766,6 +769,7 @@
                 n.coldSince = info.upSince() > 0 ? info.upSince() : Long.MIN_VALUE;
                 if (restarted) {
                     n.pausedUntil = 0;
+                    n.strikes = 0;
                     n.gives = 1;
                     sample(n, 0, now);
                 }
