--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -486,7 +486,7 @@
         leave(now, s);
         boolean gone = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET && played;
         if (gone) n.coldSince = now;        // its process may be gone, and start anew (rule 4)
-        // One lost or late answer tells more of its connection or of this director's hurry than of the server.
+        // One lost or late answer tells of its connection or of this director's hurry, not of the server.
         if (!played && outcome != Outcome.MOOT && outcome != Outcome.CANCELLED) n.strikes++;
         if (gone || outcome == Outcome.FULL || n.strikes >= STRIKES) n.pausedUntil = now + PAUSE;
         if (played || last) {
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -82,7 +82,8 @@
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
         Signals.onHangUp(w::reload);
-        new Signals(w.net, w.clock, w.deadlines, w.broker).watch();
+        long longest = config.settings().classes().stream().mapToLong(Director.SessionClass::deadline).max().orElse(0);
+        new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch();
         LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), at,
                 w.upSince.size(), config.peers().size());
     }
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -7,12 +7,16 @@
 import sun.misc.Signal;
 
 /**
- * The planned end. After SIGTERM viewers still come for a while and are served as ever; once they have stopped
- * coming and each request taken has its answer, the program ends with status 0.
+ * The planned end. After SIGTERM viewers still come for a while and are served as ever, and sessions play on for as
+ * long as the program may stay; then each is told its end, and the program ends with status 0.
  */
 public final class Signals {
     /** New connections come for 0.4 s at most, and requests for 0.2 s more; some slack on top. */
     static final long STILL_COMING = 800_000;
+    /** Viewers' time counts up to this, and SIGKILL comes no sooner than that and the grace after SIGTERM. */
+    private static final long LONGEST = 3_000_000, GRACE = 700_000;
+    /** What is kept of that: to tell every viewer and server, on a processor that others use too. */
+    private static final long MARGIN = 250_000;
     private static final long LOOK = 20_000;
     /** Time for the last bytes to leave. */
     private static final long FLUSH = 50_000;
@@ -22,13 +26,21 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Broker broker;
+    private final long stay;
     private long since;
 
-    public Signals(Net net, Clock clock, Deadlines deadlines, Broker broker) {
+    /** {@code longest}: the longest time that a viewer waits. */
+    public Signals(Net net, Clock clock, Deadlines deadlines, Broker broker, long longest) {
         this.net = net;
         this.clock = clock;
         this.deadlines = deadlines;
         this.broker = broker;
+        stay = stay(longest);
+    }
+
+    /** How long after SIGTERM the program stays. */
+    static long stay(long longest) {
+        return Math.max(STILL_COMING, Math.min(longest, LONGEST) + GRACE - MARGIN);
     }
 
     public void watch() {
@@ -58,7 +70,7 @@
 
     private void look(long due) {
         long now = clock.now();
-        if (now - since < STILL_COMING || broker.unanswered() > 0) {
+        if (now - since < stay || broker.unanswered() > 0) {
             deadlines.at(now + LOOK, this::look);
             return;
         }
