Check and time what viewers send, use a few lines a server, forget gone servers

Changed: RtspFront makes room among connections without an open set-up, ends silent and half-said ones after 2 s, reads on after its last answer (a close under a sender cost it the 400), refuses two set-ups under one session; SetUpFields and Broker refuse figures that the site cannot have. Edges keeps up to four lines a server, drops a spoilt or stuck one at once, and takes a process for gone only after two connections in a row that fail, or by the list. The module forgets what has left, and a request that two servers err on is failed, not taken round five.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -47,7 +47,7 @@
         final long deadline;
         final List<Node> tried = new ArrayList<>();
         Node node;                  // where an attempt is out or the session plays
-        int attempts;
+        int attempts, errors;
         boolean playing, ran, noted, settles, degraded;
         int rung, asked;            // in force; before sub-rating
         long sentAt, startAt, steppedAt;
@@ -97,7 +97,7 @@
     private static final class Node extends Link {
         Server info;
         Rack rack;
-        boolean listed;
+        boolean listed, gone;       // is up; has left the list: forgotten once nothing of it is left here
         double gives = 1;           // share of its link that it gives, as learnt from jumps
         int streams = 1;
         double dice = 1;            // one throw a reading: spends a whole rung for its part of the room
@@ -487,7 +487,7 @@
         boolean gone = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET && played;
         if (gone) n.coldSince = now;        // its process may be gone, and start anew (rule 4)
         // One lost or late answer tells of its connection or of this director's hurry, not of the server.
-        if (!played && outcome != Outcome.MOOT && outcome != Outcome.CANCELLED) n.strikes++;
+        if (!played && (gone || outcome == Outcome.TIMEOUT || outcome == Outcome.RESET)) n.strikes++;
         if (gone || outcome == Outcome.FULL || n.strikes >= STRIKES) n.pausedUntil = now + PAUSE;
         if (played || last) {
             sessions.remove(request);
@@ -499,7 +499,9 @@
             return;
         }
         s.ran |= outcome != Outcome.FULL && outcome != Outcome.CONNECT_FAILED && outcome != Outcome.MOOT;
-        if (outcome == Outcome.TIMEOUT && now + SECOND / 1000 >= s.deadline) {
+        // Two servers in a row seldom err by chance: the request is at fault, and would be at every other.
+        if (outcome == Outcome.ERROR) s.errors++;
+        if (s.errors >= 2 || outcome == Outcome.TIMEOUT && now + SECOND / 1000 >= s.deadline) {
             sessions.remove(request);
             act.fail(request);
         } else {
@@ -718,6 +720,7 @@
         newcomerPart = Math.max(1.0 / set.balancers(), 1 / (1 + RIVALS * rivals));
         going(now);
         for (Node n : nodes.values()) raise(now, n, false);
+        if (nodes.values().removeIf(n -> n.gone && n.mine.isEmpty())) measure();
         if (now >= quotasAt) {
             quotasAt = now + QUOTA_PERIOD;
             quotas(now);
@@ -751,6 +754,7 @@
         if (scope == Scope.ERROR) return;
         for (Node n : nodes.values()) {
             n.listed &= scope == Scope.CHANGES;
+            n.gone |= scope != Scope.CHANGES;   // unless it is named below
             if (scope != Scope.DISK && n.maybe) {
                 n.maybe = false;            // fresh news names all that changed since the list was kept
                 n.coldSince = n.info.upSince() > 0 ? n.info.upSince() : Long.MIN_VALUE;
@@ -762,6 +766,7 @@
             boolean isNew = n.info == null;
             n.info = info;
             n.listed = info.state() == State.UP;
+            n.gone = info.state() == State.GONE;
             if (scope == Scope.DISK) {
                 n.coldSince = now;          // may have restarted since the list was kept
                 n.maybe = true;
@@ -779,6 +784,11 @@
         measure();
     }
 
+    /** Servers known, for tests. */
+    int known() {
+        return nodes.size();
+    }
+
     /** Links as told: by weight, or by streams where all weights are alike. */
     private void measure() {
         double streams = 0;
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -57,8 +57,8 @@
         broker = new Broker(s, actions -> new Choice(s, config.seed(), actions), peers, deadlines);
         clock.onDue(broker::tick);
         edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
-                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields()));
-        rtsp = new RtspFront(broker, edges, clock, config.sockets() / 2);
+                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.sockets()));
+        rtsp = new RtspFront(broker, edges, clock, deadlines, config.sockets() / 2);
     }
 
     /** Begins to serve; returns once viewers can connect. Throws IllegalStateException where it cannot. */
@@ -161,6 +161,7 @@
         for (Server s : servers) {
             Long before = upSince.put(s.id(), s.upSince());
             if (s.state() == State.GONE) {
+                upSince.remove(s.id());
                 edges.gone(s.id());
             } else if (before != null && s.upSince() > before) {
                 edges.reborn(s.id(), s.upSince());
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -33,11 +33,16 @@
     static final long ANSWER_MARGIN = 10_000;
     /** Of the grace for drains, what is kept for the way to the server. */
     static final long DRAIN_MARGIN = 300_000;
+    /** A viewer's time may be this many times its class's deadline at most: more is no viewer's figure. */
+    private static final int PATIENCE = 2;
     /** How long an end that no connection could carry is kept for the next one. */
     static final long TELL_WITHIN = 8_000_000;
     /** A connection that closes so soon after an end was written to it may not have carried it. */
     static final long MAYBE_UNHEARD = 300_000;
 
+    /** A server that is gone is forgotten after this: no attempt lasts so long. */
+    private static final long FORGET = 60_000_000;
+
     /** Notes on a set-up that are kept until its answer comes. */
     private static final int EARLY = 8;
 
@@ -220,10 +225,11 @@
         }
     }
 
-    /** A viewer's request; false where a session or request of that name is held already. */
+    /** A viewer's request; false where a session or request of that name is held already, or a figure is no good. */
     public boolean request(long at, long connection, Front front, Servers via, Wish wish) {
         SessionClass cls = classes.get(wish.className());
-        if (cls == null || byName.containsKey(wish.name())) {
+        if (cls == null || byName.containsKey(wish.name()) || !inRange(wish)
+                || wish.patience() <= 0 || wish.patience() > PATIENCE * cls.deadline()) {
             return false;
         }
         Call call = add(new Call(wish, front, via, cls, connection, at));
@@ -238,15 +244,29 @@
         return true;
     }
 
-    /** A session that plays already, as its viewer tells; one that is held already stays as it is. */
-    public void open(long at, long connection, Front front, Servers via, Wish wish, String server) {
+    /** Whether the figures are ones that the site has: what can't be so, a server would take all the same. */
+    private boolean inRange(Wish w) {
+        return w.home() >= 0 && w.home() < settings.ladder().cells()
+                && w.copies() >= 0 && w.copies() <= settings.ladder().cells()
+                && w.top() >= 0 && w.top() < settings.ladder().rates().size();
+    }
+
+    /**
+     * A session that plays already, as its viewer tells; one that is held already stays as it is. False where it names
+     * no server that is known, or says what cannot be.
+     */
+    public boolean open(long at, long connection, Front front, Servers via, Wish wish, String server) {
         SessionClass cls = classes.get(wish.className());
-        if (cls == null || byName.containsKey(wish.name())) {
-            return;
+        Box told = boxes.get(server);
+        if (cls == null || told == null || told.info == null || !inRange(wish)) {
+            return false;
+        }
+        if (byName.containsKey(wish.name())) {
+            return true;
         }
         Call call = add(new Call(wish, front, via, cls, connection, at));
         asks(at, connection, true);
-        call.box = boxes.computeIfAbsent(server, Box::new);
+        call.box = told;
         call.attempts = 1;
         call.rung = cls.floor();
         call.rungSent = cls.floor();
@@ -256,6 +276,7 @@
             stand(call, t);
             director.open(t, wish.request(call.id), server);
         });
+        return true;
     }
 
     /** The viewer has given its request up, or has ended its session. */
@@ -345,6 +366,9 @@
                     call.early.add(later -> note(later, server, name, topic, value));
                 }
             } else if (call != null && call.stands && call.box.id.equals(server)) {
+                if (topic == Topic.RUNG && (value < call.cls.floor() || value > call.cls.top())) {
+                    return;
+                }
                 if (topic == Topic.RUNG) {
                     call.rung = (int) value;    // in force when the server wrote it
                 }
@@ -396,6 +420,8 @@
                     .allMatch(source::equals));
             Scope told = scope == Scope.SNAPSHOT && !alone ? Scope.CHANGES : scope;
             director.members(t, told, merged);
+            boxes.values().removeIf(b -> b.closedSince < t - FORGET && b.info.state() == State.GONE
+                    && b.standing.values().stream().allMatch(n -> n == 0));
         });
     }
 
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -24,10 +24,10 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * The edge servers, over JSON lines. One line (a connection) to a server carries all its sessions; it is opened when
- * first needed and kept while sessions stand there, since news of them comes on any connection. The adapter finds out
- * that a server's process is gone: its connection breaks and a new one is refused, or it falls silent and new ones
- * do not come up.
+ * The edge servers, over JSON lines. A few lines (connections) lead to a server, so that what spoils one seldom costs
+ * more than the set-up that is out on it; one at least is kept while sessions stand there, since news of them comes on
+ * any. The adapter finds out that a server's process is gone: new connections are refused again and again, or do not
+ * come up. A line that breaks proves nothing: connections are reset under living processes too.
  */
 public final class Edges implements Servers {
     static final int LINE_LIMIT = 16 * 1024;
@@ -36,21 +36,28 @@
     /** How often in a row a connection to a server with sessions must fail to come up, and the time between. */
     private static final int LOST_AFTER = 2;
     private static final long RETRY = 300_000;
+    /** Lines to one server at most: set-ups out at the same time are fewer, and descriptors are scarce. */
+    static final int MOST_LINES = 4;
+    /** A message that is not whole by then will not be; a set-up unanswered for so long on a mute line casts doubt. */
+    private static final long STUCK = 200_000;
     private static final long LOOK = 500_000;
     private static final int BACKLOG = 1000;
+    /** No figure of a note or report is higher: a server runs fewer streams, and asks less of its link. */
+    private static final double MOST = 100_000;
     private static final Logger LOG = LoggerFactory.getLogger(Edges.class);
 
     /** The figures of the settings that bear on the connections; times in microseconds. */
-    public record Terms(long connectTimeout, long idleClose, long tell, long see, List<String> reportFields) { }
+    public record Terms(long connectTimeout, long idleClose, long tell, long see, List<String> reportFields,
+                        int sockets) { }
 
-    /** A server and the one line to it. */
+    /** A server and the lines to it, the longest in use first. */
     private final class Box {
         final String id;
         InetSocketAddress at;
-        Line line;
+        final List<Line> lines = new ArrayList<>();
         boolean hold;
         int failures;               // connections in a row that did not come up
-        long heardAt;
+        long heardAt, triedAt;      // when it last wrote; when a line was last begun for its sessions' sake
         final ArrayDeque<Message> owed = new ArrayDeque<>();    // releases for when a line is up again
 
         Box(String id) {
@@ -59,10 +66,11 @@
     }
 
     private static final class Pending {
-        final String text;
+        final byte[] text;
         boolean written;            // all of it has left
+        long at = Long.MAX_VALUE;   // when it was written
 
-        Pending(String text) {
+        Pending(byte[] text) {
             this.text = text;
         }
     }
@@ -73,6 +81,7 @@
     private final Deadlines deadlines;
     private final Terms terms;
     private final Map<String, Box> boxes = new HashMap<>();
+    private int mostLines = 1;
     private boolean oddReport;      // told once
 
     public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms) {
@@ -97,11 +106,13 @@
             }
         });
         for (Box b : new ArrayList<>(boxes.values())) {
-            if (!listed.containsKey(b.id) && !b.hold && (b.line == null || b.line.open.isEmpty())) {
+            if (!listed.containsKey(b.id) && !b.hold && b.lines.stream().allMatch(l -> l.open.isEmpty())) {
                 drop(b);
                 boxes.remove(b.id);
             }
         }
+        // A quarter of the descriptors at most for lines; viewers have theirs, and the rest is for what comes and goes.
+        mostLines = Math.max(1, Math.min(MOST_LINES, terms.sockets() / 4 / Math.max(1, boxes.size())));
     }
 
     /** The list tells that the process is gone: so are its sessions. */
@@ -116,10 +127,18 @@
     /** The list tells that the process was started anew: older sessions are over, older lines lead nowhere. */
     public void reborn(String server, long since) {
         Box b = boxes.get(server);
-        if (b != null && b.line != null && b.line.begunAt < since) {
-            drop(b);
+        if (b != null) {
+            b.failures = 0;
+            for (Line l : List.copyOf(b.lines)) {
+                if (l.begunAt < since) {
+                    drop(l);
+                }
+            }
         }
         broker.lost(clock.now(), this, server, since);
+        if (b != null && b.hold) {
+            connect(b);
+        }
     }
 
     // ---- From the broker.
@@ -136,6 +155,13 @@
         fields.put("key", s.title());
         fields.put("left", Long.toString(Math.max(1, s.left() / 1000)));
         fields.put("rung", Integer.toString(s.rung()));
+        byte[] text = new Message("setup", s.name(), fields, -1, s.description()).write()
+                .getBytes(StandardCharsets.UTF_8);
+        if (text.length > LINE_LIMIT) {
+            LOG.warn("set-up held back: server={} bytes={} why=no server reads so long a line", server, text.length);
+            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            return;
+        }
         Line line = usable(b);
         if (line == null) {             // no socket was to be had
             broker.ended(clock.now(), server, s.name(), Outcome.CONNECT_FAILED, LoadReport.NONE);
@@ -146,7 +172,7 @@
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
-        Pending p = new Pending(new Message("setup", s.name(), fields, -1, s.description()).write());
+        Pending p = new Pending(text);
         line.open.put(s.name(), p);
         if (line.up) {
             line.write(p);
@@ -156,12 +182,21 @@
     @Override
     public void giveUp(String server, String name) {
         Box b = boxes.get(server);
-        if (b == null || b.line == null) {
+        if (b == null) {
             return;
         }
-        Pending p = b.line.open.remove(name);
-        if (b.line.up && p != null) {
-            b.line.send(new Message("release", name, Map.of(), 16, null));
+        for (Line l : List.copyOf(b.lines)) {
+            Pending p = l.open.remove(name);
+            if (p == null || !l.up) {
+                continue;
+            }
+            if (l.stuck(p)) {           // closing it gives the set-up up as well
+                LOG.info("line to edge server dropped: id={} why=no answer and nothing else on it", b.id);
+                drop(l);
+                keep(b);
+            } else {
+                l.send(new Message("release", name, Map.of(), 16, null));
+            }
         }
     }
 
@@ -176,8 +211,9 @@
 
     /** Sends at once, or once a line is up. */
     private void tell(Box b, Message m) {
-        if (b.line != null && b.line.up) {
-            b.line.send(m);
+        Line up = b.lines.stream().filter(l -> l.up).findFirst().orElse(null);
+        if (up != null) {
+            up.send(m);
         } else if (b.owed.size() < BACKLOG) {
             b.owed.add(m);
             connect(b);
@@ -205,45 +241,87 @@
 
     // ---- Lines.
 
-    /** The line for a set-up: the one in use, unless the server may be about to close it. */
+    /** The line for a set-up: a free one, the longest in use first, else a new one, else the least burdened. */
     private Line usable(Box b) {
-        Line l = b.line;
-        if (l != null && l.up && l.open.isEmpty() && clock.now() - l.usedAt > terms.idleClose() - IDLE_MARGIN) {
-            drop(b);
+        long now = clock.now();
+        Line best = null;
+        for (Line l : List.copyOf(b.lines)) {
+            if (l.nearIdleClose(now)) {
+                drop(l);
+            } else if (best == null || l.open.size() < best.open.size() || l.up && !best.up
+                    && l.open.size() == best.open.size()) {
+                best = l;
+            }
         }
-        connect(b);
-        return b.line;
+        return best == null || !best.open.isEmpty() && b.lines.size() < mostLines ? begin(b) : best;
+    }
+
+    private Line begin(Box b) {
+        if (b.at == null) {
+            return null;
+        }
+        Line l = new Line(b);
+        b.lines.add(l);
+        l.start();
+        return l.over ? null : l;
     }
 
     private void connect(Box b) {
-        if (b.line == null && b.at != null) {
-            b.line = new Line(b);
-            b.line.start();
+        if (b.lines.isEmpty() && b.at != null) {
+            b.triedAt = clock.now();
+            begin(b);
         }
     }
 
-    /** Ends the line; what was out on it is over. */
-    private void drop(Box b) {
-        Line l = b.line;
-        if (l != null) {
-            b.line = null;
-            l.end(Outcome.RESET);
+    /** One line is kept up where sessions stand; a server that ends each at once is not tried all the time. */
+    private void keep(Box b) {
+        if (b.hold && b.lines.isEmpty()) {
+            if (clock.now() - b.triedAt >= RETRY) {
+                connect(b);
+            } else {
+                again(b);
+            }
         }
     }
 
+    private void again(Box b) {
+        deadlines.at(clock.now() + RETRY, t -> {
+            if (b.hold && boxes.get(b.id) == b) {
+                connect(b);
+            }
+        });
+    }
+
+    private void drop(Box b) {
+        List.copyOf(b.lines).forEach(this::drop);
+    }
+
+    /** Ends the line; what was out on it is over. */
+    private void drop(Line l) {
+        l.box.lines.remove(l);
+        l.end(Outcome.RESET);
+    }
+
     /**
-     * Every half second: lines that the server would soon close as idle are renewed, and a server that has sessions but
-     * said nothing for longer than its reports may take is tried with a new line.
+     * Every half second: lines that the server would soon close as idle are ended or renewed, those stuck in a message
+     * dropped, and a server that has sessions but said nothing for longer than its reports may take is tried with a new
+     * line.
      */
     private void lookAround(long due) {
         long now = clock.now();
         deadlines.at(now + LOOK, this::lookAround);
         long silence = terms.tell() > 0 ? terms.tell() + terms.see() + 500_000 : Long.MAX_VALUE;
         for (Box b : List.copyOf(boxes.values())) {
-            Line l = b.line;
-            if (l != null && l.up && l.open.isEmpty() && now - l.usedAt > terms.idleClose() - IDLE_MARGIN) {
-                drop(b);
-            } else if (b.hold && l != null && l.up && l.open.isEmpty() && now - b.heardAt > silence) {
+            for (Line l : List.copyOf(b.lines)) {
+                if (l.nearIdleClose(now)) {
+                    drop(l);
+                } else if (l.decoder.midway() && now - l.usedAt > STUCK) {
+                    LOG.warn("line to edge server dropped: id={} why=message not finished", b.id);
+                    drop(l);
+                }
+            }
+            if (b.hold && !b.lines.isEmpty() && now - b.heardAt > silence
+                    && b.lines.stream().allMatch(l -> l.up && l.open.isEmpty())) {
                 LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
                 b.heardAt = now;
                 drop(b);
@@ -262,11 +340,21 @@
         boolean up, over;
         final long begunAt = clock.now();
         long usedAt = begunAt;
+        private long heardAt = begunAt;
 
         Line(Box box) {
             this.box = box;
         }
 
+        boolean nearIdleClose(long now) {
+            return up && open.isEmpty() && now - usedAt > terms.idleClose() - IDLE_MARGIN;
+        }
+
+        /** Whether nothing has come since the set-up went out, or only part of a message. */
+        boolean stuck(Pending p) {
+            return decoder.midway() || p.written && p.at > heardAt && clock.now() - p.at > STUCK;
+        }
+
         void start() {
             ChannelFuture coming = net.connect(box.at, (int) (terms.connectTimeout() / 1000), () -> this);
             channel = coming.channel();
@@ -297,21 +385,16 @@
             boolean refused = why instanceof java.net.ConnectException
                     && !(why instanceof io.netty.channel.ConnectTimeoutException);
             LOG.info("edge server not reached: id={} refused={} waiting={}", box.id, refused, open.size());
-            box.line = null;
-            box.failures++;
+            box.lines.remove(this);
             end(Outcome.CONNECT_FAILED);
-            if (!box.hold) {
-                return;
+            if (!box.hold || !box.lines.isEmpty()) {
+                return;             // another line is up or on its way, and tells more
             }
-            if (refused || box.failures >= LOST_AFTER) {
+            if (++box.failures >= LOST_AFTER) {
                 box.failures = 0;
                 broker.lost(clock.now(), Edges.this, box.id, clock.now());
             } else {
-                deadlines.at(clock.now() + RETRY, t -> {
-                    if (box.hold) {
-                        connect(box);
-                    }
-                });
+                again(box);
             }
         }
 
@@ -331,8 +414,8 @@
 
         void write(Pending p) {
             usedAt = clock.now();
-            channel.writeAndFlush(Net.buf(p.text.getBytes(StandardCharsets.UTF_8)))
-                    .addListener(done -> p.written |= done.isSuccess());
+            p.at = usedAt;
+            channel.writeAndFlush(Net.buf(p.text)).addListener(done -> p.written |= done.isSuccess());
         }
 
         void send(Message m) {
@@ -342,18 +425,23 @@
 
         @Override
         protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            if (over) {
+                return;
+            }
             usedAt = clock.now();
+            heardAt = usedAt;
             box.heardAt = usedAt;
             decoder.add(bytes);
             try {
-                for (String line = decoder.next(); line != null; line = decoder.next()) {
+                for (String line = decoder.next(); line != null && !over; line = decoder.next()) {
                     if (!line.isBlank()) {
                         message(this, Message.read(line));
                     }
                 }
-            } catch (LineDecoder.TooLong | Message.Malformed e) {
-                LOG.warn("edge server's message malformed: id={} why={}", box.id, e.getMessage());
-                ctx.close();
+            } catch (LineDecoder.Unreadable | Message.Malformed e) {
+                LOG.warn("edge server's message malformed: id={} open={} why={}", box.id, open.size(), e.getMessage());
+                drop(this);             // at once: nothing that follows can be told apart
+                keep(box);
             }
         }
 
@@ -364,16 +452,8 @@
             }
             LOG.info("line to edge server closed: id={} reset={} open={} sessions={}", box.id, reset, open.size(),
                     box.hold);
-            if (box.line == this) {
-                box.line = null;
-            }
-            end(Outcome.RESET);
-            if (reset) {                // only a dying process does that, and it cuts its sessions
-                broker.lost(clock.now(), Edges.this, box.id, clock.now());
-            }
-            if (box.hold) {
-                connect(box);
-            }
+            drop(this);
+            keep(box);
         }
 
         /** Writing has no bearing on reading here: what the server tells is what frees it. */
@@ -383,13 +463,17 @@
 
     // ---- From the servers.
 
-    private void message(Line line, Message m) {
+    private void message(Line line, Message m) throws Message.Malformed {
         long now = clock.now();
         String server = line.box.id;
         switch (m.type()) {
             case "answer" -> {
-                if (line.open.remove(m.id()) != null) {
-                    broker.answered(now, server, m.id(), m.sdp() == null ? "" : m.sdp());
+                if (line.open.containsKey(m.id())) {    // else a second copy, or what nobody has asked for
+                    if (m.sdp() == null) {
+                        throw new Message.Malformed("answer without a description");
+                    }
+                    line.open.remove(m.id());
+                    broker.answered(now, server, m.id(), m.sdp());
                 }
             }
             case "release" -> {
@@ -430,7 +514,7 @@
         };
         try {
             double value = Double.parseDouble(m.fields().getOrDefault("value", ""));
-            if (topic != null && Double.isFinite(value)) {
+            if (topic != null && value >= 0 && value <= MOST) {
                 broker.note(now, server, m.id(), topic, value);
             }
         } catch (NumberFormatException e) {
@@ -448,7 +532,11 @@
             int colon = pair.indexOf(':');
             try {
                 if (colon > 0) {
-                    values.put(pair.substring(0, colon).strip(), Double.valueOf(pair.substring(colon + 1).strip()));
+                    double value = Double.parseDouble(pair.substring(colon + 1).strip());
+                    if (!(value > -1 && value <= MOST)) {       // a noisy figure may lie a little under nothing
+                        return LoadReport.NONE;
+                    }
+                    values.put(pair.substring(0, colon).strip(), Math.max(0, value));
                 }
             } catch (NumberFormatException e) {
                 return LoadReport.NONE;
--- a/src/main/java/dockshed/edge/LineDecoder.java
+++ b/src/main/java/dockshed/edge/LineDecoder.java
@@ -1,15 +1,23 @@
 package dockshed.edge;
 
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.CharsetDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
 /** Takes lines, ended by a line feed, out of a stream of bytes, however the stream was cut. */
 final class LineDecoder {
-    /** A line that never seems to end. */
-    static final class TooLong extends Exception {
+    /** A line that never seems to end, or that is no text. */
+    static final class Unreadable extends Exception {
         private static final long serialVersionUID = 1L;
+
+        Unreadable(String why) {
+            super(why);
+        }
     }
 
+    private final CharsetDecoder text = StandardCharsets.UTF_8.newDecoder();
     private final int limit;
     private byte[] held = new byte[1024];
     private int from, to, scanned;
@@ -33,19 +41,28 @@
     }
 
     /** The next whole line without its end, or null. */
-    String next() throws TooLong {
+    String next() throws Unreadable {
         while (scanned < to && held[scanned] != '\n') {
             scanned++;
         }
         if (scanned - from > limit) {
-            throw new TooLong();
+            throw new Unreadable("line too long");
         }
         if (scanned == to) {
             return null;
         }
         int end = scanned > from && held[scanned - 1] == '\r' ? scanned - 1 : scanned;
-        String line = new String(held, from, end - from, StandardCharsets.UTF_8);
-        from = ++scanned;
-        return line;
+        try {               // bytes put in the place of others would go to a viewer as if the server had sent them
+            String line = text.decode(ByteBuffer.wrap(held, from, end - from)).toString();
+            from = ++scanned;
+            return line;
+        } catch (CharacterCodingException e) {
+            throw new Unreadable("line is no text");
+        }
+    }
+
+    /** Whether a line has begun and is not whole. */
+    boolean midway() {
+        return to > from;
     }
 }
--- a/src/main/java/dockshed/net/ByteHandler.java
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -16,13 +16,20 @@
 
     protected abstract void bytes(ChannelHandlerContext ctx, byte[] bytes);
 
+    /** Whether what still comes is only to be let past, unread. */
+    protected boolean passesOver(int count) {
+        return false;
+    }
+
     protected abstract void closed(ChannelHandlerContext ctx, boolean reset);
 
     @Override
     public final void channelRead(ChannelHandlerContext ctx, Object msg) {
         ByteBuf buf = (ByteBuf) msg;
         try {
-            bytes(ctx, Net.bytes(buf));
+            if (!passesOver(buf.readableBytes())) {
+                bytes(ctx, Net.bytes(buf));
+            }
         } finally {
             buf.release();
         }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -2,6 +2,7 @@
 
 import dockshed.Director.Outcome;
 import dockshed.core.Broker;
+import dockshed.core.Deadlines;
 import dockshed.core.Front;
 import dockshed.core.Servers;
 import dockshed.core.Wish;
@@ -11,36 +12,55 @@
 import dockshed.net.HeadedDecoder;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** Viewers that speak the platform's RTSP. Turns their messages into the broker's calls and back; owns no rule. */
 public final class RtspFront implements Front {
     static final int MESSAGE_LIMIT = 16 * 1024;
+    /** A message must be whole so soon after its beginning, the first so soon after its connection came up. */
+    static final long SILENT = 2_000_000;
+    private static final long LOOK = 250_000;
+    /** A connection just used is not closed to make room: its viewer may be about to ask again. */
+    private static final long FRESH = 500_000;
+    /** What was answered for good is read on for so long, and so many bytes, lest the answer be lost. */
+    static final long LINGER = 5_000_000;
+    private static final long MOST_PASSED_OVER = 128L << 20;
+    /** Messages at fault on one connection before it is ended. */
+    static final int MOST_FAULTS = 16;
+    /** Set-ups open on one connection: ten times what the busiest day brings on one within a deadline. */
+    static final int MOST_SET_UPS = 512;
     private static final Logger LOG = LoggerFactory.getLogger(RtspFront.class);
     private static final byte[] NOTHING = new byte[0];
 
     private final Broker broker;
     private final Servers servers;
     private final Clock clock;
+    private final Deadlines deadlines;
     private final int mostConnections;
-    private final Map<Long, Channel> channels = new HashMap<>();
+    private final Map<Long, Connection> channels = new HashMap<>();
+    private final Set<Connection> open = new LinkedHashSet<>();     // those that are ending, too
+    private boolean full;
 
-    /** Viewers keep to a third of the descriptors; beyond {@code mostConnections} new ones are closed. */
-    public RtspFront(Broker broker, Servers servers, Clock clock, int mostConnections) {
+    /** Viewers keep to a third of the descriptors; {@code mostConnections} leaves room for what is no viewer's. */
+    public RtspFront(Broker broker, Servers servers, Clock clock, Deadlines deadlines, int mostConnections) {
         this.mostConnections = mostConnections;
         this.broker = broker;
         this.servers = servers;
         this.clock = clock;
+        this.deadlines = deadlines;
+        deadlines.at(clock.now() + LOOK, this::look);
     }
 
     /** The handler of a new connection. */
@@ -48,51 +68,182 @@
         return new Connection();
     }
 
+    /** Ends what has been silent, stuck in a message, or closing for too long. */
+    private void look(long due) {
+        long now = clock.now();
+        deadlines.at(now + LOOK, this::look);
+        for (Connection c : List.copyOf(open)) {
+            if (c.ending) {
+                if (now - c.since > LINGER) {
+                    c.channel.close();
+                }
+            } else if (c.since >= 0 && now - c.since > SILENT) {
+                if (c.decoder.midway()) {
+                    c.spoilt("message not finished");
+                } else {
+                    c.quiet("nothing asked");
+                }
+            }
+        }
+    }
+
+    /**
+     * Makes room for a new connection: of those that owe nothing, one that never asked goes first, then one that only
+     * waits to be closed, then one that has never brought a set-up, then any; the longest unused of its sort.
+     */
+    private boolean makeRoom() {
+        Connection worst = null;
+        long now = clock.now();
+        for (Connection c : open) {
+            boolean fresh = now - c.usedAt < FRESH;
+            if (c.setUps.isEmpty() && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
+                    || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
+                worst = c;
+            }
+        }
+        if (worst == null) {
+            return false;
+        }
+        LOG.debug("connection closed for a new one: remote={}", worst.channel.remoteAddress());
+        worst.leave();
+        worst.channel.close();
+        return true;
+    }
+
     private final class Connection extends ByteHandler {
         private final HeadedDecoder decoder = new HeadedDecoder(MESSAGE_LIMIT);
+        private final Set<String> setUps = new HashSet<>();     // open ones
+        private Channel channel;
         private long handle;
-        private boolean ending;
+        private boolean ending, asked, viewer;
+        private long since;             // the beginning of a first message, of a part of one, of the ending; else -1
+        private long usedAt;
+        private long passedOver;
+        private int faults;
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
-            if (channels.size() >= mostConnections) {
-                LOG.warn("viewer's connection turned away: open={}", channels.size());
+            channel = ctx.channel();
+            since = clock.now();
+            usedAt = since;
+            if (open.size() >= mostConnections && !makeRoom()) {
+                if (!full) {
+                    LOG.warn("viewer's connection turned away: open={}", open.size());
+                }
+                full = true;
                 ending = true;
                 ctx.close();
                 return;
             }
-            handle = broker.connected(clock.now(), RtspFront.this, h -> channels.put(h, ctx.channel()));
+            full = false;
+            open.add(this);
+            handle = broker.connected(since, RtspFront.this, h -> channels.put(h, this));
+        }
+
+        /** What goes first where room is needed. */
+        private int sort() {
+            return ending ? 1 : !asked ? 0 : !viewer ? 2 : 3;
         }
 
         @Override
-        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
-            if (ending) {
-                return;
+        protected boolean passesOver(int count) {
+            if (ending && (passedOver += count) > MOST_PASSED_OVER) {
+                channel.close();
             }
+            return ending;
+        }
+
+        @Override
+        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            boolean begun = decoder.midway();
             decoder.add(bytes, 0, bytes.length);
             try {
+                boolean whole = false;
                 for (Headed m = decoder.next(); m != null; m = decoder.next()) {
-                    message(ctx.channel(), handle, m);
+                    whole = true;
+                    asked = true;
+                    usedAt = clock.now();
+                    message(this, m);
+                    if (ending) {
+                        return;
+                    }
+                }
+                if (!decoder.midway()) {
+                    since = asked ? -1 : since;
+                } else if (asked && (whole || !begun)) {
+                    since = clock.now();
                 }
             } catch (Headed.Malformed e) {
-                ending = true;
-                LOG.warn("viewer's message malformed: remote={} why={}", ctx.channel().remoteAddress(), e.getMessage());
-                reply(ctx.channel(), 400, "Bad Request", null)
-                        .addListener(ChannelFutureListener.CLOSE);
+                spoilt(e.getMessage());
+            }
+        }
+
+        /** Counts what was wrong in a message that could be read: a viewer's program does not go on like that. */
+        private void fault(String why, Headed m) {
+            LOG.warn("set-up refused: remote={} why={}", channel.remoteAddress(), why);
+            reply(channel, 400, "Bad Request", m);
+            if (++faults >= MOST_FAULTS) {
+                end();
+            }
+        }
+
+        /** The last answer on a connection that can't be read on. */
+        private void spoilt(String why) {
+            LOG.warn("viewer's message malformed: remote={} why={}", channel.remoteAddress(), why);
+            reply(channel, 400, "Bad Request", null);
+            end();
+        }
+
+        private void quiet(String why) {
+            LOG.debug("viewer's connection closed: remote={} why={}", channel.remoteAddress(), why);
+            leave();
+            channel.close();
+        }
+
+        /**
+         * Writes no more, but reads on for a while: to close under a sender resets the connection, and the answer
+         * may be lost to that before it is read.
+         */
+        private void end() {
+            leave();
+            open.add(this);
+            since = clock.now();
+            if (channel instanceof DuplexChannel duplex) {
+                channel.config().setAutoRead(true);
+                duplex.shutdownOutput();
+            } else {
+                channel.close();
+            }
+        }
+
+        /** Whoever waited here for an answer has it or has left. */
+        private void leave() {
+            ending = true;
+            open.remove(this);
+            if (channels.remove(handle, this)) {
+                setUps.clear();
+                broker.disconnected(clock.now(), handle);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (!ending) {
+                super.channelWritabilityChanged(ctx);
             }
         }
 
         @Override
         protected void closed(ChannelHandlerContext ctx, boolean reset) {
-            channels.remove(handle);
-            broker.disconnected(clock.now(), handle);
+            leave();
         }
     }
 
-    private void message(Channel ch, long connection, Headed m) throws Headed.Malformed {
+    private void message(Connection c, Headed m) throws Headed.Malformed {
+        Channel ch = c.channel;
         if (m.first().startsWith("RTSP/")) {
             if ("2".equals(m.header("cseq"))) {
-                broker.heard(connection, m.header("session", ""));
+                broker.heard(c.handle, m.header("session", ""));
             }
             return;
         }
@@ -100,8 +251,9 @@
             throw new Headed.Malformed("first line is no RTSP request");
         }
         switch (m.word(0)) {
-            case "SETUP" -> setUp(ch, connection, m);
+            case "SETUP" -> setUp(c, m);
             case "TEARDOWN" -> {
+                c.setUps.remove(m.header("session", ""));
                 broker.leave(clock.now(), m.header("session", ""));
                 reply(ch, 200, "OK", m);
             }
@@ -111,22 +263,33 @@
         }
     }
 
-    private void setUp(Channel ch, long connection, Headed m) {
+    private void setUp(Connection c, Headed m) throws Headed.Malformed {
         SetUpFields f;
         try {
             f = SetUpFields.read(m);
         } catch (IllegalArgumentException e) {
-            LOG.warn("set-up refused as malformed: remote={} why={}", ch.remoteAddress(), e.getMessage());
-            reply(ch, 400, "Bad Request", m);
+            c.fault(e.getMessage(), m);
             return;
         }
         Wish wish = f.wish();
+        if (c.setUps.contains(wish.name())) {   // no telling any more which of the two an answer would be for
+            throw new Headed.Malformed("two set-ups under one session");
+        }
+        if (c.setUps.size() >= MOST_SET_UPS) {
+            answer(c, wish.name(), 503, "Service Unavailable", NOTHING, Map.of());
+            return;
+        }
+        c.viewer = true;
         if (f.at() != null) {
-            broker.open(clock.now(), connection, this, servers, wish, f.at());
-        } else if (!broker.request(clock.now(), connection, this, servers, wish)) {
-            LOG.warn("set-up refused: session={} class={} why=held already or class unknown", wish.name(),
-                    wish.className());
-            reply(ch, 400, "Bad Request", m);
+            if (!broker.open(clock.now(), c.handle, this, servers, wish, f.at())) {
+                c.fault("plays nowhere that is known", m);
+            }
+            return;
+        }
+        c.setUps.add(wish.name());
+        if (!broker.request(clock.now(), c.handle, this, servers, wish)) {
+            c.setUps.remove(wish.name());
+            c.fault("session held already, class unknown, or a figure out of range", m);
         }
     }
 
@@ -160,18 +323,22 @@
     }
 
     private void answer(long connection, String name, int code, String phrase, byte[] body, Map<String, String> more) {
-        Channel ch = channels.get(connection);
-        if (ch == null) {
-            if (code == 200) {
-                broker.undelivered(clock.now(), name);
-            }
-            return;
+        Connection c = channels.get(connection);
+        if (c != null) {
+            answer(c, name, code, phrase, body, more);
+        } else if (code == 200) {
+            broker.undelivered(clock.now(), name);
         }
+    }
+
+    private void answer(Connection c, String name, int code, String phrase, byte[] body, Map<String, String> more) {
+        c.setUps.remove(name);
+        c.usedAt = clock.now();
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("CSeq", "1");
         headers.put("Session", name);
         headers.putAll(more);
-        ch.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
+        c.channel.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
                 .addListener(done -> {
                     if (!done.isSuccess() && code == 200) {
                         broker.undelivered(clock.now(), name);
@@ -180,21 +347,22 @@
     }
 
     private void request(long connection, String method, String name, String reason) {
-        Channel ch = channels.get(connection);
-        if (ch == null) {
+        Connection c = channels.get(connection);
+        if (c == null) {
             return;
         }
+        c.usedAt = clock.now();
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("CSeq", method.equals("TEARDOWN") ? "2" : "4");
         headers.put("Session", name);
         if (reason != null) {
             headers.put("Reason", reason);
         }
-        ch.writeAndFlush(Net.buf(Headed.encode(method + " rtsp://media/" + name + " RTSP/1.0", headers, NOTHING)));
+        c.channel.writeAndFlush(Net.buf(Headed.encode(method + " rtsp://media/" + name + " RTSP/1.0", headers, NOTHING)));
     }
 
     /** Answers a request of the viewer's at once, with its own CSeq and session. */
-    private static ChannelFuture reply(Channel ch, int code, String phrase, Headed to) {
+    private static void reply(Channel ch, int code, String phrase, Headed to) {
         Map<String, String> headers = new LinkedHashMap<>();
         if (to != null) {
             for (String name : List.of("CSeq", "Session")) {
@@ -204,6 +372,6 @@
                 }
             }
         }
-        return ch.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, NOTHING)));
+        ch.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, NOTHING)));
     }
 }
--- a/src/main/java/dockshed/rtsp/SetUpFields.java
+++ b/src/main/java/dockshed/rtsp/SetUpFields.java
@@ -2,12 +2,19 @@
 
 import dockshed.core.Wish;
 import dockshed.net.Headed;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** What a viewer's SETUP says. {@code at}: the server where the session plays already, or null. */
 record SetUpFields(Wish wish, String at) {
     private static final String ADDRESS = "rtsp://media/";
+    private static final Pattern TITLE = Pattern.compile("[!-~]{1,256}");
+    private static final Pattern WHOLE = Pattern.compile("[0-9]{1,6}");
+    private static final Pattern FIGURE = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
 
     /** Throws IllegalArgumentException where something is missing or no number. */
     static SetUpFields read(Headed m) {
@@ -18,12 +25,16 @@
         if (!m.word(1).startsWith(ADDRESS)) {
             throw new IllegalArgumentException("address names no title");
         }
+        String title = m.word(1).substring(ADDRESS.length());
+        if (!TITLE.matcher(title).matches()) {
+            throw new IllegalArgumentException("title is no word");
+        }
         Map<String, String> info = pairs(m.header("p-trunk-info", ""));
         Wish wish = new Wish(session, m.header("priority-class", ""), info.getOrDefault("viewer", ""),
-                m.word(1).substring(ADDRESS.length()), micros(m, "expires-ms"), micros(m, "expected-ms"),
+                title, micros(m, "expires-ms"), micros(m, "expected-ms"),
                 integer(info, "home"), integer(info, "copies"), integer(info, "top"),
                 m.header("p-repeat", "0").equals("1"), "1".equals(info.get("moved")), "1".equals(info.get("again")),
-                m.text());
+                description(m));
         String at = info.get("at");
         if (at == null && wish.patience() <= 0) {
             throw new IllegalArgumentException("Expires-Ms is missing");
@@ -31,6 +42,23 @@
         return new SetUpFields(wish, at);
     }
 
+    /** The description as text; one that is cut, or no text, is of no use to an edge server. */
+    private static String description(Headed m) {
+        String text;
+        try {
+            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(m.body())).toString();
+        } catch (CharacterCodingException e) {
+            throw new IllegalArgumentException("description is no text");
+        }
+        if (!text.endsWith("\n")) {
+            throw new IllegalArgumentException("description is cut off");
+        }
+        if (text.chars().anyMatch(c -> c < ' ' && c != '\r' && c != '\n' && c != '\t')) {
+            throw new IllegalArgumentException("description with control characters");
+        }
+        return text;
+    }
+
     private static Map<String, String> pairs(String list) {
         Map<String, String> out = new HashMap<>();
         for (String pair : list.split(";")) {
@@ -56,14 +84,16 @@
 
     private static int integer(Map<String, String> info, String key) {
         String value = info.get(key);
-        return value == null ? 0 : (int) number(value, key);
+        if (value != null && !WHOLE.matcher(value).matches()) {
+            throw new IllegalArgumentException(key + " is no whole number in range");
+        }
+        return value == null ? 0 : Integer.parseInt(value);
     }
 
     private static double number(String value, String what) {
-        try {
-            return Double.parseDouble(value);
-        } catch (NumberFormatException e) {
+        if (!FIGURE.matcher(value).matches()) {     // Java's own forms, such as 0x1p3 or 5d, are nobody else's
             throw new IllegalArgumentException(what + " is no number");
         }
+        return Double.parseDouble(value);
     }
 }
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -359,4 +359,14 @@
         assertEquals(1, s.count("box a release v1"));
         assertEquals(0, s.broker.standing());
     }
+
+    @Test
+    void aServerThatIsGoneIsForgottenInTheEnd() {
+        // On a day of many replacements every id that ever was stayed in the broker's table.
+        s.list(Scope.CHANGES, State.GONE, "b");
+        s.pass(100 * S);
+        s.list(Scope.CHANGES, State.UP, "c");
+        assertFalse(s.broker.open(s.now, s.connection, s, s, Stage.wish("v1", "safe"), "b"));
+        assertTrue(s.broker.open(s.now, s.connection, s, s, Stage.wish("v1", "safe"), "c"));
+    }
 }
