Close a connection for room only once all that had come on it has been read

Changed: one that has asked before is closed 60 ms after it was chosen, if it has brought nothing since.

--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -34,6 +34,8 @@
     private static final long LOOK = 250_000;
     /** A connection just used is not closed to make room: its viewer may be about to ask again. */
     private static final long FRESH = 500_000;
+    /** Between the choice of a connection to be closed and its end: bytes that had come by then have been read. */
+    static final long LAST_READ = 60_000;
     /** What was answered for good is read on for so long, and so many bytes, lest the answer be lost. */
     static final long LINGER = 5_000_000;
     private static final long MOST_PASSED_OVER = 128L << 20;
@@ -96,17 +98,28 @@
         long now = clock.now();
         for (Connection c : open) {
             boolean fresh = now - c.usedAt < FRESH;
-            if (c.setUps.isEmpty() && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
+            if (!c.doomed && c.setUps.isEmpty() && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
                     || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
                 worst = c;
             }
         }
-        if (worst == null) {
+        if (worst == null || open.size() > mostConnections + mostConnections / 4) {
             return false;
         }
-        LOG.debug("connection closed for a new one: remote={}", worst.channel.remoteAddress());
-        worst.leave();
-        worst.channel.close();
+        Connection chosen = worst;
+        if (chosen.asked && !chosen.ending) {
+            // A set-up may have come that is not read yet: it is closed only once all that had come has been.
+            chosen.doomed = true;
+            long unused = chosen.usedAt;
+            deadlines.at(now + LAST_READ, t -> {
+                chosen.doomed = false;
+                if (chosen.usedAt == unused && chosen.setUps.isEmpty() && !chosen.decoder.midway() && !chosen.ending) {
+                    chosen.quiet("room is needed");
+                }
+            });
+        } else {
+            chosen.quiet("room is needed");
+        }
         return true;
     }
 
@@ -115,7 +128,7 @@
         private final Set<String> setUps = new HashSet<>();     // open ones
         private Channel channel;
         private long handle;
-        private boolean ending, asked, viewer;
+        private boolean ending, asked, viewer, doomed;
         private long since;             // the beginning of a first message, of a part of one, of the ending; else -1
         private long usedAt;
         private long passedOver;
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -202,16 +202,37 @@
         assertEquals(List.of(true, true, false, true), open(ch, tested, silent, fourth));
         say(fourth, setUp(id(2), ""));
         EmbeddedChannel fifth = new EmbeddedChannel(front.accept());
+        assertTrue(tested.isOpen(), "what had come before is read first");
+        s.pass(RtspFront.LAST_READ);
         assertEquals(List.of(true, false, true, true), open(ch, tested, fourth, fifth));
         say(fifth, setUp(id(3), ""));
         assertFalse(new EmbeddedChannel(front.accept()).isOpen(), "each of the others has a set-up open");
         s.broker.answered(s.now, "a", id(2), "");
         s.pass(S);
         assertTrue(new EmbeddedChannel(front.accept()).isOpen());
+        s.pass(RtspFront.LAST_READ);
         assertEquals(List.of(true, false, true), open(ch, fourth, fifth));
         assertEquals(1, s.broker.standing(), "a session belongs to no connection");
     }
 
+    @Test
+    void aSetUpThatWaitedUnreadKeepsItsConnection() {
+        // In a rush the loop lagged: a connection was closed for a new one while a set-up on it had yet to be read.
+        say(ch, setUp(id(1), ""));
+        s.broker.answered(s.now, "a", id(1), "");
+        EmbeddedChannel second = new EmbeddedChannel(front.accept());
+        say(second, setUp(id(2), ""));
+        EmbeddedChannel third = new EmbeddedChannel(front.accept());
+        say(third, setUp(id(3), ""));
+        s.pass(S);
+        new EmbeddedChannel(front.accept());
+        say(ch, setUp(id(4), ""));
+        s.pass(S / 4);
+        assertTrue(ch.isOpen());
+        s.broker.answered(s.now, "a", id(4), "x");
+        assertEquals(List.of("200", "200"), heard(ch).stream().map(a -> a.split(" ")[1]).toList());
+    }
+
     private static List<Boolean> open(EmbeddedChannel... channels) {
         return java.util.Arrays.stream(channels).map(EmbeddedChannel::isOpen).toList();
     }
