Give a set-up up on a mute line with a release, and retire the line

Edges.giveUp closed a line on which nothing had come since the set-up, without the release that it sent before; an answer crossing with that leaves a session standing at the server of which nobody hears.

--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -190,13 +190,9 @@
             if (p == null || !l.up) {
                 continue;
             }
-            if (l.stuck(p)) {           // closing it gives the set-up up as well
-                LOG.info("line to edge server dropped: id={} why=no answer and nothing else on it", b.id);
-                drop(l);
-                keep(b);
-            } else {
-                l.send(new Message("release", name, Map.of(), 16, null));
-            }
+            // Told even where nothing else comes: an answer may cross with it, and its session would stand unheard of.
+            l.send(new Message("release", name, Map.of(), 16, null));
+            l.retired |= l.stuck(p);
         }
     }
 
@@ -248,6 +244,8 @@
         for (Line l : List.copyOf(b.lines)) {
             if (l.nearIdleClose(now)) {
                 drop(l);
+            } else if (l.retired) {
+                continue;
             } else if (best == null || l.open.size() < best.open.size() || l.up && !best.up
                     && l.open.size() == best.open.size()) {
                 best = l;
@@ -313,7 +311,7 @@
         long silence = terms.tell() > 0 ? terms.tell() + terms.see() + 500_000 : Long.MAX_VALUE;
         for (Box b : List.copyOf(boxes.values())) {
             for (Line l : List.copyOf(b.lines)) {
-                if (l.nearIdleClose(now)) {
+                if (l.nearIdleClose(now) || l.retired && l.open.isEmpty() && now - l.usedAt > STUCK) {
                     drop(l);
                 } else if (l.decoder.midway() && now - l.usedAt > STUCK) {
                     LOG.warn("line to edge server dropped: id={} why=message not finished", b.id);
@@ -337,7 +335,7 @@
         final Map<String, Pending> open = new LinkedHashMap<>();
         private final LineDecoder decoder = new LineDecoder(LINE_LIMIT);
         Channel channel;
-        boolean up, over;
+        boolean up, over, retired;      // retired: mute after a set-up, not used for another
         final long begunAt = clock.now();
         long usedAt = begunAt;
         private long heardAt = begunAt;
--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -375,4 +375,17 @@
         say("release", "v1", 16, Map.of("load", "x0:NaN;busy_reqs:3"));
         assertEquals("module outcome 0 a OK last", stage.await("module outcome"));
     }
+
+    @Test
+    void aMuteLineIsToldOfTheEndAndNotUsedAgain() throws Exception {
+        // Closing it at once left a session standing whose answer was on its way: nobody told its viewer of the end.
+        stage.onRequest = r -> act.send(r.id(), "a", 300_000);
+        ask("v1", "safe");
+        accept();
+        assertEquals("setup", read().type());
+        assertEquals("release v1", read().type() + " v1");
+        ask("v2", "safe");
+        accept();
+        assertEquals("v2", read().id());
+    }
 }
