Keep lines to silent servers open, try one server at a time when none reports

Ruled out: server loss in the zone (all of it was known by 15 s), a mute line (each had been heard 2.7 to 3.0 s before). At fault: Edges.lookAround, which dropped and renewed each line of a silent server at once, and took silence of all servers for the silence of each. Now a silent server gets one more line and the old ones stay; where at least four servers hold sessions and none has written a note for half the limit, one of them is tried at a time.

--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -16,6 +16,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -41,6 +42,8 @@
     /** A message that is not whole by then will not be; a set-up unanswered for so long on a mute line casts doubt. */
     private static final long STUCK = 200_000;
     private static final long LOOK = 500_000;
+    /** From so many servers with sessions on, all falling silent at once means that reports stay out, not that all died. */
+    private static final int MANY = 4;
     private static final int BACKLOG = 1000;
     /** No figure of a note or report is higher: a server runs fewer streams, and asks less of its link. */
     private static final double MOST = 100_000;
@@ -83,6 +86,9 @@
     private final Map<String, Box> boxes = new HashMap<>();
     private int mostLines = 1;
     private boolean oddReport;      // told once
+    private long notedAt;           // when a server last wrote a note
+    private long unreachedAt = -Deadlines.NEVER / 2;    // when a server with sessions last did not come up
+    private long testedAt = -Deadlines.NEVER / 2;       // when one was last tried in the silence of all
 
     public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms) {
         this.broker = broker;
@@ -207,7 +213,7 @@
 
     /** Sends at once, or once a line is up. */
     private void tell(Box b, Message m) {
-        Line up = b.lines.stream().filter(l -> l.up).findFirst().orElse(null);
+        Line up = b.lines.stream().filter(l -> l.up).max(Comparator.comparing((Line l) -> !l.doubted)).orElse(null);
         if (up != null) {
             up.send(m);
         } else if (b.owed.size() < BACKLOG) {
@@ -237,6 +243,11 @@
 
     // ---- Lines.
 
+    /** Lines to all servers, for tests. */
+    int lines() {
+        return boxes.values().stream().mapToInt(b -> b.lines.size()).sum();
+    }
+
     /** The line for a set-up: a free one, the longest in use first, else a new one, else the least burdened. */
     private Line usable(Box b) {
         long now = clock.now();
@@ -244,13 +255,16 @@
         for (Line l : List.copyOf(b.lines)) {
             if (l.nearIdleClose(now)) {
                 drop(l);
-            } else if (l.retired) {
+            } else if (l.retired || l.doubted) {
                 continue;
             } else if (best == null || l.open.size() < best.open.size() || l.up && !best.up
                     && l.open.size() == best.open.size()) {
                 best = l;
             }
         }
+        if (best == null && b.lines.size() > mostLines) {
+            best = b.lines.get(b.lines.size() - 1);     // none is above doubt: the newest
+        }
         return best == null || !best.open.isEmpty() && b.lines.size() < mostLines ? begin(b) : best;
     }
 
@@ -284,8 +298,9 @@
 
     private void again(Box b) {
         deadlines.at(clock.now() + RETRY, t -> {
-            if (b.hold && boxes.get(b.id) == b) {
-                connect(b);
+            if (b.hold && boxes.get(b.id) == b && b.at != null && b.lines.stream().allMatch(l -> l.doubted)) {
+                b.triedAt = clock.now();
+                begin(b);
             }
         });
     }
@@ -300,15 +315,10 @@
         l.end(Outcome.RESET);
     }
 
-    /**
-     * Every half second: lines that the server would soon close as idle are ended or renewed, those stuck in a message
-     * dropped, and a server that has sessions but said nothing for longer than its reports may take is tried with a new
-     * line.
-     */
+    /** Every half second: lines that the server would soon close as idle are ended or renewed, those stuck dropped. */
     private void lookAround(long due) {
         long now = clock.now();
         deadlines.at(now + LOOK, this::lookAround);
-        long silence = terms.tell() > 0 ? terms.tell() + terms.see() + 500_000 : Long.MAX_VALUE;
         for (Box b : List.copyOf(boxes.values())) {
             for (Line l : List.copyOf(b.lines)) {
                 if (l.nearIdleClose(now) || l.retired && l.open.isEmpty() && now - l.usedAt > STUCK) {
@@ -318,16 +328,49 @@
                     drop(l);
                 }
             }
-            if (b.hold && !b.lines.isEmpty() && now - b.heardAt > silence
-                    && b.lines.stream().allMatch(l -> l.up && l.open.isEmpty())) {
-                LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
-                b.heardAt = now;
-                drop(b);
-            }
             if (b.hold) {
                 connect(b);
             }
         }
+        tryTheSilent(now);
+    }
+
+    /**
+     * A server that has sessions but said nothing for longer than its reports may take is tried with one more line.
+     * Where no server reports any more, only one is tried at a time, until one does not come up: reports can stay out
+     * everywhere, and every broker of a large fleet would shake hands with every server over it.
+     */
+    private void tryTheSilent(long now) {
+        if (terms.tell() <= 0) {
+            return;
+        }
+        long limit = terms.tell() + terms.see() + 500_000;
+        List<Box> held = boxes.values().stream().filter(b -> b.hold).toList();
+        List<Box> silent = held.stream().filter(b -> now - b.heardAt > limit && !b.lines.isEmpty()
+                && b.lines.stream().allMatch(l -> l.up && l.open.isEmpty()))
+                .sorted(Comparator.comparingLong(b -> b.heardAt)).toList();
+        if (silent.isEmpty()) {
+            return;
+        }
+        if (held.size() >= MANY && now - notedAt > limit / 2 && now - unreachedAt > limit) {
+            if (now - testedAt <= limit) {
+                return;
+            }
+            testedAt = now;
+            silent = silent.subList(0, 1);
+            LOG.info("no edge server reports: held={} ms={}", held.size(), (now - notedAt) / 1000);
+        }
+        for (Box b : silent) {
+            LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
+            b.heardAt = now;
+            b.triedAt = now;
+            if (b.lines.size() > mostLines) {
+                drop(b.lines.get(0));       // silent through two of these
+            }
+            // The others stay: what a server is just writing on one would be lost with it, an end of a session too.
+            b.lines.forEach(l -> l.doubted = true);
+            begin(b);
+        }
     }
 
     private final class Line extends ByteHandler {
@@ -336,6 +379,7 @@
         private final LineDecoder decoder = new LineDecoder(LINE_LIMIT);
         Channel channel;
         boolean up, over, retired;      // retired: mute after a set-up, not used for another
+        boolean doubted;                // silent for long, and a newer line was begun: not used until it speaks
         final long begunAt = clock.now();
         long usedAt = begunAt;
         private long heardAt = begunAt;
@@ -385,11 +429,13 @@
             LOG.info("edge server not reached: id={} refused={} waiting={}", box.id, refused, open.size());
             box.lines.remove(this);
             end(Outcome.CONNECT_FAILED);
-            if (!box.hold || !box.lines.isEmpty()) {
+            if (!box.hold || !box.lines.stream().allMatch(l -> l.doubted)) {
                 return;             // another line is up or on its way, and tells more
             }
+            unreachedAt = clock.now();
             if (++box.failures >= LOST_AFTER) {
                 box.failures = 0;
+                drop(box);
                 broker.lost(clock.now(), Edges.this, box.id, clock.now());
             } else {
                 again(box);
@@ -429,6 +475,7 @@
             usedAt = clock.now();
             heardAt = usedAt;
             box.heardAt = usedAt;
+            doubted = false;
             decoder.add(bytes);
             try {
                 for (String line = decoder.next(); line != null && !over; line = decoder.next()) {
@@ -479,7 +526,10 @@
                 broker.ended(now, server, m.id(), first ? beforeAnswer(m.cause()) : afterAnswer(m.cause()),
                         report(m.fields().get("load")));
             }
-            case "note" -> note(now, server, m);
+            case "note" -> {
+                notedAt = now;
+                note(now, server, m);
+            }
             case "ping" -> line.send(new Message("pong", m.id(), Map.of(), 1, null));
             default -> { }          // progress and what is free mean nothing
         }
--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -17,6 +17,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
@@ -388,4 +389,32 @@
         accept();
         assertEquals("v2", read().id());
     }
+
+    @Test
+    void whenNoServerReportsOneIsTriedAndNoLineIsClosed() throws Exception {
+        // Reports stayed out everywhere: 14 brokers closed and renewed 277 lines, and an end on its way was lost.
+        begin(30_000_000, 1000);
+        List<String> ids = List.of("a", "b", "c", "d");
+        net.call(() -> {
+            broker.members(clock.now(), "names", Director.Scope.DISK, ids.stream().map(id ->
+                    new Director.Server(id, "z", "k", 0, Director.State.UP, 1, 0)).toList());
+            InetSocketAddress at = new InetSocketAddress("127.0.0.1", server.getLocalPort());
+            edges.addresses(Map.of("a", at, "b", at, "c", at, "d", at));
+            return null;
+        });
+        List<Socket> lines = new ArrayList<>();
+        for (String id : ids) {
+            stage.onRequest = r -> act.send(r.id(), id, 0);
+            line = null;
+            play("v" + id);
+            lines.add(line);
+        }
+        accept();                       // the one that is tried
+        assertEquals(5, net.call(() -> edges.lines()));
+        for (int i = 0; i < lines.size(); i++) {
+            line = lines.get(i);
+            say("release", "v" + ids.get(i), 16, Map.of());
+            assertEquals("front over v" + ids.get(i) + " OK", stage.await("front over"));
+        }
+    }
 }
