Prefer servers with a line and room where handshakes have a price

Each of 14 brokers picks two of all 60 holders at random, so each ends with a line to nearly all of them, most for a session or two. Checked: some 590 of the lines are needed from the start for sessions handed over (14 brokers, 42 servers each); the rest comes from set-ups to servers not met yet and from resets. At fault: Choice.place, which held every holder with room alike; the price of a handshake was not even read (SettingsReader). Now the two are drawn among the servers where a line is up and there is room for the rung wanted, if two or more are such; else among all as before.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -36,6 +36,7 @@
     static final double UPLINK_RISE = 0.03;     // of the told uplink that a lowered estimate regains a second
     static final long PAUSE = 3 * SECOND;       // after failures at a server
     static final int STRIKES = 3;               // attempts in a row without an answer that make it failing
+    static final long LINE_KEPT = 15 * SECOND;  // a line without sessions is there for so long at least
     static final double TRY_SHARE = 0.5;        // share of the goal time for an attempt if another can follow
 
     // ---- State.
@@ -182,6 +183,13 @@
         }
         List<Node> open = new ArrayList<>();
         for (Node n : holders) if (room(now, n, s, newcomerPart) >= kb(s, s.c.floor())) open.add(n);
+        // Each director has few sessions at each of many servers: a line more to each is a handshake more to pay.
+        if (set.prices().handshake() > 0) {
+            double wanted = kb(s, asked(s.c, s.top));
+            List<Node> met = new ArrayList<>();
+            for (Node n : open) if (met(now, n) && room(now, n, s, newcomerPart) >= wanted) met.add(n);
+            if (met.size() > 1) open = met;
+        }
         List<Node> pick = new ArrayList<>(twoOf(open.isEmpty() ? holders : open, now));
         // At size the two seldom hold an own session to sub-rate: then where own sessions play.
         boolean none = pick.stream().allMatch(n -> n.mine.isEmpty());
@@ -286,6 +294,11 @@
         return out;
     }
 
+    /** Whether a line to the server is probably up. */
+    private static boolean met(long now, Node n) {
+        return !n.mine.isEmpty() || now - n.lastSentAt < LINE_KEPT;
+    }
+
     /** Two at random, the less loaded first; a foreign zone counts as load by its price. */
     private List<Node> twoOf(List<Node> from, long now) {
         Node a = from.get(random.nextInt(from.size()));
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -88,8 +88,8 @@
         }
     }
 
-    /** Points taken off the result: for sessions that cross zones, for moves and for probes. */
-    record Prices(double crossZone, double move, double probe) { }
+    /** Points taken off the result: for sessions that cross zones, for moves, probes and handshakes with servers. */
+    record Prices(double crossZone, double move, double probe, double handshake) { }
 
     /** All that a director is handed at its start. {@code reportFields} names the values of a load report in order. */
     record Settings(int me, int balancers, String zone, List<SessionClass> classes, List<Kind> kinds, Ladder ladder,
--- a/src/main/java/dockshed/config/SettingsReader.java
+++ b/src/main/java/dockshed/config/SettingsReader.java
@@ -35,7 +35,8 @@
                         rules.number("tip_multiple", 0), rules.micros("fall", 0),
                         rules.integer("spare_attempts", 0), rules.number("extra_ratio", 0),
                         rules.micros("counted_over", 0)),
-                new Prices(prices.number("cross_zone", 0), prices.number("moves", 0), prices.number("probe", 0)),
+                new Prices(prices.number("cross_zone", 0), prices.number("moves", 0), prices.number("probe", 0),
+                        prices.number("handshake", 0)),
                 fields(options));
     }
 
--- a/src/test/java/dockshed/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -8,6 +8,7 @@
 import dockshed.Director.Ladder;
 import dockshed.Director.Outcome;
 import dockshed.Director.Scope;
+import dockshed.Director.Server;
 import dockshed.Director.State;
 import dockshed.Director.SessionClass;
 import dockshed.Director.Topic;
@@ -262,4 +263,29 @@
         b.request("good");
         assertEquals(1, b.count("send good"));
     }
+
+    @Test
+    void whereHandshakesHaveAPriceServersWithALineAndRoomComeFirst() {
+        // Fourteen directors chose among all of 60 servers: 1,212 handshakes a day, most for a session or two.
+        Bench b = new Bench();
+        b.handshake = 0.05;
+        Server[] servers = new Server[12];
+        for (int i = 0; i < servers.length; i++) {
+            servers[i] = Bench.server("s" + i, i % 3);
+        }
+        b.start(servers);
+        b.open("o1", "s0", 0);
+        b.open("o2", "s1", 0);
+        b.d.note(b.now, "o1", "s0", Topic.LINK, 0.1);
+        b.d.note(b.now, "o2", "s1", Topic.LINK, 0.1);
+        for (int i = 0; i < 6; i++) {
+            b.request("r" + i);
+            String to = b.sentTo("r" + i);
+            assertTrue(to.equals("s0") || to.equals("s1"), to);
+            b.d.gone(b.now, "r" + i);
+        }
+        b.d.note(b.now, "o1", "s0", Topic.LINK, 1.2);       // full: another line is worth its price
+        b.request("last");
+        assertTrue(!"s0".equals(b.sentTo("last")), b.log.toString());
+    }
 }
--- a/src/test/java/dockshed/core/Stage.java
+++ b/src/test/java/dockshed/core/Stage.java
@@ -46,7 +46,7 @@
         settings = new Settings(0, 1, "east", List.of(new SessionClass("safe", Effect.SAFE, S, 3 * S, 1, 1, 0, 4, 0),
                 new SessionClass("paid", Effect.AT_MOST_ONCE, S, 4 * S, 3, 1, 1, 4, 0)), List.of(new Kind("k", 40)),
                 new Ladder(List.of(1.0, 2.0, 3.0, 4.0, 5.0), List.of(.2, .4, .6, .8, 1.0), 100, 10, 100, 1, 3, 0, 7, 1),
-                new Limits(5, false, true, 250 * MS, 2 * S, S, 3 * S), rules, new Prices(0, 0, 0), List.of());
+                new Limits(5, false, true, 250 * MS, 2 * S, S, 3 * S), rules, new Prices(0, 0, 0, 0), List.of());
         broker = new Broker(settings, a -> {
             actions = a;
             return this;
