--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -183,7 +183,7 @@
         }
         List<Node> open = new ArrayList<>();
         for (Node n : holders) if (room(now, n, s, newcomerPart) >= kb(s, s.c.floor())) open.add(n);
-        // Each director has few sessions at each of many servers: a line more to each is a handshake more to pay.
+        // At size each director has few sessions at a server: a line to one more is a handshake more.
         if (set.prices().handshake() > 0) {
             double wanted = kb(s, asked(s.c, s.top));
             List<Node> met = new ArrayList<>();
