Do not let many brokers all try uplinks beyond what is told at once

At fault: Choice.measure, which plans every uplink for 1.2 times what is told, since only shortage tells what one really gives. Two or three brokers find out one after the other; fourteen try it at the same moment and hear of the shortage 0.9 to 1.5 s later. Now from six brokers on uplinks are planned for as told; smaller fleets keep the 1.2.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -33,6 +33,7 @@
     static final double OVERFULL = 1.5;         // fullness over which one link tells no more of the others
     static final double PRIOR_HEARD = 2;        // links that the assumed fullness weighs as much as
     static final double UPLINK_HOPE = 1.2;      // told uplink is tried so far up where only shortage can tell
+    static final int MANY_DIRECTORS = 6;        // so many would try it at once and learn too late: none does
     static final double UPLINK_RISE = 0.03;     // of the told uplink that a lowered estimate regains a second
     static final long PAUSE = 3 * SECOND;       // after failures at a server
     static final int STRIKES = 3;               // attempts in a row without an answer that make it failing
@@ -822,7 +823,8 @@
         for (Rack r : racks) {
             if (r.told > 0 || r.nodes.isEmpty()) continue;   // stays as it is when servers come and go
             double part = r.nodes.stream().mapToDouble(n -> n.told).sum() / links;
-            r.told = set.ladder().uplinkKb() * racks.length * part * (tellsUplink ? 1 : UPLINK_HOPE);
+            boolean hope = !tellsUplink && set.balancers() < MANY_DIRECTORS;
+            r.told = set.ladder().uplinkKb() * racks.length * part * (hope ? UPLINK_HOPE : 1);
             r.uplink = r.told;
         }
     }
--- a/src/test/java/dockshed/Bench.java
+++ b/src/test/java/dockshed/Bench.java
@@ -37,6 +37,7 @@
     double guard = 0;
     int attempts = 3;
     double handshake = 0;
+    double uplinkKb = 60000;
     long now = 1000 * S;
     Choice d;
 
@@ -51,7 +52,7 @@
 
     Bench start(Server... servers) {
         Ladder ladder = new Ladder(RATES, List.of(0.2, 0.42, 0.62, 0.81, 1.0),
-                6000.0 * servers.length, 6000, 60000, 2, cells, guard, 7, 800_000);
+                6000.0 * servers.length, 6000, uplinkKb, 2, cells, guard, 7, 800_000);
         Settings settings = new Settings(me, balancers, "here", classes, List.of(new Kind("box", streams)), ladder,
                 new Limits(attempts, false, false, 250_000, 500_000, 800_000, 3 * S), rules, new Prices(0.04, 0.05, 0, handshake),
                 List.of(Field.LINK));
--- a/src/test/java/dockshed/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -288,4 +288,20 @@
         b.request("last");
         assertTrue(!"s0".equals(b.sentTo("last")), b.log.toString());
     }
+
+    @Test
+    void manyDirectorsDoNotAllTryWhatAnUplinkWasNotToldToGive() {
+        // Fourteen stepped up together at 2 s, half of all links were short by 4 s, and 1,700 steps down followed.
+        for (int balancers : new int[] {1, 14}) {
+            Bench b = new Bench();
+            b.balancers = balancers;
+            b.uplinkKb = 1000;          // a rack's, told 2,000 as all stands in one of two
+            b.start(Bench.server("a", 0));
+            b.request("r0");
+            b.d.first(b.now, "r0", 0, "a");
+            b.d.note(b.now, "r0", "a", Topic.LINK, 0.08);
+            assertEquals(balancers == 1 ? 1 : 0, b.count("rate r0 4"), b.log.toString());
+            assertEquals(1, b.count("send r0"));
+        }
+    }
 }
