Give the test of silent servers time enough for slow machines

With reports due every millisecond the first server could count as silent before the fourth had a session, where four plays take over half a second; the test would then accept the wrong line. Now reports are due every 2 s. Checked: with the rule switched off the test sees 8 lines in place of 5, and the test of preferred lines fails without that preference.

--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -393,7 +393,7 @@
     @Test
     void whenNoServerReportsOneIsTriedAndNoLineIsClosed() throws Exception {
         // Reports stayed out everywhere: 14 brokers closed and renewed 277 lines, and an end on its way was lost.
-        begin(30_000_000, 1000);
+        begin(30_000_000, 2_000_000);    // long enough that none is silent before all play
         List<String> ids = List.of("a", "b", "c", "d");
         net.call(() -> {
             broker.members(clock.now(), "names", Director.Scope.DISK, ids.stream().map(id ->
