Fill HLS boxes: reckon the loads that they do not report

Need: one broker before four idle HLS boxes served 4 of 150 viewers.

Cause: three, found with the program before HTTP stand-ins. A server whose kind the settings do not name was held for one stream; an uplink smaller than a link was held for full by the links' assumed fullness; a link that nobody reports on was held for 0.7 full for ever.

Change: dockshed.load reckons own sessions' rates times the brokers, or takes the box's own word from ORCA's load header, and tells the module readings as a box's notes. An unknown kind counts as the least of the known ones, uplink_kb 0 means none, doubtful settings are told at the start.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -472,6 +472,7 @@
         Rules rules = set.rules();
         if (s.attempts >= set.limits().attempts() || now >= s.deadline) return false;
         if (s.ran && s.c.effect() != Effect.SAFE) return false;
+        if (!act.mayTryAgain()) return false;       // the budget that all requests share
         if (rules.countedOver() == 0) return true;
         extraAttempts.removeIf(at -> at < now - rules.countedOver());
         taken.removeIf(at -> at < now - rules.countedOver() + SECOND / 100);
@@ -808,7 +809,9 @@
         double streams = 0;
         boolean alike = nodes.values().stream().mapToDouble(n -> n.info.weight()).distinct().count() < 2;
         for (Node n : nodes.values()) {
-            for (Kind k : set.kinds()) n.streams = k.name().equals(n.info.kind()) ? k.streams() : n.streams;
+            int least = set.kinds().stream().mapToInt(Kind::streams).min().orElse(1);
+            n.streams = set.kinds().stream().filter(k -> k.name().equals(n.info.kind())).mapToInt(Kind::streams)
+                    .findFirst().orElse(least);     // a kind not told of runs what every kind does
             streams += n.streams;
         }
         links = 0;
@@ -856,7 +859,7 @@
         double warmth = warmth(now, n);
         double takes = n.streams * warmth * SECOND / Math.max(1, set.rules().warmUp());
         double comes = trying * set.balancers() / Math.max(1, listed);
-        return warmth >= 1 || (now - n.lastSentAt) * takes > Math.min(2, set.balancers()) * SECOND
+        return warmth >= 1 || act.mayWarm(n.info.id()) && (now - n.lastSentAt) * takes > Math.min(2, set.balancers()) * SECOND
                 && random.nextDouble() * comes < COLD_AIM * takes;  // at few directors chance bounds little
     }
 
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -159,6 +159,9 @@
     /** A time that was asked for has come. */
     void timer(long now, String key);
 
+    /** A viewer's connection has come up. */
+    default void connected(long now) { }
+
     /** What the module may do; each takes effect at once, in the order called. */
     interface Actions {
         /** Ask a server to set the session up, for at most {@code allow}. */
@@ -184,6 +187,21 @@
 
         /** Ask for {@link Director#timer} at a time. */
         void timer(String key, long at);
+
+        /** Whether a further attempt for a request is within what all further attempts together may be. */
+        default boolean mayTryAgain() {
+            return true;
+        }
+
+        /** Whether a server that has just started may be sent one set-up more now. */
+        default boolean mayWarm(String server) {
+            return true;
+        }
+
+        /** What a viewer's way back is told in: microseconds, whole multiples of which reach it. */
+        default long comeBackUnit(String request) {
+            return 1000;
+        }
     }
 
     private static void require(boolean holds, String setting) {
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -12,6 +12,7 @@
 import dockshed.eureka.EurekaClient;
 import dockshed.hls.HlsFront;
 import dockshed.hls.Origins;
+import dockshed.load.LoadTeller;
 import dockshed.names.Listing;
 import dockshed.names.Names;
 import dockshed.net.LoopClock;
@@ -42,6 +43,7 @@
     private final RtspFront rtsp;
     private final Map<String, Long> upSince = new HashMap<>();
     private Names names;
+    private LoadTeller loads;
     private Origins origins;
     private HlsFront hlsFront;
     private Map<String, Listing> boxes = Map.of();
@@ -123,7 +125,9 @@
 
     private void hls(HlsConfig hls) {
         Director.Settings s = config.settings();
-        origins = new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)));
+        hls.doubts(s).forEach(doubt -> LOG.warn("doubtful setting, taken as it is: {}", doubt));
+        loads = new LoadTeller(broker, deadlines, s);
+        origins = new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)), loads);
         hlsFront = new HlsFront(broker, origins, clock, deadlines, s, hls.idle(), config.sockets() / 6,
                 config.seed() ^ 0x5eed);
         if (!hls.servers().isEmpty()) {
@@ -147,7 +151,9 @@
         Map<String, InetSocketAddress> addresses = new HashMap<>();
         now.forEach((id, l) -> addresses.put(id, l.at()));
         origins.addresses(addresses);
-        broker.members(clock.now(), "eureka", scope, now.values().stream().map(Listing::server).toList());
+        List<Server> servers = now.values().stream().map(Listing::server).toList();
+        loads.members(servers);
+        broker.members(clock.now(), "eureka", scope, servers);
         before.forEach((id, was) -> {
             Listing is = now.get(id);
             if (is == null || is.server().upSince() > was.server().upSince()) {
--- a/src/main/java/dockshed/config/HlsConfig.java
+++ b/src/main/java/dockshed/config/HlsConfig.java
@@ -1,10 +1,12 @@
 package dockshed.config;
 
+import dockshed.Director;
+import dockshed.Director.Settings;
+import dockshed.names.Listing;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import dockshed.names.Listing;
 
 /**
  * The file that switches the HLS front on: where it listens, the servers known at the start, and Eureka, which may be
@@ -40,6 +42,24 @@
         return new HlsConfig(Config.address(c, "listen"), servers, eureka, period(c, "idle_ms", DEFAULT_IDLE));
     }
 
+    /** What is allowed and yet seldom meant, a line each. */
+    public List<String> doubts(Settings settings) {
+        List<String> out = new ArrayList<>();
+        List<String> kinds = settings.kinds().stream().map(Director.Kind::name).toList();
+        for (Listing l : servers) {
+            if (!kinds.contains(l.server().kind())) {
+                out.add("server " + l.server().id() + " has flavor '" + l.server().kind() + "', the settings know " + kinds
+                        + ": it is held for the least of these");
+            }
+        }
+        double link = settings.ladder().weightKb();
+        if (settings.ladder().uplinkKb() < link) {
+            out.add("family_info.uplink_kb " + settings.ladder().uplinkKb() + " is less than one server's link, weight_kb "
+                    + link + ": a rack carries no more; 0 means no uplink");
+        }
+        return out;
+    }
+
     private static long period(Fields c, String key, long absent) {
         long micros = c.micros(key, absent);
         if (micros < 100_000) {
--- a/src/main/java/dockshed/config/SettingsReader.java
+++ b/src/main/java/dockshed/config/SettingsReader.java
@@ -14,6 +14,9 @@
 
 /** The wire's settings as the module's. */
 public final class SettingsReader {
+    /** kB a second that no rack asks for. */
+    static final double NO_UPLINK = 1e12;
+
     private SettingsReader() { }
 
     public static Settings read(Fields options) {
@@ -22,7 +25,7 @@
         Fields rules = options.object("invariants");
         Fields prices = options.object("prices");
         Ladder ladder = new Ladder(family.numbers("rates_kb"), family.numbers("level_worth"),
-                family.number("links_kb"), family.number("weight_kb", 0), family.number("uplink_kb"),
+                family.number("links_kb"), family.number("weight_kb", 0), uplink(family),
                 family.integer("cabinets"), family.integer("cells"), family.number("guard", 0),
                 family.number("stall", 0), Math.round(family.number("switch_cost_s", 0) * 1e6));
         return new Settings(options.integer("me"), options.integer("balancers"), options.text("zone", ""),
@@ -40,6 +43,12 @@
                 fields(options));
     }
 
+    /** 0, or none told: racks have no uplink that could be short. */
+    private static double uplink(Fields family) {
+        double told = family.number("uplink_kb", 0);
+        return told == 0 ? NO_UPLINK : told;
+    }
+
     private static List<SessionClass> classes(Fields options, Fields family) {
         List<SessionClass> out = new ArrayList<>();
         List<Double> scale = family.numbers("class_scale");
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -171,6 +171,7 @@
     public long connected(long at, Front front, LongConsumer known) {
         long handle = connections.add(new Connection(front));
         known.accept(handle);
+        event(at, director::connected);
         return handle;
     }
 
@@ -461,6 +462,12 @@
                 && (b.closedSince == Deadlines.NEVER || at - b.closedSince < settings.rules().drainGrace() - DRAIN_MARGIN);
     }
 
+    /** Whether a session of that name stands. */
+    public boolean stands(String name) {
+        Call call = byName.get(name);
+        return call != null && call.stands;
+    }
+
     /** Requests taken that have no final answer yet. */
     public int unanswered() {
         return unanswered;
@@ -607,6 +614,12 @@
         deadlines.at(at, due -> event(due, t -> director.timer(t, key)));
     }
 
+    @Override
+    public long comeBackUnit(String request) {
+        Call call = call(request);
+        return call == null ? 1000 : call.front.comeBackUnit();
+    }
+
     // ---- Inside.
 
     private Call add(Call call) {
@@ -661,6 +674,7 @@
             return;
         }
         call.stands = false;
+        call.via.over(call.box.id, call.wish.name());
         if (call.box.standing.merge(call.via, -1, Integer::sum) == 0) {
             call.via.hold(call.box.id, false);
         }
--- a/src/main/java/dockshed/core/Front.java
+++ b/src/main/java/dockshed/core/Front.java
@@ -27,6 +27,11 @@
         return true;
     }
 
+    /** Microseconds, of which whole multiples can be told as the time to stay away. */
+    default long comeBackUnit() {
+        return 1000;
+    }
+
     /** What a viewer is given. */
     record Granted(String server, String description, int floor, int rung) { }
 }
--- a/src/main/java/dockshed/core/Servers.java
+++ b/src/main/java/dockshed/core/Servers.java
@@ -18,6 +18,9 @@
 
     void rate(String server, String name, int rung);
 
+    /** A session that stood is over, however it ended. */
+    default void over(String server, String name) { }
+
     /** Whether sessions stand at the server, of which news may come at any time. */
     void hold(String server, boolean sessions);
 }
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -416,6 +416,12 @@
         return false;
     }
 
+    /** Retry-After counts whole seconds (RFC 9110, 10.2.3). */
+    @Override
+    public long comeBackUnit() {
+        return 1_000_000;
+    }
+
     @Override
     public void served(long connection, String name, Granted granted) {
         Session s = sessions.get(name);
--- a/src/main/java/dockshed/hls/Origins.java
+++ b/src/main/java/dockshed/hls/Origins.java
@@ -4,6 +4,8 @@
 import dockshed.Director.Outcome;
 import dockshed.core.Broker;
 import dockshed.core.Servers;
+import dockshed.load.LoadTeller;
+import dockshed.load.OrcaReport;
 import dockshed.net.Clock;
 import dockshed.net.Headed;
 import dockshed.net.HttpFetch;
@@ -29,10 +31,12 @@
     private final Net net;
     private final Clock clock;
     private final int connectMillis;
+    private final LoadTeller loads;
     private final Map<String, InetSocketAddress> addresses = new HashMap<>();
     private final Map<String, HttpFetch> out = new HashMap<>();
 
-    public Origins(Broker broker, Net net, Clock clock, int connectMillis) {
+    public Origins(Broker broker, Net net, Clock clock, int connectMillis, LoadTeller loads) {
+        this.loads = loads;
         this.broker = broker;
         this.net = net;
         this.clock = clock;
@@ -75,7 +79,11 @@
                     if (!list.has(s.floor(), s.rung())) {
                         throw new Playlists.Unfit("no variant from rung " + s.floor() + " to " + s.rung());
                     }
+                    loads.header(clock.now(), server, answer.header(OrcaReport.HEADER));
                     broker.answered(clock.now(), server, s.name(), answer.text());
+                    if (broker.stands(s.name())) {      // its front may have ended it at once
+                        loads.stands(clock.now(), server, s.name(), s.className(), s.rung());
+                    }
                 } catch (Playlists.Unfit e) {
                     LOG.warn("playlist of no use: server={} title={} why={}", server, s.title(), e.getMessage());
                     broker.ended(clock.now(), server, s.name(), Outcome.ERROR, LoadReport.NONE);
@@ -106,7 +114,14 @@
 
     /** The rung takes hold in the front, with the session's next fetch. */
     @Override
-    public void rate(String server, String name, int rung) { }
+    public void rate(String server, String name, int rung) {
+        loads.rate(clock.now(), name, rung);
+    }
+
+    @Override
+    public void over(String server, String name) {
+        loads.over(clock.now(), name);
+    }
 
     /** There is no connection to keep: each fetch has its own. */
     @Override
@@ -114,6 +129,18 @@
 
     /** Fetches a media playlist for a session that stands. */
     HttpFetch media(String server, String path, HttpFetch.Listener listener) {
-        return HttpFetch.get(net, addresses.get(server), path, Map.of(), connectMillis, PLAYLIST_LIMIT, listener);
+        HttpFetch.Listener heard = new HttpFetch.Listener() {
+            @Override
+            public void answered(Headed answer) {
+                loads.header(clock.now(), server, answer.header(OrcaReport.HEADER));
+                listener.answered(answer);
+            }
+
+            @Override
+            public void broken(boolean ran, String why) {
+                listener.broken(ran, why);
+            }
+        };
+        return HttpFetch.get(net, addresses.get(server), path, Map.of(), connectMillis, PLAYLIST_LIMIT, heard);
     }
 }
--- /dev/null
+++ b/src/main/java/dockshed/load/ReckonedLoads.java
@@ -0,0 +1,174 @@
+package dockshed.load;
+
+import dockshed.Director.Kind;
+import dockshed.Director.Server;
+import dockshed.Director.SessionClass;
+import dockshed.Director.Settings;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The account of what own sessions ask of each box, in kB a second, and what follows from it for the whole link: own
+ * rates times the brokers that share the box, or what the box itself said last and the own changes since. A promise
+ * counts from the moment it is given, so the figure is never under the own sessions' rates. Times are microseconds.
+ */
+public final class ReckonedLoads {
+    /** What a box said is believed for so long; after it own rates alone count. */
+    static final long BELIEVED = 10_000_000;
+    /** Changes kept of a box: ten times the set-ups that the busiest fleet sees at one box within the lag of notes. */
+    static final int MOST_CHANGES = 512;
+    /** Over this a box's own word is no share of a link but another unit. */
+    static final double MOST_SAID = 20;
+
+    private record Change(long at, double kb) { }
+
+    private record Standing(Box box, SessionClass cls, double kb) { }
+
+    private static final class Box {
+        final LinkedHashMap<String, Standing> sessions = new LinkedHashMap<>();
+        final ArrayDeque<Change> changes = new ArrayDeque<>();
+        double own;
+        double said;                // kB asked there at saidAt, as the box said
+        long saidAt = Long.MIN_VALUE;
+
+        /** What own sessions asked at a time not long past. */
+        double ownAt(long at) {
+            double kb = own;
+            for (Change c : changes) {
+                kb -= c.at() > at ? c.kb() : 0;
+            }
+            return Math.max(0, kb);
+        }
+    }
+
+    private final Settings settings;
+    private final Map<String, SessionClass> classes = new HashMap<>();
+    private final Map<String, Server> listed = new HashMap<>();
+    private final Map<String, Double> links = new HashMap<>();
+    private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();
+    private final Map<String, Standing> byName = new HashMap<>();
+
+    public ReckonedLoads(Settings settings) {
+        this.settings = settings;
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+    }
+
+    /** The boxes as now listed, all of them: how much each link carries is told by the list alone. */
+    public void members(List<Server> servers) {
+        listed.clear();
+        links.clear();
+        servers.forEach(s -> listed.put(s.id(), s));
+        boolean alike = servers.stream().mapToDouble(Server::weight).distinct().count() < 2;
+        double streams = servers.stream().mapToInt(this::streams).sum();
+        for (Server s : servers) {
+            // The module's own measure: by weight, or by streams where all weights are alike.
+            double unit = settings.ladder().weightKb() * s.weight();
+            links.put(s.id(), Math.max(1, alike ? unit * streams(s) * servers.size() / streams : unit));
+        }
+    }
+
+    private int streams(Server s) {
+        return settings.kinds().stream().filter(k -> k.name().equals(s.kind())).mapToInt(Kind::streams).findFirst()
+                .orElse(settings.kinds().stream().mapToInt(Kind::streams).min().orElse(1));
+    }
+
+    /** A session stands at a box, on a rung. */
+    public void stands(long now, String server, String name, String className, int rung) {
+        SessionClass cls = classes.get(className);
+        if (cls == null || byName.containsKey(name)) {
+            return;
+        }
+        Standing s = new Standing(boxes.computeIfAbsent(server, id -> new Box()), cls, kb(cls, rung));
+        byName.put(name, s);
+        s.box().sessions.put(name, s);
+        change(now, s.box(), s.kb());
+    }
+
+    public void rate(long now, String name, int rung) {
+        Standing was = byName.get(name);
+        if (was != null) {
+            Standing is = new Standing(was.box(), was.cls(), kb(was.cls(), rung));
+            byName.put(name, is);
+            is.box().sessions.put(name, is);
+            change(now, is.box(), is.kb() - was.kb());
+        }
+    }
+
+    public void over(long now, String name) {
+        Standing s = byName.remove(name);
+        if (s != null) {
+            s.box().sessions.remove(name);
+            change(now, s.box(), -s.kb());
+            boxes.values().removeIf(b -> b.sessions.isEmpty() && now - b.saidAt > BELIEVED);
+        }
+    }
+
+    /** A box said what share of its link is asked. */
+    public void said(long now, String server, double share) {
+        if (share >= 0 && share <= MOST_SAID && listed.containsKey(server)) {
+            Box b = boxes.computeIfAbsent(server, id -> new Box());
+            b.said = share * gives(now, server);
+            b.saidAt = now;
+        }
+    }
+
+    private double kb(SessionClass cls, int rung) {
+        List<Double> rates = settings.ladder().rates();
+        return rates.get(Math.max(0, Math.min(rung, rates.size() - 1))) * cls.scale();
+    }
+
+    private void change(long now, Box b, double kb) {
+        b.own += kb;
+        b.changes.add(new Change(now, kb));
+        while (b.changes.size() > MOST_CHANGES || b.changes.peekFirst().at() < now - settings.limits().see() - BELIEVED) {
+            b.changes.removeFirst();
+        }
+        if (b.sessions.isEmpty()) {
+            b.own = 0;              // what rounding left
+        }
+    }
+
+    /** What the link gives now: a box that has just started gives less. */
+    private double gives(long now, String server) {
+        Server s = listed.get(server);
+        double link = links.getOrDefault(server, Math.max(1, settings.ladder().weightKb()));
+        long warmUp = settings.rules().warmUp();
+        if (s == null || s.upSince() <= 0 || now - s.upSince() >= warmUp) {
+            return link;
+        }
+        double from = settings.rules().coldFrom();
+        return link * (from + (1 - from) * Math.max(0, now - s.upSince()) / (double) warmUp);
+    }
+
+    /** The share of the box's link that was asked at a time at most the lag of notes ago. */
+    public double share(long now, String server, long at) {
+        Box b = boxes.get(server);
+        if (b == null) {
+            return 0;
+        }
+        double own = b.ownAt(at);
+        double all = b.saidAt > now - BELIEVED ? Math.max(own, b.said + own - b.ownAt(b.saidAt))
+                : own * settings.balancers();
+        return all / gives(now, server);
+    }
+
+    /** The boxes with own sessions, each with one of these: whose reading it may be told as. */
+    public Map<String, String> heldBy() {
+        Map<String, String> out = new LinkedHashMap<>();
+        boxes.forEach((id, b) -> {
+            if (!b.sessions.isEmpty()) {
+                out.put(id, b.sessions.keySet().iterator().next());
+            }
+        });
+        return out;
+    }
+
+    /** Names held, for tests and the log. */
+    public List<String> names() {
+        return new ArrayList<>(byName.keySet());
+    }
+}
--- a/src/test/java/dockshed/config/ConfigTest.java
+++ b/src/test/java/dockshed/config/ConfigTest.java
@@ -111,6 +111,20 @@
         }
     }
 
+    @Test
+    void whatIsAllowedAndSeldomMeantIsTold() {
+        // A server without a flavor, before an uplink that carries less than its link, took one session and no more.
+        HlsConfig h = hls("{\"listen\":\"127.0.0.1:1\",\"servers\":[{\"id\":\"a\",\"host_port\":\"127.0.0.1:9\"},"
+                + "{\"id\":\"b\",\"host_port\":\"127.0.0.1:9\",\"flavor\":\"std\"}]}");
+        assertEquals(1, h.doubts(read(WHOLE).settings()).size());
+        String link = WHOLE.replace("\"weight_kb\":9000.0", "\"weight_kb\":90000.0");
+        List<String> both = h.doubts(read(link).settings());
+        assertEquals(2, both.size());
+        assertTrue(both.get(0).contains("server a") && both.get(1).contains("uplink_kb"), both.toString());
+        // No uplink at all is no doubt.
+        assertEquals(1, h.doubts(read(link.replace("\"uplink_kb\":9000.0", "\"uplink_kb\":0")).settings()).size());
+    }
+
     @Test
     void theFileUnderDeployIsSound() {
         assertEquals("LESSON-BOXES", HlsConfig.load("deploy/hls.json").eureka().app());
--- a/src/test/java/dockshed/hls/HlsPathTest.java
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -14,6 +14,7 @@
 import dockshed.core.Deadlines;
 import dockshed.core.Stage;
 import dockshed.eureka.EurekaClient;
+import dockshed.load.LoadTeller;
 import dockshed.net.Headed;
 import dockshed.net.HeadedDecoder;
 import dockshed.net.LoopClock;
@@ -131,7 +132,8 @@
                 return module;
             }, m -> { }, deadlines);
             clock.onDue(broker::tick);
-            origins = new Origins(broker, net, clock, 250);
+            origins = new Origins(broker, net, clock, 250,
+                    new LoadTeller(broker, deadlines, module.settings));
             front = new HlsFront(broker, origins, () -> clock.now() + ahead, deadlines, module.settings, 60_000_000, 50, 1);
             module.onRequest = r -> {
                 requests.add(r.id());
