Add the storm part: watch, calendar of returns, waiting room, budget and cold pace

Need: every refusal named the same return time, so refused viewers came back together, and nothing knew of a storm.

Change: dockshed.storm stands as a director before the decision module; it is not wired yet. The module asks it whether a further attempt and a set-up to a freshly started server are within their bounds; both are always so without it.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -808,10 +808,10 @@
     private void measure() {
         double streams = 0;
         boolean alike = nodes.values().stream().mapToDouble(n -> n.info.weight()).distinct().count() < 2;
+        int least = set.kinds().stream().mapToInt(Kind::streams).min().orElse(1);
         for (Node n : nodes.values()) {
-            int least = set.kinds().stream().mapToInt(Kind::streams).min().orElse(1);
-            n.streams = set.kinds().stream().filter(k -> k.name().equals(n.info.kind())).mapToInt(Kind::streams)
-                    .findFirst().orElse(least);     // a kind not told of runs what every kind does
+            n.streams = least;              // a kind not told of runs what every kind does
+            for (Kind k : set.kinds()) n.streams = k.name().equals(n.info.kind()) ? k.streams() : n.streams;
             streams += n.streams;
         }
         links = 0;
@@ -859,7 +859,8 @@
         double warmth = warmth(now, n);
         double takes = n.streams * warmth * SECOND / Math.max(1, set.rules().warmUp());
         double comes = trying * set.balancers() / Math.max(1, listed);
-        return warmth >= 1 || act.mayWarm(n.info.id()) && (now - n.lastSentAt) * takes > Math.min(2, set.balancers()) * SECOND
+        if (warmth >= 1) return true;
+        return act.mayWarm(n.info.id()) && (now - n.lastSentAt) * takes > Math.min(2, set.balancers()) * SECOND
                 && random.nextDouble() * comes < COLD_AIM * takes;  // at few directors chance bounds little
     }
 
--- /dev/null
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -0,0 +1,180 @@
+package dockshed.storm;
+
+import dockshed.Director.Kind;
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.Director.Settings;
+import dockshed.Director.State;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.zip.CRC32C;
+
+/**
+ * The pace of freshly started boxes (rule 4): what each can take now, this broker's part of it, and what the whole
+ * fleet has spent as far as it is told. Own set-ups are let through as tokens that come at the box's pace, so neither a
+ * burst right after a start nor a second of a clock that stood still exceeds it.
+ */
+final class ColdPace {
+    /** Tokens that an unused pace may save up, in microseconds of it. */
+    private static final long SAVED = 400_000;
+    /** A peer's word on what it spent counts for the rule's window and no longer. */
+    private static final int MOST_PEERS = 256;
+    /** Of what a box can take, the least part of a broker that others outbid. */
+    private static final double LEAST_PART = 0.5;
+
+    private static final class Box {
+        final int hash;
+        int streams = 1;
+        boolean up;
+        long since = Long.MIN_VALUE;        // of its start, as far as known
+        double tokens;
+        long countedAt;
+        Window sent;
+        final Map<Integer, long[]> peers = new HashMap<>();     // by peer: how many, heard when
+
+        Box(int hash) {
+            this.hash = hash;
+        }
+    }
+
+    /** A box that is cold: its hash, and what this broker sent it within the rule's window. */
+    record Spent(int hash, int count) { }
+
+    private final Settings settings;
+    private final Terms terms;
+    private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();     // bounded by the list
+    private double part;
+
+    ColdPace(Settings settings, Terms terms) {
+        this.settings = settings;
+        this.terms = terms;
+        part = 1.0 / settings.balancers();
+    }
+
+    static int hash(String id) {
+        CRC32C crc = new CRC32C();
+        crc.update(id.getBytes(StandardCharsets.UTF_8));
+        return (int) crc.getValue();
+    }
+
+    void members(long now, Scope scope, List<Server> servers) {
+        if (scope == Scope.SNAPSHOT || scope == Scope.DISK) {
+            List<String> named = servers.stream().map(Server::id).toList();
+            boxes.keySet().removeIf(id -> !named.contains(id));
+        }
+        for (Server s : servers) {
+            if (s.state() == State.GONE) {
+                boxes.remove(s.id());
+                continue;
+            }
+            Box b = boxes.computeIfAbsent(s.id(), id -> new Box(hash(id)));
+            b.streams = settings.kinds().stream().filter(k -> k.name().equals(s.kind())).mapToInt(Kind::streams)
+                    .findFirst().orElse(settings.kinds().stream().mapToInt(Kind::streams).min().orElse(1));
+            b.up = s.state() == State.UP;
+            if (s.upSince() > 0 && s.upSince() > b.since) {
+                begin(now, b, s.upSince());
+            }
+        }
+    }
+
+    /** The box's process is gone, as its connections tell: what answers next is freshly started. */
+    void lost(long now, String server) {
+        Box b = boxes.get(server);
+        if (b != null) {
+            begin(now, b, now);
+        }
+    }
+
+    private void begin(long now, Box b, long since) {
+        b.since = since;
+        b.tokens = 0;
+        b.countedAt = now;
+        b.sent = new Window(100_000, Math.max(100_000, settings.rules().fall()));
+        b.peers.clear();
+    }
+
+    /** Set-ups a second that the box can take; without bound once it is warm. */
+    private double takes(long now, Box b) {
+        long warmUp = settings.rules().warmUp();
+        if (b.since == Long.MIN_VALUE || now - b.since >= warmUp) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double from = settings.rules().coldFrom();
+        return b.streams * 1e6 / warmUp * (from + (1 - from) * Math.max(0, now - b.since) / warmUp);
+    }
+
+    double takes(long now, String server) {
+        Box b = boxes.get(server);
+        return b == null ? Double.POSITIVE_INFINITY : takes(now, b);
+    }
+
+    /** This broker's part of a cold box's pace, by its part of the fleet's arrivals: at least half an even share. */
+    void part(double ofArrivals) {
+        part = Math.max(LEAST_PART / settings.balancers(), Math.min(1, ofArrivals));
+    }
+
+    private void refill(long now, Box b) {
+        double pace = terms.coldAim() * takes(now, b) * part;
+        b.tokens = Math.min(Math.max(1, pace * SAVED / 1e6), b.tokens + pace * (now - b.countedAt) / 1e6);
+        b.countedAt = now;
+    }
+
+    boolean may(long now, String server) {
+        Box b = boxes.get(server);
+        if (b == null || Double.isInfinite(takes(now, b))) {
+            return true;
+        }
+        refill(now, b);
+        double fleet = b.sent.sum(now, settings.rules().fall());
+        for (long[] told : b.peers.values()) {
+            fleet += now - told[1] < settings.rules().fall() ? told[0] : 0;
+        }
+        double window = Math.max(1, terms.coldAim() * takes(now, b) * settings.rules().fall() / 1e6);
+        return b.tokens >= 1 && fleet + 1 <= window;
+    }
+
+    void sent(long now, String server) {
+        Box b = boxes.get(server);
+        if (b != null && !Double.isInfinite(takes(now, b))) {
+            refill(now, b);
+            b.tokens -= 1;
+            b.sent.add(now, 1);
+        }
+    }
+
+    /** What cold boxes were sent lately, for a note; at most so many, the most spent first. */
+    List<Spent> spent(long now, int most) {
+        List<Spent> out = new ArrayList<>();
+        for (Box b : boxes.values()) {
+            if (!Double.isInfinite(takes(now, b))) {
+                out.add(new Spent(b.hash, (int) Math.min(255, b.sent.sum(now, settings.rules().fall()))));
+            }
+        }
+        out.sort((x, y) -> Integer.compare(y.count(), x.count()));
+        return out.size() > most ? out.subList(0, most) : out;
+    }
+
+    /** A peer's word on what it spent. */
+    void heard(long now, int peer, List<Spent> told) {
+        for (Spent s : told) {
+            for (Box b : boxes.values()) {
+                if (b.hash == s.hash() && (b.peers.size() < MOST_PEERS || b.peers.containsKey(peer))) {
+                    b.peers.put(peer, new long[] {s.count(), now});
+                }
+            }
+        }
+    }
+
+    /** Set-ups a second that all boxes take together for this broker; without bound while a warm one is up. */
+    double all(long now) {
+        double all = 0;
+        for (Box b : boxes.values()) {
+            all += b.up ? terms.coldAim() * takes(now, b) * part : 0;
+        }
+        return all;
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/storm/Damper.java
@@ -0,0 +1,503 @@
+package dockshed.storm;
+
+import dockshed.Director;
+import dockshed.storm.Visits.Standing;
+import dockshed.storm.Visits.Visit;
+import dockshed.storm.WaitingRoom.Waiter;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.Function;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The storm part as the broker meets it: a director that stands before the decision module. Every event passes through;
+ * a request may wait for its turn or be turned away before the module sees it, every refusal becomes an appointment, and
+ * the module is told what the budget of further attempts and the pace of cold boxes leave.
+ */
+public final class Damper implements Director {
+    private static final String KEY = "storm";
+    /** Between turns while requests wait, and between looks while none does. */
+    private static final long TURN = 20_000, LOOK = 250_000;
+    /** Of the room expected, what returns get at least however many fresh viewers come. */
+    private static final double RETURNS_PART = 0.3;
+    /** Peers' promises are believed for so long. */
+    private static final long BELIEVED = 3_000_000;
+    private static final Logger LOG = LoggerFactory.getLogger(Damper.class);
+
+    /** Counts since the start. */
+    public static final class Counts {
+        public long requests, waited, turnedAway, appointed, unplaced, kept, early, untold, retriesDenied, notesSent,
+                notesHeard, notesPassedOver, forgotten;
+
+        @Override
+        public String toString() {
+            return "requests=" + requests + " waited=" + waited + " turned_away=" + turnedAway + " appointed=" + appointed
+                    + " unplaced=" + unplaced + " kept=" + kept + " early=" + early + " retries_denied=" + retriesDenied;
+        }
+    }
+
+    /** A request that the module holds. */
+    private static final class Held {
+        final Visit visit;
+        final String key;
+        final Standing standing;
+        int attempts;
+
+        Held(Visit visit, String key, Standing standing) {
+            this.visit = visit;
+            this.key = key;
+            this.standing = standing;
+        }
+    }
+
+    private record Told(Note note, long at) { }
+
+    private final Settings settings;
+    private final Terms terms;
+    private final Director module;
+    private final Director.Actions out;
+    private final SplittableRandom random;
+    private final Map<String, SessionClass> classes = new HashMap<>();
+    private final Map<String, Held> held = new HashMap<>();         // bounded by the broker's own table
+    private final Map<Integer, Told> peers = new HashMap<>();       // bounded by the tier
+    private final Watch watch;
+    private final Calendar calendar;
+    private final Visits visits;
+    private final WaitingRoom waiting;
+    private final RetryBudget budget;
+    private final ColdPace cold;
+    private final Room room = new Room();
+    private final Window fresh = new Window(100_000, Watch.FAST);
+    private final Counts counts = new Counts();
+    private long now, notedAt, armedFor = Long.MAX_VALUE;
+
+    /** Puts the part between a broker's actions and the module that is built on them. */
+    public static Function<Director.Actions, Director> before(Settings settings, Terms terms, long seed,
+                                                              Function<Director.Actions, Director> module) {
+        return actions -> new Damper(settings, terms, seed, actions, module);
+    }
+
+    Damper(Settings settings, Terms terms, long seed, Director.Actions out,
+           Function<Director.Actions, Director> module) {
+        this.settings = settings;
+        this.terms = terms;
+        this.out = out;
+        random = new SplittableRandom(seed);
+        settings.classes().forEach(c -> classes.put(c.name(), c));
+        List<Double> rates = settings.ladder().rates();
+        double usual = settings.ladder().linksKb() / (rates.get(rates.size() / 2) * USUAL_STAY) / settings.balancers();
+        watch = new Watch(terms, Math.max(0.5, usual), settings.balancers());
+        calendar = new Calendar(terms.slot());
+        visits = new Visits(terms);
+        waiting = new WaitingRoom(terms);
+        budget = new RetryBudget(terms);
+        cold = new ColdPace(settings, terms);
+        this.module = module.apply(new Inner());
+    }
+
+    /** Seconds of a session, before any was seen. */
+    private static final double USUAL_STAY = 25;
+
+    public Counts counts() {
+        counts.retriesDenied = budget.denied;
+        counts.forgotten = visits.forgotten;
+        return counts;
+    }
+
+    /** For the log and measurements: CALM, RISING, STORM or EBBING. */
+    public String state() {
+        return watch.state().name();
+    }
+
+    int remembered() {
+        return visits.size();
+    }
+
+    int waitingNow() {
+        return waiting.size();
+    }
+
+    int promised() {
+        return calendar.promised(now);
+    }
+
+    // ---- Requests.
+
+    @Override
+    public void request(long at, Request r) {
+        begin(at);
+        SessionClass cls = classes.get(r.className());
+        if (cls == null) {
+            module.request(at, r);      // the module's to fail
+            return;
+        }
+        counts.requests++;
+        String key = Visits.key(r.viewer(), r.title(), r.className());
+        Visit visit = visits.come(at, key);
+        Standing standing = visits.standing(at, visit);
+        boolean again = visit.tries > 1 || r.retry() || r.back();
+        watch.arrived(at, again && !r.moved());
+        room.came(at);
+        if (!again) {
+            fresh.add(at, 1);
+            budget.fresh(at);
+        }
+        counts.kept += standing == Standing.KEPT ? 1 : 0;
+        counts.early += standing == Standing.EARLY ? 1 : 0;
+        counts.untold += standing == Standing.UNTOLD ? 1 : 0;
+        if (standing == Standing.KEPT) {
+            unbook(visit);
+        }
+        look(at);
+        Waiter w = new Waiter(r, cls, visit, standing, at);
+        double pace = cold.all(at);
+        if (waiting.isEmpty() && room.open(at, pace)) {
+            pass(w);
+            return;
+        }
+        Waiter away = terms.hold() == 0 ? w : waiting.offer(at, w, room.rate(pace));
+        counts.waited += away != w ? 1 : 0;
+        if (away != null) {
+            turnAway(away);
+        }
+        arm(at + TURN);
+    }
+
+    /** Hands a request to the module. */
+    private void pass(Waiter w) {
+        room.passed(cold.all(now));
+        Request r = w.request();
+        held.put(r.id(), new Held(w.visit(), Visits.key(r.viewer(), r.title(), r.className()), w.standing()));
+        long waited = now - w.came();
+        module.request(now, waited == 0 ? r : new Request(r.id(), r.className(), r.viewer(), r.title(),
+                r.patience() - waited, r.length(), r.home(), r.copies(), r.top(), r.retry(), r.moved(), r.back()));
+    }
+
+    /** Refuses, at once, a request that never went out. */
+    private void turnAway(Waiter w) {
+        counts.turnedAway++;
+        watch.troubled(now);
+        out.refuse(w.request().id(), appoint(w.request().id(), w.visit(), w.standing()));
+    }
+
+    private void turn(long at) {
+        for (Waiter w : waiting.over(at)) {
+            turnAway(w);
+        }
+        double pace = cold.all(at);
+        while (!waiting.isEmpty() && room.open(at, pace)) {
+            pass(waiting.next(at));
+        }
+    }
+
+    // ---- Appointments.
+
+    private void unbook(Visit v) {
+        if (v.booked) {
+            calendar.cancel(v.appointed);
+            v.booked = false;
+        }
+    }
+
+    /** When the viewer is to come back, from now; 0 where no time may be told. */
+    private long appoint(String request, Visit v, Standing standing) {
+        long longest = settings.limits().maxComeBack();
+        longest = terms.longest() > 0 ? Math.min(terms.longest(), longest) : longest;
+        long unit = Math.max(1, out.comeBackUnit(request));
+        if (longest < unit) {
+            v.appointed = 0;
+            return 0;
+        }
+        if (standing == Standing.EARLY && v.appointed > now) {
+            v.refusedAt = now;
+            return inUnits(v, v.appointed - now, longest, unit);    // what it had, neither more nor less
+        }
+        unbook(v);
+        long soonest = Math.min(terms.soonest(), longest);
+        long back;
+        if (terms.returns() == Terms.Returns.FIXED) {
+            back = longest;
+        } else if (terms.returns() == Terms.Returns.JITTER) {
+            back = soonest + random.nextLong(longest - soonest + 1);
+        } else {
+            long found = calendar.book(now, now + soonest, now + longest, returnsPerSecond(), this::promisedElsewhere,
+                    random.nextDouble());
+            v.booked = found >= 0;
+            counts.unplaced += v.booked ? 0 : 1;
+            back = v.booked ? found - now : longest / 2 + random.nextLong(longest / 2 + 1);
+        }
+        counts.appointed++;
+        v.refusedAt = now;
+        v.appointed = now + back;
+        return inUnits(v, back, longest, unit);
+    }
+
+    /** In whole units, up or down by chance so that the mean and the spread survive. */
+    private long inUnits(Visit v, long back, long longest, long unit) {
+        long whole = back / unit + (random.nextLong(unit) < back % unit ? 1 : 0);
+        long told = Math.max(1, Math.min(whole, longest / unit)) * unit;
+        if (v.booked && unit > terms.slot()) {
+            calendar.cancel(v.appointed);
+            calendar.expect(now + told);
+        }
+        v.appointed = now + told;
+        return told;
+    }
+
+    /** The room that may be promised: what is expected, less what fresh viewers take of it. */
+    private double returnsPerSecond() {
+        double rate = room.rate(cold.all(now));
+        if (Double.isInfinite(rate)) {
+            rate = Math.max(room.measured(now), watch.usual());
+        }
+        return Math.max(RETURNS_PART * rate, rate - fresh.sum(now, Watch.FAST) * 1e6 / Watch.FAST);
+    }
+
+    /** What a slot holds beyond own promises, if the fleet's are spread evenly over those that live. */
+    private double promisedElsewhere(long slot) {
+        double others = 0;
+        int known = 1;
+        for (Told t : peers.values()) {
+            long i = slot - t.note().firstSlot();
+            if (now - t.at() < BELIEVED && t.note().slotMillis() * 1000L == terms.slot()) {
+                known++;
+                others += i >= 0 && i < t.note().promised().length ? t.note().promised()[(int) i] : 0;
+            }
+        }
+        double own = calendar.booked(slot);
+        return Math.max(0, (own + others) / known - own);
+    }
+
+    // ---- Time and peers.
+
+    private void begin(long at) {
+        now = Math.max(now, at);
+        if (armedFor == Long.MAX_VALUE) {
+            arm(now + LOOK);
+        }
+    }
+
+    private void arm(long at) {
+        if (at < armedFor) {
+            armedFor = at;
+            out.timer(KEY, at);
+        }
+    }
+
+    private void look(long at) {
+        room.step(at);
+        Watch.Change change = watch.look(at);
+        if (change != null) {
+            LOG.info("storm: state={} was={} {} waiting={} promised={} {}", change.to(), change.from(), change.signs(),
+                    waiting.size(), calendar.promised(at), counts());
+        }
+    }
+
+    @Override
+    public void timer(long at, String key) {
+        begin(at);
+        if (!key.equals(KEY)) {
+            module.timer(at, key);
+            return;
+        }
+        if (at < armedFor) {
+            return;                 // one that a sooner one has replaced
+        }
+        armedFor = Long.MAX_VALUE;
+        look(at);
+        turn(at);
+        note(at);
+        arm(at + (waiting.isEmpty() ? LOOK : TURN));
+    }
+
+    /** Tells the other brokers, where the settings and terms let it, and there is something to tell. */
+    private void note(long at) {
+        if (terms.notesEvery() == 0 || !settings.limits().peers() || at - notedAt < terms.notesEvery()) {
+            return;
+        }
+        notedAt = at;
+        long first = calendar.slotOf(at);
+        int slots = 0;
+        int[] promised = new int[Note.MOST_SLOTS];
+        for (int i = 0; i < promised.length; i++) {
+            promised[i] = calendar.booked(first + i);
+            slots = promised[i] > 0 ? i + 1 : slots;
+        }
+        counts.notesSent++;
+        out.tell(new Note(watch.state(), (int) (terms.slot() / 1000), watch.fast(at), first,
+                java.util.Arrays.copyOf(promised, slots), cold.spent(at, Note.MOST_BOXES)).write());
+    }
+
+    @Override
+    public void told(long at, int from, byte[] message) {
+        begin(at);
+        if (!Note.mine(message)) {
+            module.told(at, from, message);
+            return;
+        }
+        Note n = Note.read(message);
+        if (n == null || from < 0 || from >= settings.balancers() || from == settings.me()) {
+            counts.notesPassedOver++;
+            return;
+        }
+        counts.notesHeard++;
+        watch.heard(at, from);
+        peers.put(from, new Told(n, at));
+        cold.heard(at, from, n.spent());
+        double all = watch.fast(at);
+        double own = all;
+        int known = 1;
+        for (Told t : peers.values()) {
+            if (at - t.at() < BELIEVED) {
+                known++;
+                all += t.note().arrivals();
+            }
+        }
+        // Those that are silent may be starting: their even share is left to them.
+        double spoken = known / (double) settings.balancers();
+        cold.part(all > 0 ? spoken * own / all : 1.0 / settings.balancers());
+    }
+
+    // ---- Events that pass through.
+
+    @Override
+    public void connected(long at) {
+        begin(at);
+        watch.connected(at);
+        module.connected(at);
+    }
+
+    @Override
+    public void open(long at, Request request, String server) {
+        begin(at);
+        module.open(at, request, server);
+    }
+
+    @Override
+    public void first(long at, String request, int attempt, String server) {
+        begin(at);
+        Held h = held.remove(request);
+        if (h != null) {
+            unbook(h.visit);
+            visits.over(h.key);
+        }
+        module.first(at, request, attempt, server);
+    }
+
+    @Override
+    public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
+                        LoadReport report) {
+        begin(at);
+        if (outcome == Outcome.TIMEOUT && !last) {
+            watch.troubled(at);
+        }
+        if (outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET && last) {
+            cold.lost(at, server);
+        }
+        module.outcome(at, request, attempt, server, outcome, last, report);
+        if (last) {
+            held.remove(request);
+        }
+    }
+
+    @Override
+    public void note(long at, String request, String server, Topic topic, double value) {
+        begin(at);
+        module.note(at, request, server, topic, value);
+    }
+
+    @Override
+    public void gone(long at, String request) {
+        begin(at);
+        if (waiting.remove(request) == null) {
+            held.remove(request);
+            module.gone(at, request);
+        }
+    }
+
+    @Override
+    public void members(long at, Scope scope, List<Server> servers) {
+        begin(at);
+        if (scope != Scope.ERROR) {
+            cold.members(at, scope, servers);
+        }
+        module.members(at, scope, servers);
+    }
+
+    @Override
+    public void probed(long at, String server, boolean healthy, LoadReport report) {
+        begin(at);
+        module.probed(at, server, healthy, report);
+    }
+
+    /** What the module may do, on its way to the broker. */
+    private final class Inner implements Director.Actions {
+        @Override
+        public void send(String request, String server, long allow) {
+            Held h = held.get(request);
+            if (h != null && h.attempts++ > 0) {
+                budget.spent(now);
+            } else {
+                room.sent(now);
+            }
+            cold.sent(now, server);
+            out.send(request, server, allow);
+        }
+
+        @Override
+        public void refuse(String request, long comeBack) {
+            Held h = held.remove(request);
+            watch.troubled(now);
+            room.refused(now);
+            out.refuse(request, h == null ? comeBack : appoint(request, h.visit, h.standing));
+        }
+
+        @Override
+        public void fail(String request) {
+            Held h = held.remove(request);
+            if (h != null) {
+                unbook(h.visit);
+                visits.over(h.key);     // it may have run: its viewer is told so, not to come again
+            }
+            out.fail(request);
+        }
+
+        @Override
+        public void rate(String request, int rung) {
+            out.rate(request, rung);
+        }
+
+        @Override
+        public void move(String request) {
+            out.move(request);
+        }
+
+        @Override
+        public void probe(String server) {
+            out.probe(server);
+        }
+
+        @Override
+        public void tell(byte[] message) {
+            out.tell(message);
+        }
+
+        @Override
+        public void timer(String key, long at) {
+            out.timer(key, at);
+        }
+
+        @Override
+        public boolean mayTryAgain() {
+            return budget.may(now);
+        }
+
+        @Override
+        public boolean mayWarm(String server) {
+            return cold.may(now, server);
+        }
+    }
+}
