Wire the storm part by the operator's file, tell Retry-After, and measure scripted outages

Need: the storm part had no switch, no world to fail in and no figures; RTSP players that know only Retry-After were told nothing.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -860,7 +860,8 @@
         double takes = n.streams * warmth * SECOND / Math.max(1, set.rules().warmUp());
         double comes = trying * set.balancers() / Math.max(1, listed);
         if (warmth >= 1) return true;
-        if (!act.mayWarm(n.info.id())) return false;
+        Pace pace = act.pace(n.info.id());
+        if (pace != Pace.UNKNOWN) return pace == Pace.WITHIN;
         return (now - n.lastSentAt) * takes > Math.min(2, set.balancers()) * SECOND
                 && random.nextDouble() * comes < COLD_AIM * takes;  // at few directors chance bounds little
     }
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -28,6 +28,9 @@
     /** What a list of servers is: only what changed, all there is, or all as it was last known before a restart. */
     enum Scope { CHANGES, SNAPSHOT, DISK, ERROR }
 
+    /** What is known of a fresh server's pace beside the module: nothing, that a set-up more is within it, or over. */
+    enum Pace { UNKNOWN, WITHIN, OVER }
+
     /** State of a server in the list. */
     enum State { UP, DRAINING, GONE }
 
@@ -193,9 +196,9 @@
             return true;
         }
 
-        /** Whether a server that has just started may be sent one set-up more now. */
-        default boolean mayWarm(String server) {
-            return true;
+        /** Whether a server that may have just started can be sent one set-up more now. */
+        default Pace pace(String server) {
+            return Pace.UNKNOWN;
         }
 
         /** What a viewer's way back is told in: microseconds, whole multiples of which reach it. */
--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -3,8 +3,12 @@
 import dockshed.config.Config;
 import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
+import dockshed.config.OperatorConfig;
 import dockshed.simhost.SimHost;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
 
 /** Command line: the broker, the module alone behind the simulator's wire, or a rehearsal for the build. */
 public final class Main {
@@ -24,13 +28,19 @@
                 Runtime.getRuntime().halt(1);       // a planned end would end it with 0
             }
         }
-        boolean hls = args.length == 3 && args[1].equals("--hls");
-        if (!mode.equals("serve") || args.length != 1 && !hls) {
-            System.err.println("usage: java -jar dockshed.jar serve [--hls FILE] | simhost | rehearse FILE");
+        Map<String, String> files = new HashMap<>();
+        for (int i = 1; i + 1 < args.length; i += 2) {
+            files.put(args[i], args[i + 1]);
+        }
+        if (!mode.equals("serve") || args.length != 1 + 2 * files.size()
+                || !Set.of("--hls", "--conf").containsAll(files.keySet())) {
+            System.err.println("usage: java -jar dockshed.jar serve [--hls FILE] [--conf FILE] | simhost | rehearse FILE");
             System.exit(2);
         }
         try {
-            Wiring.start(Config.load(System.getenv()), hls ? HlsConfig.load(args[2]) : null);
+            Wiring.start(Config.load(System.getenv()),
+                    files.containsKey("--hls") ? HlsConfig.load(files.get("--hls")) : null,
+                    files.containsKey("--conf") ? OperatorConfig.load(files.get("--conf")) : OperatorConfig.NONE);
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/dockshed/Rehearsal.java
+++ b/src/main/java/dockshed/Rehearsal.java
@@ -32,7 +32,8 @@
             Path file = Files.createTempFile("rehearsal", ".json");
             Files.writeString(file, Files.readString(template).replace("EDGE_PORT", "" + edge.getLocalPort()));
             InetSocketAddress front = (InetSocketAddress) Wiring.start(
-                    Config.load(Map.of("EDGE_CONFIG", file.toString())), null);
+                    Config.load(Map.of("EDGE_CONFIG", file.toString())), null,
+                    dockshed.config.OperatorConfig.NONE);
             Files.delete(file);
             try (Socket viewer = new Socket(front.getAddress(), front.getPort())) {
                 viewer.setSoTimeout(PATIENCE);
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -6,6 +6,7 @@
 import dockshed.config.Config;
 import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
+import dockshed.config.OperatorConfig;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
 import dockshed.edge.Edges;
@@ -20,12 +21,14 @@
 import dockshed.net.Signals;
 import dockshed.peers.UdpPeers;
 import dockshed.rtsp.RtspFront;
+import dockshed.storm.Damper;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -33,6 +36,9 @@
 final class Wiring {
     private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
 
+    /** The parts' random numbers must not be one another's. */
+    private static final long STORM_SEED = 0x73746f726dL;
+
     private final Config config;
     private final Net net;
     private final LoopClock clock;
@@ -49,14 +55,16 @@
     private Map<String, Listing> boxes = Map.of();
     private Scope last;
 
-    private Wiring(Config config, Net net) {
+    private Wiring(Config config, OperatorConfig operator, Net net) {
         this.config = config;
         this.net = net;
         clock = new LoopClock(net.loop());
         deadlines = new Deadlines(clock::wake);
         peers = new UdpPeers(config.peers(), config.peersAll());
         Director.Settings s = config.settings();
-        broker = new Broker(s, actions -> new Choice(s, config.seed(), actions), peers, deadlines);
+        Function<Director.Actions, Director> module = actions -> new Choice(s, config.seed(), actions);
+        broker = new Broker(s, operator.storm() == null ? module
+                : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module), peers, deadlines);
         clock.onDue(broker::tick);
         edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
                 config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.sockets()));
@@ -64,10 +72,10 @@
     }
 
     /** Begins to serve; returns where viewers can connect. Throws IllegalStateException where it cannot. */
-    static SocketAddress start(Config config, HlsConfig hls) {
+    static SocketAddress start(Config config, HlsConfig hls, OperatorConfig operator) {
         Net net = new Net();
         Wiring w = net.call(() -> {     // all state belongs to the loop's thread from its first moment
-            Wiring made = new Wiring(config, net);
+            Wiring made = new Wiring(config, operator, net);
             made.lists();
             if (hls != null) {
                 made.hls(hls);
@@ -83,6 +91,9 @@
             LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
+        if (operator.storm() != null) {
+            LOG.info("storm part on: {}", operator.storm());
+        }
         Signals.onHangUp(w::reload);
         long longest = config.settings().classes().stream().mapToLong(Director.SessionClass::deadline).max().orElse(0);
         new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch();
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -462,6 +462,11 @@
                 && (b.closedSince == Deadlines.NEVER || at - b.closedSince < settings.rules().drainGrace() - DRAIN_MARGIN);
     }
 
+    /** The longest time that a viewer may be told to stay away; 0: none may be told. */
+    public long longestComeBack() {
+        return settings.limits().maxComeBack();
+    }
+
     /** Whether a session of that name stands. */
     public boolean stands(String name) {
         Call call = byName.get(name);
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -23,6 +23,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -53,6 +54,7 @@
     private final int mostConnections;
     private final Map<Long, Connection> channels = new HashMap<>();
     private final Set<Connection> open = new LinkedHashSet<>();     // those that are ending, too
+    private final SplittableRandom random = new SplittableRandom(1);    // of the rounding only: no secret, any seed does
     private boolean full;
 
     /** Viewers keep to a third of the descriptors; {@code mostConnections} leaves room for what is no viewer's. */
@@ -315,8 +317,24 @@
 
     @Override
     public void refused(long connection, String name, long comeBack) {
-        answer(connection, name, 453, "Not Enough Bandwidth", NOTHING,
-                comeBack > 0 ? Map.of("P-Back-Off", Long.toString(comeBack / 1000)) : Map.of());
+        if (comeBack <= 0) {
+            answer(connection, name, 453, "Not Enough Bandwidth", NOTHING, Map.of());
+            return;
+        }
+        // Players that know nothing of P-Back-Off know these two (RFC 2326, 11.3.14 and 12.31).
+        Map<String, String> when = new LinkedHashMap<>();
+        when.put("P-Back-Off", Long.toString(comeBack / 1000));
+        long seconds = wholeSeconds(comeBack, broker.longestComeBack(), random);
+        if (seconds > 0) {
+            when.put("Retry-After", Long.toString(seconds));
+        }
+        answer(connection, name, 503, "Service Unavailable", NOTHING, when);
+    }
+
+    /** Up or down by chance, so that the mean and the spread of many survive; 0 where less than a second may be told. */
+    static long wholeSeconds(long micros, long longest, SplittableRandom random) {
+        long up = random.nextLong(1_000_000) < micros % 1_000_000 ? 1 : 0;
+        return Math.min(Math.max(1, micros / 1_000_000 + up), longest / 1_000_000);
     }
 
     @Override
--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -29,7 +29,7 @@
     private static final class Box {
         final int hash;
         int streams = 1;
-        boolean up;
+        boolean up, maybe;                  // maybe: cold only for want of news
         long since = Long.MIN_VALUE;        // of its start, as far as known
         double tokens;
         long countedAt;
@@ -48,6 +48,7 @@
     private final Terms terms;
     private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();     // bounded by the list
     private double part;
+    private long newsSince = Long.MAX_VALUE;    // the list has been fresh since then
 
     ColdPace(Settings settings, Terms terms) {
         this.settings = settings;
@@ -66,6 +67,16 @@
             List<String> named = servers.stream().map(Server::id).toList();
             boxes.keySet().removeIf(id -> !named.contains(id));
         }
+        if (scope == Scope.DISK) {
+            newsSince = Long.MAX_VALUE;
+        } else if (newsSince == Long.MAX_VALUE) {
+            newsSince = now;                // fresh news names all that changed since the list was kept
+            for (Box b : boxes.values()) {
+                if (b.maybe) {
+                    warm(b);
+                }
+            }
+        }
         for (Server s : servers) {
             if (s.state() == State.GONE) {
                 boxes.remove(s.id());
@@ -77,10 +88,24 @@
             b.up = s.state() == State.UP;
             if (s.upSince() > 0 && s.upSince() > b.since) {
                 begin(now, b, s.upSince());
+            } else if (scope == Scope.DISK && b.since == Long.MIN_VALUE) {
+                begin(now, b, now);
+                b.maybe = true;
             }
         }
     }
 
+    private static void warm(Box b) {
+        b.maybe = false;
+        b.since = Long.MIN_VALUE;
+    }
+
+    /** Whether all cold boxes are known here, and fit into a note: what it does not name is then warm. */
+    boolean knows(long now, int most) {
+        return newsSince <= now && boxes.values().stream().noneMatch(b -> b.maybe)
+                && boxes.values().stream().filter(b -> !Double.isInfinite(takes(now, b))).count() <= most;
+    }
+
     /** The box's process is gone, as its connections tell: what answers next is freshly started. */
     void lost(long now, String server) {
         Box b = boxes.get(server);
@@ -91,6 +116,7 @@
 
     private void begin(long now, Box b, long since) {
         b.since = since;
+        b.maybe = false;
         b.tokens = 0;
         b.countedAt = now;
         b.sent = new Window(100_000, Math.max(100_000, settings.rules().fall()));
@@ -158,10 +184,13 @@
         return out.size() > most ? out.subList(0, most) : out;
     }
 
-    /** A peer's word on what it spent. */
-    void heard(long now, int peer, List<Spent> told) {
-        for (Spent s : told) {
-            for (Box b : boxes.values()) {
+    /** A peer's word on what it spent; where it knows all, what it does not name has been running for long. */
+    void heard(long now, int peer, List<Spent> told, boolean knows) {
+        for (Box b : boxes.values()) {
+            if (knows && b.maybe && told.stream().noneMatch(s -> s.hash() == b.hash)) {
+                warm(b);
+            }
+            for (Spent s : told) {
                 if (b.hash == s.hash() && (b.peers.size() < MOST_PEERS || b.peers.containsKey(peer))) {
                     b.peers.put(peer, new long[] {s.count(), now});
                 }
--- a/src/main/java/dockshed/storm/Damper.java
+++ b/src/main/java/dockshed/storm/Damper.java
@@ -23,6 +23,7 @@
     private static final long TURN = 20_000, LOOK = 250_000;
     /** Of the room expected, what returns get at least however many fresh viewers come. */
     private static final double RETURNS_PART = 0.3;
+    private static final double LEAST_RETURNS = 0.2;
     /** Peers' promises are believed for so long. */
     private static final long BELIEVED = 3_000_000;
     private static final Logger LOG = LoggerFactory.getLogger(Damper.class);
@@ -44,9 +45,11 @@
         final Visit visit;
         final String key;
         final Standing standing;
+        final boolean again;
         int attempts;
 
-        Held(Visit visit, String key, Standing standing) {
+        Held(Visit visit, String key, Standing standing, boolean again) {
+            this.again = again;
             this.visit = visit;
             this.key = key;
             this.standing = standing;
@@ -140,7 +143,6 @@
         Standing standing = visits.standing(at, visit);
         boolean again = visit.tries > 1 || r.retry() || r.back();
         watch.arrived(at, again && !r.moved());
-        room.came(at);
         if (!again) {
             fresh.add(at, 1);
             budget.fresh(at);
@@ -158,7 +160,7 @@
             pass(w);
             return;
         }
-        Waiter away = terms.hold() == 0 ? w : waiting.offer(at, w, room.rate(pace));
+        Waiter away = terms.hold() == 0 ? w : waiting.offer(at, w, Room.rate(pace));
         counts.waited += away != w ? 1 : 0;
         if (away != null) {
             turnAway(away);
@@ -170,7 +172,8 @@
     private void pass(Waiter w) {
         room.passed(cold.all(now));
         Request r = w.request();
-        held.put(r.id(), new Held(w.visit(), Visits.key(r.viewer(), r.title(), r.className()), w.standing()));
+        held.put(r.id(), new Held(w.visit(), Visits.key(r.viewer(), r.title(), r.className()), w.standing(),
+                w.visit().tries > 1 || r.retry() || r.back()));
         long waited = now - w.came();
         module.request(now, waited == 0 ? r : new Request(r.id(), r.className(), r.viewer(), r.title(),
                 r.patience() - waited, r.length(), r.home(), r.copies(), r.top(), r.retry(), r.moved(), r.back()));
@@ -247,13 +250,24 @@
         return told;
     }
 
-    /** The room that may be promised: what is expected, less what fresh viewers take of it. */
+    /** Returns go to any broker of the hall, so the room that counts is the mean of those that live, as far as told. */
     private double returnsPerSecond() {
-        double rate = room.rate(cold.all(now));
-        if (Double.isInfinite(rate)) {
-            rate = Math.max(room.measured(now), watch.usual());
+        double all = ownRoom();
+        int known = 1;
+        for (Told t : peers.values()) {
+            if (now - t.at() < BELIEVED) {
+                known++;
+                all += t.note().room();
+            }
         }
-        return Math.max(RETURNS_PART * rate, rate - fresh.sum(now, Watch.FAST) * 1e6 / Watch.FAST);
+        return Math.max(LEAST_RETURNS, all / known);
+    }
+
+    /** The returns a second that may be promised here: the room expected, less what fresh viewers take of it. */
+    private double ownRoom() {
+        double rate = Math.min(Room.rate(cold.all(now)), Math.max(room.measured(now), watch.usual()));
+        double left = rate - fresh.sum(now, Watch.FAST) * 1e6 / Watch.FAST;
+        return room.promise(Math.max(RETURNS_PART * rate, left));
     }
 
     /** What a slot holds beyond own promises, if the fleet's are spread evenly over those that live. */
@@ -288,7 +302,6 @@
     }
 
     private void look(long at) {
-        room.step(at);
         Watch.Change change = watch.look(at);
         if (change != null) {
             LOG.info("storm: state={} was={} {} waiting={} promised={} {}", change.to(), change.from(), change.signs(),
@@ -327,8 +340,8 @@
             slots = promised[i] > 0 ? i + 1 : slots;
         }
         counts.notesSent++;
-        out.tell(new Note(watch.state(), (int) (terms.slot() / 1000), watch.fast(at), first,
-                java.util.Arrays.copyOf(promised, slots), cold.spent(at, Note.MOST_BOXES)).write());
+        out.tell(new Note(watch.state(), (int) (terms.slot() / 1000), watch.fast(at), ownRoom(), first,
+                java.util.Arrays.copyOf(promised, slots), cold.spent(at, Note.MOST_BOXES), cold.knows(at, Note.MOST_BOXES)).write());
     }
 
     @Override
@@ -346,7 +359,7 @@
         counts.notesHeard++;
         watch.heard(at, from);
         peers.put(from, new Told(n, at));
-        cold.heard(at, from, n.spent());
+        cold.heard(at, from, n.spent(), n.knows());
         double all = watch.fast(at);
         double own = all;
         int known = 1;
@@ -381,6 +394,9 @@
         begin(at);
         Held h = held.remove(request);
         if (h != null) {
+            if (h.again && h.standing != Standing.EARLY) {
+                room.kept(true);
+            }
             unbook(h.visit);
             visits.over(h.key);
         }
@@ -451,7 +467,9 @@
         public void refuse(String request, long comeBack) {
             Held h = held.remove(request);
             watch.troubled(now);
-            room.refused(now);
+            if (h != null && h.again && h.standing != Standing.EARLY) {
+                room.kept(false);
+            }
             out.refuse(request, h == null ? comeBack : appoint(request, h.visit, h.standing));
         }
 
@@ -496,8 +514,8 @@
         }
 
         @Override
-        public boolean mayWarm(String server) {
-            return cold.may(now, server);
+        public Pace pace(String server) {
+            return cold.may(now, server) ? Pace.WITHIN : Pace.OVER;
         }
     }
 }
--- a/src/main/java/dockshed/storm/Note.java
+++ b/src/main/java/dockshed/storm/Note.java
@@ -10,21 +10,23 @@
  * has promised by slot, and what it has sent to cold boxes. Big-endian; a newer version is passed over, so is garbage.
  *
  * <pre>
- * magic 1, version 1, state 1, slot width in ms 2, arrivals a second times 10 2, first slot's number 8,
+ * magic 1, version 1, state and 128 if its sender knows all cold boxes 1, slot width in ms 2,
+ * arrivals a second times 10 2, returns a second that it has room for times 10 2, first slot's number 8,
  * slots 1 (at most 40), a count each 1, boxes 1 (at most 30), for each the CRC-32C of its id 4 and a count 1
  * </pre>
  */
-record Note(Watch.State state, int slotMillis, double arrivals, long firstSlot, int[] promised, List<Spent> spent) {
+record Note(Watch.State state, int slotMillis, double arrivals, double room, long firstSlot, int[] promised, List<Spent> spent,
+            boolean knows) {
     static final int MAGIC = 0xd5, VERSION = 1;
     static final int MOST_SLOTS = 40, MOST_BOXES = 30;
-    /** The platform's limit on a datagram; the longest note has 17 + 40 + 150 bytes. */
+    /** The platform's limit on a datagram; the longest note has 19 + 40 + 150 bytes. */
     static final int MOST_BYTES = 256;
-    private static final int HEAD = 15;
+    private static final int HEAD = 17;
 
     byte[] write() {
         ByteBuffer b = ByteBuffer.allocate(HEAD + 1 + promised.length + 1 + 5 * spent.size());
-        b.put((byte) MAGIC).put((byte) VERSION).put((byte) state.ordinal()).putShort((short) slotMillis)
-                .putShort((short) Math.min(65_535, Math.round(arrivals * 10))).putLong(firstSlot);
+        b.put((byte) MAGIC).put((byte) VERSION).put((byte) (state.ordinal() | (knows ? 0x80 : 0))).putShort((short) slotMillis)
+                .putShort(tenths(arrivals)).putShort(tenths(room)).putLong(firstSlot);
         b.put((byte) promised.length);
         for (int n : promised) {
             b.put((byte) Math.min(255, n));
@@ -34,6 +36,10 @@
         return b.array();
     }
 
+    private static short tenths(double perSecond) {
+        return (short) Math.min(65_535, Math.round(perSecond * 10));
+    }
+
     /** Whether this is a note of this part's, good or bad, and not a message of the module's. */
     static boolean mine(byte[] bytes) {
         return bytes.length > 0 && (bytes[0] & 0xff) == MAGIC;
@@ -45,12 +51,14 @@
             return null;
         }
         ByteBuffer b = ByteBuffer.wrap(bytes, 2, bytes.length - 2);
-        int state = b.get();
+        int flags = b.get();
+        int state = flags & 0x7f;
         int width = b.getShort() & 0xffff;
         double arrivals = (b.getShort() & 0xffff) / 10.0;
+        double room = (b.getShort() & 0xffff) / 10.0;
         long first = b.getLong();
         int slots = b.get() & 0xff;
-        if (state < 0 || state >= Watch.State.values().length || slots > MOST_SLOTS || b.remaining() < slots + 1) {
+        if (state >= Watch.State.values().length || slots > MOST_SLOTS || b.remaining() < slots + 1) {
             return null;
         }
         int[] promised = new int[slots];
@@ -65,6 +73,6 @@
         for (int i = 0; i < boxes; i++) {
             spent.add(new Spent(b.getInt(), b.get() & 0xff));
         }
-        return new Note(Watch.State.values()[state], width, arrivals, first, promised, spent);
+        return new Note(Watch.State.values()[state], width, arrivals, room, first, promised, spent, (flags & 0x80) != 0);
     }
 }
--- a/src/main/java/dockshed/storm/Room.java
+++ b/src/main/java/dockshed/storm/Room.java
@@ -1,65 +1,51 @@
 package dockshed.storm;
 
 /**
- * The set-ups a second that are to be expected: as measured where the module turns viewers away, and what cold boxes
- * take together. Falls to what went out once a good part of what comes is refused, and opens again by steps as
- * refusals cease.
+ * The set-ups a second that are to be expected, and the turns that follow from it. Turns are rationed only by what cold
+ * boxes take together, where no warm one is left: that is room which time brings, so waiting for it is not in vain. Want
+ * of room on links is the module's to weigh: to ration by it starves the module (measured: worst 10 s 0.44 fell to 0.19).
  */
 final class Room {
-    private static final long SPAN = 2_000_000, STEP = 250_000;
-    /** Share of refusals at which the rate falls, and under which it opens again. */
-    private static final double SHUTS = 0.3, OPENS = 0.15;
-    /** The measured rate is tried so far over, and opens by this factor a step. */
-    private static final double OVER = 1.2, WIDER = 1.25;
-    /** Requests a second that are let through in any case, so that room that comes back is found. */
+    private static final long SPAN = 2_000_000;
+    /** Requests a second that are let through in any case, so that room which comes back is found. */
     private static final double LEAST = 2;
+    /** Turns that may be saved up, in seconds' worth: a tenth, so that none piles up. */
+    private static final double SAVED = 0.1;
 
-    private final Window sent = new Window(STEP, SPAN), refused = new Window(STEP, SPAN), came = new Window(STEP, SPAN);
-    private double limit = Double.POSITIVE_INFINITY;
-    private long steppedAt = Long.MIN_VALUE;
+    /** What is promised falls by this for a viewer that kept its time in vain, and grows by this for one that was served. */
+    private static final double IN_VAIN = 0.9, SERVED = 0.05;
+    /** Promises never fall under this part of what was measured: or nobody would come to show that there is room. */
+    private static final double LEAST_PART = 0.15;
+
+    private double held = 1;        // part of the room expected that promises turn out to find
+
+    private final Window sent = new Window(250_000, SPAN);
     private double tokens = 1;
     private long countedAt = Long.MIN_VALUE;
 
-    void came(long now) {
-        came.add(now, 1);
-    }
-
     /** The module sent a first attempt out. */
     void sent(long now) {
         sent.add(now, 1);
     }
 
-    /** The module found no room. */
-    void refused(long now) {
-        refused.add(now, 1);
+    /** Set-ups a second lately: what returns are promised by. */
+    double measured(long now) {
+        return sent.sum(now, SPAN) * 1e6 / SPAN;
     }
 
-    void step(long now) {
-        if (steppedAt != Long.MIN_VALUE && now - steppedAt < STEP) {
-            return;
-        }
-        steppedAt = now;
-        double out = sent.sum(now, SPAN);
-        double no = refused.sum(now, SPAN);
-        double rate = out * 1e6 / SPAN;
-        if (no >= 4 && no > SHUTS * (out + no)) {
-            limit = Math.max(LEAST, Math.min(limit, OVER * rate + 1));
-        } else if (limit < Double.POSITIVE_INFINITY && no <= OPENS * (out + no)) {
-            limit *= WIDER;
-            if (limit > 4 * Math.max(LEAST, came.sum(now, SPAN) * 1e6 / SPAN)) {
-                limit = Double.POSITIVE_INFINITY;
-            }
-        }
+    /** A viewer that kept its time has been served, or turned away again. */
+    void kept(boolean served) {
+        held = served ? Math.min(1, held + SERVED) : Math.max(LEAST_PART, held * IN_VAIN);
     }
 
-    /** Requests a second that the module is given; {@code cold}: what cold boxes take, where all are. */
-    double rate(double cold) {
-        return Math.max(LEAST, Math.min(limit, cold));
+    /** Returns a second that may be promised, of so many set-ups expected. */
+    double promise(double expected) {
+        return held * expected;
     }
 
-    /** What went out a second lately: a measure for returns while nothing bounds them. */
-    double measured(long now) {
-        return sent.sum(now, SPAN) * 1e6 / SPAN;
+    /** Requests a second that the module is given; {@code cold}: what cold boxes take, infinite while a warm one is up. */
+    static double rate(double cold) {
+        return Math.max(LEAST, cold);
     }
 
     /** Whether one more request may go to the module now. */
@@ -69,16 +55,14 @@
             countedAt = now;
             return true;
         }
-        if (countedAt != Long.MIN_VALUE) {
-            tokens += rate * (now - countedAt) / 1e6;
-        }
-        tokens = Math.min(tokens, Math.max(1, rate / 10));      // no more than a tenth of a second's worth is saved
+        tokens += countedAt == Long.MIN_VALUE ? 0 : rate * (now - countedAt) / 1e6;
+        tokens = Math.min(tokens, Math.max(1, rate * SAVED));
         countedAt = now;
         return tokens >= 1;
     }
 
     void passed(double cold) {
-        if (!Double.isInfinite(rate(cold))) {
+        if (!Double.isInfinite(cold)) {
             tokens -= 1;
         }
     }
--- a/src/main/java/dockshed/storm/Terms.java
+++ b/src/main/java/dockshed/storm/Terms.java
@@ -28,5 +28,5 @@
 
     /** Figures that suit sessions of half a minute and patience of seconds; the note on design has their reasons. */
     public static final Terms USUAL = new Terms(Returns.CALENDAR, 250_000, 0, 250_000, 100_000, 60_000_000, 400_000, 1024,
-            2, 0.3, 0.3, 3_000_000, 0.2, 1, 1.2, 500_000);
+            2, 0.3, 0.3, 3_000_000, 0.2, 1, 1.4, 500_000);
 }
--- a/src/main/java/dockshed/storm/Watch.java
+++ b/src/main/java/dockshed/storm/Watch.java
@@ -14,17 +14,21 @@
     enum State { CALM, RISING, STORM, EBBING }
 
     /** The spans of the fast averages; the usual rate follows over ten times as long. */
-    static final long FAST = 2_000_000, SLOW = 20_000_000;
+    static final long FAST = 3_000_000, SLOW = 20_000_000;
     /** A broker is fresh for so long: half of what an outage's viewers take to arrive at most, and a warm-up more. */
     static final long FRESH = 10_000_000;
     /** Between looks. */
     static final long LOOK = 100_000;
-    /** Arrivals in the fast span under which no share says anything. */
-    static final int FEW = 6;
+    /** Arrivals in the fast span under which no share says anything, and repeats or refusals under which theirs does not. */
+    static final int FEW = 10, FEW_SIGNS = 5;
+    /** Arrivals must be so many standard deviations of the usual count above it, or chance alone makes a rush. */
+    private static final double SURE = 4;
     /** Notes of a peer's that must be missing before it counts as silent. */
     private static final int MISSED = 4;
     /** A peer silent for so long is no sign of a storm any more. */
     private static final long LONG_SILENT = 15_000_000;
+    /** Where arrivals are not so far above the usual, repeats and refusals tell of want of room, and count so much less. */
+    private static final double MORE = 1.25, WANT = 0.4;
     private static final double RISES = 1, STORMS = 1.75, EBBS = 1, CALMS = 0.75;
     private static final long FIRM = 400_000;
 
@@ -119,18 +123,25 @@
     Signs signs(long now) {
         double came = arrivals.sum(now, FAST);
         double fast = came * 1e6 / FAST;
-        double repeated = came >= FEW ? repeats.sum(now, FAST) / came : 0;
-        double troubled = came >= FEW ? Math.min(1, trouble.sum(now, FAST) / came) : 0;
+        double repeated = share(repeats.sum(now, FAST), came);
+        double troubled = share(trouble.sum(now, FAST), came);
+        double expected = usual * FAST / 1e6;
+        boolean rush = fast > terms.rush() * usual && came - expected > SURE * Math.sqrt(expected + 1);
         double connects = connections.sum(now, FAST) * 1e6 / FAST;
         boolean fresh = now - startedAt < FRESH;
         int silent = silent(now);
-        double pressure = (came >= FEW && fast > terms.rush() * usual ? 1 : 0)
-                + (repeated > terms.repeats() ? 1 : 0) + (troubled > terms.trouble() ? 0.75 : 0)
+        double want = fast > MORE * usual ? 1 : WANT;
+        double pressure = (rush ? 1 : 0)
+                + want * ((repeated > terms.repeats() ? 1 : 0) + (troubled > terms.trouble() ? 0.75 : 0))
                 + (connects > 3 * usualConnections && connects * FAST > 1e6 * FEW ? 0.5 : 0)
                 + (fresh ? 0.25 : 0) + (silent > 0 ? 0.5 : 0);
         return new Signs(fast, usual, repeated, troubled, connects, fresh, silent, came >= FEW ? pressure : 0);
     }
 
+    private static double share(double signs, double came) {
+        return came >= FEW && signs >= FEW_SIGNS ? Math.min(1, signs / came) : 0;
+    }
+
     /** Looks at the signs, if it is time; what changed, or null. */
     Change look(long now) {
         begin(now);
--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -136,6 +136,20 @@
         }
     }
 
+    @Test
+    void theOperatorsFileSwitchesTheStormPartOnAndAFaultyOneEndsIt() throws Exception {
+        start(ConfigTest.WHOLE, "serve", "--conf", "deploy/dockshed.conf");
+        line("storm part on:");
+        try (Socket s = new Socket("127.0.0.1", port(line("serving:")))) {
+            assertEquals(200, ask(s, TEST).status());
+        }
+        stop();
+        start(ConfigTest.WHOLE, "serve", "--conf", Files.writeString(dir.resolve("x.conf"), "storm {\nhold 2\n}").toString());
+        assertTrue(line("x.conf").contains("x.conf:2: hold: expected a time from 0s to 1s, got 2"));
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(2, process.exitValue());
+    }
+
     @Test
     void aFaultyConfigurationEndsItWithAWordOnTheKey() throws Exception {
         start(ConfigTest.WHOLE.replace("\"seed\":\"8c1f30d27a5be964\",", ""), "serve");
@@ -170,7 +184,7 @@
     @Test
     void wrongArgumentsAreToldTheRightOnes() throws Exception {
         start(ConfigTest.WHOLE, "dance");
-        assertTrue(line("usage").contains("serve [--hls FILE] | simhost | rehearse FILE"));
+        assertTrue(line("usage").contains("serve [--hls FILE] [--conf FILE] | simhost | rehearse FILE"));
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
         assertEquals(2, process.exitValue());
     }
--- a/src/test/java/dockshed/rig/World.java
+++ b/src/test/java/dockshed/rig/World.java
@@ -53,7 +53,7 @@
     /** What happens, all of it set before the run. */
     public static final class Script {
         public int brokers = 3, boxes = 16, streams = 110;
-        public double arrivals = 22, surge = 1;
+        public double arrivals = 12, surge = 1;
         public long surgeFrom, surgeTo, length = 60 * S, longest = 2 * S;
         public double ignore = 0.2;             // of the viewers; of the rest a third each heeds one way
         public double lostReplies;              // set-ups that run and whose answer is lost
@@ -104,11 +104,14 @@
 
     // What is measured.
     public final double[] offered, earned;      // worth by second
-    public final int[] came, refusedIn, stateIn;        // requests, refusals, brokers not calm, by second
+    public final int[] came, refusedIn;         // requests and refusals, by second
+    public final int[] playing;                 // sessions, by second
+    public final double[] fill, rungs;          // asked of all links over what they give; mean rung
     public int tries, people, refused, failed, served, lost, paidTwice, keptTimes, earlyTimes, boxesFallen, belowFloor,
             refusedAfterRun;
     public double coldPeak;                     // most set-ups within the rule's window at a cold box, over its allowed ones
-    public long calmAt = -1;                    // when the last broker became calm for good
+    public long brokerNanos;                    // processor's time in the brokers
+    private final java.util.BitSet calm = new java.util.BitSet();       // by tick: every broker is calm
     public final List<String> stormLog = new ArrayList<>();
 
     private World(Script script, long seed) {
@@ -119,7 +122,9 @@
         earned = new double[seconds];
         came = new int[seconds];
         refusedIn = new int[seconds];
-        stateIn = new int[seconds];
+        playing = new int[seconds];
+        fill = new double[seconds];
+        rungs = new double[seconds];
     }
 
     public static World run(Script script, long seed) {
@@ -165,7 +170,8 @@
                 break;
             }
             if (due != null) {
-                due.broker.tick(now);
+                Broker broker = due.broker;
+                timed(() -> broker.tick(now));
             } else {
                 events.poll().what.run();
             }
@@ -177,6 +183,12 @@
         }
     }
 
+    private void timed(Runnable what) {
+        long began = System.nanoTime();
+        what.run();
+        brokerNanos += System.nanoTime() - began;
+    }
+
     // ---- Viewers.
 
     private void arrive() {
@@ -232,10 +244,7 @@
                 return;
             }
             String asked = name;
-            boolean taken = to.ask(this, again);
-            if (!taken) {
-                throw new IllegalStateException("a viewer's request was malformed");
-            }
+            timed(() -> at.ask(this, again));
             at(now + patience(), () -> {
                 if (!answered && asked.equals(name)) {
                     if (at.alive()) {
@@ -390,7 +399,7 @@
                 if (heard.add(s)) {
                     at(now + SEE, () -> {
                         if (s.alive()) {
-                            s.broker.note(now, b.id, name, Topic.LINK, fill);
+                            timed(() -> s.broker.note(now, b.id, name, Topic.LINK, fill));
                         }
                     });
                 }
@@ -404,6 +413,7 @@
         final int me;
         Broker broker;
         Damper damper;
+        String state = "NONE";
         Deadlines deadlines;
         long since, diedAt = Long.MIN_VALUE, noticed;
         final Map<String, Viewer> asking = new HashMap<>();
@@ -481,11 +491,13 @@
             }
         }
 
-        boolean ask(Viewer v, boolean again) {
+        void ask(Viewer v, boolean again) {
             asking.put(v.name, v);
             long connection = broker.connected(now, this, h -> { });
-            return broker.request(now, connection, this, this, new Wish(v.name, v.cls.name(), v.id, "lesson", v.patience(),
-                    (long) ((v.until - now) * (.8 + .4 * random.nextDouble())), 0, 3, v.top, again, false, again, "sdp\n"));
+            if (!broker.request(now, connection, this, this, new Wish(v.name, v.cls.name(), v.id, "lesson", v.patience(),
+                    (long) ((v.until - now) * (.8 + .4 * random.nextDouble())), 0, 3, v.top, again, false, again, "sdp\n"))) {
+                throw new IllegalStateException("a viewer's request was malformed");
+            }
         }
 
         private void datagram(byte[] bytes) {
@@ -575,7 +587,7 @@
                     at(now + 15 * MS + random.nextLong(25 * MS), () -> {
                         if (broker == mine && !b.fallen && v.name != null && v.name.equals(s.name())) {
                             v.rung = s.rung();
-                            broker.answered(now, server, s.name(), "sdp\n");
+                            timed(() -> mine.answered(now, server, s.name(), "sdp\n"));
                             if (s.name().equals(v.name) && v.plays) {
                                 b.load.put(s.name(), v);
                                 broker.note(now, server, s.name(), Topic.LINK, b.asked() / (LINK * b.warmth()));
@@ -636,23 +648,28 @@
                 }
             }
         }
+        playing[sec] = boxes.stream().mapToInt(b -> b.load.size()).sum();
+        fill[sec] = boxes.stream().mapToDouble(Box::asked).sum() / (LINK * boxes.stream().mapToDouble(Box::warmth).sum());
+        rungs[sec] = viewers.stream().filter(v -> v.plays).mapToInt(v -> v.rung).average().orElse(0);
         for (Viewer v : viewers) {
             if (now < v.until) {
                 offered[sec] += v.cls.worth() * WORTHS[v.top] * TICK / S;
                 earned[sec] += v.plays && v.box != null
                         ? v.cls.worth() * WORTHS[Math.min(v.rung, v.top)] * worth.get(v.box) * TICK / S : 0;
-            } else if (v.plays && v.at.alive()) {
-                String name = v.name;
-                v.ended();
-                v.at.broker.leave(now, name);
+            } else if (v.plays && v.at.alive() && v.box != null) {
+                v.at.broker.ended(now, v.box.id, v.name, Outcome.OK, v.box.report());
             }
         }
         int uncalm = 0;
         for (Station s : stations) {
+            String state = s.damper == null ? "NONE" : s.damper.state();
+            if (!state.equals(s.state)) {
+                stormLog.add(String.format(java.util.Locale.ROOT, "%.1f broker=%d %s", (now - START) / 1e6, s.me, state));
+                s.state = state;
+            }
             uncalm += s.damper != null && !s.damper.state().equals("CALM") ? 1 : 0;
         }
-        stateIn[sec] = Math.max(stateIn[sec], uncalm);
-        calmAt = uncalm > 0 ? -1 : calmAt < 0 ? now - START : calmAt;
+        calm.set((int) ((now - START) / TICK), uncalm == 0);
         viewers.removeIf(v -> now > v.until + 5 * S && v.name == null && (gone += 1) > 0);
     }
 
@@ -663,6 +680,17 @@
         return people + gone;
     }
 
+    /** Seconds from a time until all brokers are calm, for a second at least; -1: never. */
+    public double calmAfter(long from) {
+        int second = (int) (S / TICK);
+        for (int i = (int) (from / TICK); i + second < script.length / TICK; i++) {
+            if (calm.nextClearBit(i) >= i + second) {
+                return (i * TICK - from) / 1e6;
+            }
+        }
+        return -1;
+    }
+
     /** Worth earned over worth asked for, over a run from one second to another. */
     public double service(int from, int to) {
         double asked = 0;
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -75,7 +75,8 @@
         s.onRequest = r -> s.actions.refuse(r.id(), 700 * MS);
         say(ch, setUp(id(1), ""));
         String answer = heard(ch).get(0);
-        assertTrue(answer.startsWith("RTSP/1.0 453 ") && answer.contains("\r\nP-Back-Off: 700\r\n"), answer);
+        assertTrue(answer.startsWith("RTSP/1.0 503 ") && answer.contains("\r\nP-Back-Off: 700\r\n")
+                && answer.contains("\r\nRetry-After: 1\r\n"), answer);
     }
 
     @Test
@@ -305,4 +306,20 @@
         }
         assertFalse(ch.isOpen());
     }
+
+    @Test
+    void retryAfterKeepsTheMeanAndNeverSaysNow() {
+        // Rounded all one way, refused viewers that know Retry-After alone would come back in step or at once.
+        java.util.SplittableRandom random = new java.util.SplittableRandom(3);
+        long sum = 0;
+        for (int i = 0; i < 1000; i++) {
+            long told = RtspFront.wholeSeconds(1_400_000, 2_000_000, random);
+            assertTrue(told == 1 || told == 2, "told " + told);
+            sum += told;
+        }
+        assertTrue(sum > 1330 && sum < 1470, "mean of a thousand: " + sum);
+        assertEquals(1, RtspFront.wholeSeconds(1000, 2_000_000, random));
+        assertEquals(1, RtspFront.wholeSeconds(1_999_999, 1_999_999, random), "the settings' longest time holds");
+        assertEquals(0, RtspFront.wholeSeconds(500_000, 900_000, random), "no whole second may be told");
+    }
 }
