--- a/src/main/java/dockshed/storm/Calendar.java
+++ b/src/main/java/dockshed/storm/Calendar.java
@@ -46,32 +46,28 @@
     long book(long now, long earliest, long latest, double perSecond, LongToDoubleFunction others, double dice) {
         long first = slotOf(now);
         long from = slotOf(Math.max(now, earliest));
-        long last = Math.min(slotOf(latest), first + MOST_SLOTS - 1);
+        int slots = (int) Math.min(slotOf(latest) - first + 1, MOST_SLOTS);
         double each = Math.max(1, Math.ceil(perSecond * slot / 1e6));
+        double[] here = new double[slots];
+        double[] spare = new double[slots];     // places that are free by the end of a slot and of all booked ones behind
         double promised = 0;
-        for (long k = first; k <= last; k++) {
-            double here = booked(k) + others.applyAsDouble(k);
-            promised += here;
-            double room = perSecond * ((k + 1) * slot - now) / 1e6;
-            if (k >= from && here < each && promised + 1 <= room + 1 && laterFits(k, last, promised + 1, now, perSecond, others)) {
-                long at = Math.max(earliest, k * slot + (long) (dice * slot));
-                add(k, 1);
-                return Math.min(at, latest);
-            }
+        for (int i = 0; i < slots; i++) {
+            here[i] = booked(first + i) + others.applyAsDouble(first + i);
+            promised += here[i];
+            spare[i] = perSecond * ((first + i + 1) * slot - now) / 1e6 + 1 - promised;
         }
-        return -1;
-    }
-
-    /** Whether the slots already booked behind still find their room with one more before them. */
-    private boolean laterFits(long k, long last, double promised, long now, double perSecond, LongToDoubleFunction others) {
-        for (long j = k + 1; j <= last; j++) {
-            double here = booked(j) + others.applyAsDouble(j);
-            promised += here;
-            if (here > 0 && promised > perSecond * ((j + 1) * slot - now) / 1e6 + 1) {
-                return false;
+        double behind = Double.POSITIVE_INFINITY;
+        for (int i = slots - 1; i >= 0; i--) {
+            spare[i] = Math.min(spare[i], behind);
+            behind = here[i] > 0 ? spare[i] : behind;
+        }
+        for (int i = (int) (from - first); i < slots; i++) {
+            if (here[i] < each && spare[i] >= 1) {
+                add(first + i, 1);
+                return Math.min(Math.max(earliest, (first + i) * slot + (long) (dice * slot)), latest);
             }
         }
-        return true;
+        return -1;
     }
 
     /** Someone is told that time whatever the room: by whole seconds. */
--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -198,12 +198,15 @@
         }
     }
 
-    /** Set-ups a second that all boxes take together for this broker; without bound while a warm one is up. */
+    /**
+     * Set-ups a second that all boxes take together for this broker; without bound while a warm one is up, and where
+     * none is: what becomes of requests then is the module's to say.
+     */
     double all(long now) {
         double all = 0;
         for (Box b : boxes.values()) {
             all += b.up ? terms.coldAim() * takes(now, b) * part : 0;
         }
-        return all;
+        return all > 0 ? all : Double.POSITIVE_INFINITY;
     }
 }
--- a/src/main/java/dockshed/storm/Damper.java
+++ b/src/main/java/dockshed/storm/Damper.java
@@ -242,7 +242,7 @@
     private long inUnits(Visit v, long back, long longest, long unit) {
         long whole = back / unit + (random.nextLong(unit) < back % unit ? 1 : 0);
         long told = Math.max(1, Math.min(whole, longest / unit)) * unit;
-        if (v.booked && unit > terms.slot()) {
+        if (v.booked && calendar.slotOf(v.appointed) != calendar.slotOf(now + told)) {
             calendar.cancel(v.appointed);
             calendar.expect(now + told);
         }
