Reckon other brokers' newcomers by set-ups sent, not by refused tries as well

Cause: the module counted every try as one that other brokers would place, too. Refused viewers that come again raise that count, and the room for newcomers shrinks although they take none: the more retries, the less of a free link was used.

Change: the wariness of rivals goes by set-ups sent in the last 2 s; the pace of cold servers and the price go on by all tries. A test whose request gets a lower rung after 400 refused tries without it.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -129,7 +129,7 @@
     private final LinkedHashMap<String, Node> nodes = new LinkedHashMap<>();
     private final Rack[] racks;
     private final ArrayDeque<Long> extraAttempts = new ArrayDeque<>(), taken = new ArrayDeque<>();
-    private final ArrayDeque<Long> tries = new ArrayDeque<>();      // the latest tries
+    private final ArrayDeque<Long> tries = new ArrayDeque<>(), sends = new ArrayDeque<>(); // the latest
     private final double[] count;           // requests since the start, by class
     private double tried;                   // attempts since the start, refused ones too
     private int listed;                     // servers that are up, by the list
@@ -461,6 +461,7 @@
         n.mine.put(s.req.id(), s);
         book(now, n, 0, kb(s, s.rung));
         n.lastSentAt = now;
+        sends.add(now);
         act.rate(s.req.id(), s.rung);
         long left = s.deadline - now;
         boolean again = s.c.effect() == Effect.SAFE && s.attempts < set.limits().attempts();
@@ -730,7 +731,7 @@
         rackFill = fullness(Arrays.asList(racks), PRIOR_FILL);
         ownKb = 0;
         for (Rack r : racks) ownKb += r.own;
-        double rivals = trying(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
+        double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
                 * set.limits().tell() / SECOND;
         newcomerPart = Math.max(1.0 / set.balancers(), 1 / (1 + RIVALS * rivals));
         going(now);
@@ -866,6 +867,12 @@
                 && random.nextDouble() * comes < COLD_AIM * takes;  // at few directors chance bounds little
     }
 
+    /** Own set-ups a second lately: refused tries take no room, and counting them shuts what there is. */
+    private double sending(long now) {
+        sends.removeIf(at -> at < now - 2 * SECOND);
+        return sends.size() / 2.0;
+    }
+
     /** Own tries a second: since the start, or within the rule's window where those are more: a rush. */
     private double trying(long now) {
         long lately = set.rules().fall();
--- a/src/test/java/dockshed/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -304,4 +304,31 @@
             assertEquals(1, b.count("send r0"));
         }
     }
+
+    @Test
+    void refusedTriesDoNotShutTheRoomThatIsThere() {
+        // They were counted as other directors' newcomers: the more viewers came again, the less of a free link was used.
+        int[] rung = new int[2];
+        for (int storm = 0; storm < 2; storm++) {
+            Bench b = Bench.one(0, 3).start(Bench.server("a", 0), Bench.server("b", 1));
+            b.open("o", "a", 4);
+            b.open("p", "b", 4);
+            for (int i = 0; i < 20; i++) {
+                b.now += Bench.S / 10;
+                for (int n = 0; n < 20 && storm == 1; n++) {
+                    b.d.request(b.now, new Director.Request("x" + i + "-" + n, "film", "v", "t", 4 * Bench.S, 0, 0, 0, 4,
+                            true, false, true));        // held by no server: refused whatever the room
+                }
+            }
+            b.d.note(b.now, "o", "a", Topic.LINK, 0.5);
+            b.d.note(b.now, "p", "b", Topic.LINK, 0.5);
+            b.d.timer(b.now, "sweep");
+            b.log.clear();
+            b.request("r");
+            rung[storm] = Integer.parseInt(b.log.stream().filter(l -> l.startsWith("rate r ")).findFirst().orElse("rate r -1")
+                    .split(" ")[2]);
+        }
+        assertEquals(rung[0], rung[1]);
+        assertTrue(rung[0] > 0);
+    }
 }
