--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -23,8 +23,8 @@
     private static final long SAVED = 400_000;
     /** A peer's word on what it spent counts for the rule's window and no longer. */
     private static final int MOST_PEERS = 256;
-    /** Of what a box can take, the least part of a broker that others outbid. */
-    private static final double LEAST_PART = 0.5;
+    /** Of an even part of what a box can take, the least of a broker that others outbid, and the most of one that outbids. */
+    private static final double LEAST_PART = 0.5, MOST_PART = 1.5;
 
     private static final class Box {
         final int hash;
@@ -138,9 +138,10 @@
         return b == null ? Double.POSITIVE_INFINITY : takes(now, b);
     }
 
-    /** This broker's part of a cold box's pace, by its part of the fleet's arrivals: at least half an even share. */
+    /** This broker's part of a cold box's pace, by its part of the fleet's arrivals: half to one and a half of an even one. */
     void part(double ofArrivals) {
-        part = Math.max(LEAST_PART / settings.balancers(), Math.min(1, ofArrivals));
+        double even = 1.0 / settings.balancers();
+        part = Math.max(LEAST_PART * even, Math.min(Math.min(1, MOST_PART * even), ofArrivals));
     }
 
     private void refill(long now, Box b) {
