Let the test of restarts in turn ask that the storm is noticed

Cause: with the part off that test still passed, as the core keeps its rules alone. Change: it asks for the state STORM at two brokers at least, and for calm within 10 s. Ruled out: the same for lost replies, which the core must keep with the part and without it.

--- a/src/test/java/dockshed/storm/StormTest.java
+++ b/src/test/java/dockshed/storm/StormTest.java
@@ -91,6 +91,7 @@
     @Test
     void allBrokersRestartedInTurnAnswerEveryRequestOnce() {
         World w = with(script().outage(0, 35 * S, 39 * S).outage(1, 43 * S, 47 * S).outage(2, 51 * S, 55 * S));
+        assertTrue(w.stormLog.stream().filter(l -> l.endsWith("STORM")).count() >= 2, w.stormLog.toString());
         assertTrue(w.calmAfter(55 * S) >= 0 && w.calmAfter(55 * S) <= 10, "calm after " + w.calmAfter(55 * S));
         assertTrue(w.service(60, 69) > 0.7, "service after the last restart " + w.service(60, 69));
     }
