Let one piece tell a server's warmth and its kind's streams to the load and storm parts

Cause: both parts of this landing spelt out the same look-up of a kind's streams and the same warm-up formula. Change: Director.Settings.streams and Director.Rules.warmth, which both call.

--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -89,6 +89,11 @@
             require(coldFrom >= 0 && coldFrom <= 1, "cold share");
             require(tipMultiple >= 0 && spareAttempts >= 0 && extraRatio >= 0, "multiples of the rules");
         }
+
+        /** The part of its rate that a server gives which started then; 1 once it must be warm. */
+        public double warmth(long now, long since) {
+            return now - since >= warmUp ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, now - since) / (double) warmUp;
+        }
     }
 
     /** Points taken off the result: for sessions that cross zones, for moves, probes and handshakes with servers. */
@@ -107,6 +112,12 @@
                 require(c.floor() < ladder.rates().size(), "floor of class " + c.name());
             }
         }
+
+        /** The streams that a server of the kind runs; one that is not told of runs what every kind does. */
+        public int streams(String kind) {
+            int least = kinds.stream().mapToInt(Kind::streams).min().orElse(1);
+            return kinds.stream().filter(k -> k.name().equals(kind)).mapToInt(Kind::streams).findFirst().orElse(least);
+        }
     }
 
     /** A value of a load report; OTHER is one that the module has no use for. */
--- a/src/main/java/dockshed/load/ReckonedLoads.java
+++ b/src/main/java/dockshed/load/ReckonedLoads.java
@@ -1,6 +1,5 @@
 package dockshed.load;
 
-import dockshed.Director.Kind;
 import dockshed.Director.Server;
 import dockshed.Director.SessionClass;
 import dockshed.Director.Settings;
@@ -63,19 +62,14 @@
         links.clear();
         servers.forEach(s -> listed.put(s.id(), s));
         boolean alike = servers.stream().mapToDouble(Server::weight).distinct().count() < 2;
-        double streams = servers.stream().mapToInt(this::streams).sum();
+        double streams = servers.stream().mapToInt(s -> settings.streams(s.kind())).sum();
         for (Server s : servers) {
             // The module's own measure: by weight, or by streams where all weights are alike.
             double unit = settings.ladder().weightKb() * s.weight();
-            links.put(s.id(), Math.max(1, alike ? unit * streams(s) * servers.size() / streams : unit));
+            links.put(s.id(), Math.max(1, alike ? unit * settings.streams(s.kind()) * servers.size() / streams : unit));
         }
     }
 
-    private int streams(Server s) {
-        return settings.kinds().stream().filter(k -> k.name().equals(s.kind())).mapToInt(Kind::streams).findFirst()
-                .orElse(settings.kinds().stream().mapToInt(Kind::streams).min().orElse(1));
-    }
-
     /** A session stands at a box, on a rung. */
     public void stands(long now, String server, String name, String className, int rung) {
         SessionClass cls = classes.get(className);
@@ -136,12 +130,7 @@
     private double gives(long now, String server) {
         Server s = listed.get(server);
         double link = links.getOrDefault(server, Math.max(1, settings.ladder().weightKb()));
-        long warmUp = settings.rules().warmUp();
-        if (s == null || s.upSince() <= 0 || now - s.upSince() >= warmUp) {
-            return link;
-        }
-        double from = settings.rules().coldFrom();
-        return link * (from + (1 - from) * Math.max(0, now - s.upSince()) / (double) warmUp);
+        return s == null || s.upSince() <= 0 ? link : link * settings.rules().warmth(now, s.upSince());
     }
 
     /** The share of the box's link that was asked at a time at most the lag of notes ago. */
--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -1,6 +1,5 @@
 package dockshed.storm;
 
-import dockshed.Director.Kind;
 import dockshed.Director.Scope;
 import dockshed.Director.Server;
 import dockshed.Director.Settings;
@@ -83,8 +82,7 @@
                 continue;
             }
             Box b = boxes.computeIfAbsent(s.id(), id -> new Box(hash(id)));
-            b.streams = settings.kinds().stream().filter(k -> k.name().equals(s.kind())).mapToInt(Kind::streams)
-                    .findFirst().orElse(settings.kinds().stream().mapToInt(Kind::streams).min().orElse(1));
+            b.streams = settings.streams(s.kind());
             b.up = s.state() == State.UP;
             if (s.upSince() > 0 && s.upSince() > b.since) {
                 begin(now, b, s.upSince());
@@ -130,8 +128,7 @@
         if (b.since == Long.MIN_VALUE || now - b.since >= warmUp) {
             return Double.POSITIVE_INFINITY;
         }
-        double from = settings.rules().coldFrom();
-        return b.streams * 1e6 / warmUp * (from + (1 - from) * Math.max(0, now - b.since) / warmUp);
+        return b.streams * 1e6 / warmUp * settings.rules().warmth(now, b.since);
     }
 
     double takes(long now, String server) {
