--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -1,6 +1,7 @@
 package dockshed;
 
 import java.util.*;
+import java.util.function.IntBinaryOperator;
 
 /**
  * All decisions. The interface (types, events, actions, units) is in Director.java.
@@ -20,6 +21,8 @@
     static final long QUOTA_PERIOD = 5 * SECOND; // between recomputes of Method II
     static final double PRIOR_TRIES = 2;        // the usual rate weighs as much
     static final double COLD_AIM = 1.4;         // of what a cold server can take; the rule bears 2 and more
+    static final int EACH_SLOT = 64;            // slots up to which each pair of quotas is tried
+    static final int STEPS = 32;                // of that many parts above
     static final int FEW = 12;                  // arrivals under which every slot stays in the pool
     static final long UP_GAP = 8 * SECOND;      // from a step of a session to its next step up: steadiness
     static final double REPAY = 4;              // a step up must earn its switch cost so many times over
@@ -901,6 +904,7 @@
                 continue;
             }
             int slots = (int) Math.min(n.streams, n.told / slotKb());
+            if (slots > EACH_SLOT) slots -= slots % (slots / STEPS);    // a few sizes stand for all
             double perServer = set.balancers() / (span * listed);
             int[] best = known.computeIfAbsent(slots, k -> bestQuotas(k,
                     rates[1] * perServer, rates[0] * perServer, ends / playedS,
@@ -910,24 +914,38 @@
         }
     }
 
-    /** The quotas (high, low) of the highest payoff, by enumeration; a refusal costs the class's worth. */
+    /**
+     * The quotas (high, low) of the highest payoff, by enumeration; a refusal costs the class's worth. Many
+     * slots are gone through in steps, then finer round the best: every pair would cost the cube of the slots.
+     */
     static int[] bestQuotas(int slots, double lambdaH, double lambdaL, double mu, double vH, double vL) {
         int[] best = {0, 0};
-        double most = Double.NEGATIVE_INFINITY;
+        double[] most = {Double.NEGATIVE_INFINITY};
         Erlang high = new Erlang(lambdaH / mu, slots);
         Erlang low = new Erlang(lambdaL / mu, slots);
-        Erlang[] rest = new Erlang[slots + 1];      // by the low reserve: what it leaves to the pool
-        for (int l = 0; l <= slots; l++) rest[l] = new Erlang(lambdaL * low.loss[l] / mu, slots);
-        for (int h = 0; h <= slots; h++) {
-            Erlang inPool = new Erlang(lambdaH * high.loss[h] / mu, slots);
-            for (int l = 0; l + h <= slots; l++) {
-                double payoff = mu * (vH * high.mean[h] + vL * low.mean[l]
-                        + pool(slots - h - l, inPool, rest[l], vH, vL));
-                if (payoff > most + 1e-9) {
-                    most = payoff;
-                    best = new int[] {h, l};
-                }
+        Erlang[] inPool = new Erlang[slots + 1];    // by the high reserve: what it leaves to the pool
+        Erlang[] rest = new Erlang[slots + 1];      // by the low reserve
+        IntBinaryOperator look = (h, l) -> {
+            if (h < 0 || l < 0 || h + l > slots) return 0;
+            if (inPool[h] == null) inPool[h] = new Erlang(lambdaH * high.loss[h] / mu, slots);
+            if (rest[l] == null) rest[l] = new Erlang(lambdaL * low.loss[l] / mu, slots);
+            double payoff = mu * (vH * high.mean[h] + vL * low.mean[l]
+                    + pool(slots - h - l, inPool[h], rest[l], vH, vL));
+            if (payoff > most[0] + 1e-9) {
+                most[0] = payoff;
+                best[0] = h;
+                best[1] = l;
             }
+            return 0;
+        };
+        int step = slots <= EACH_SLOT ? 1 : (slots + STEPS - 1) / STEPS;
+        for (int h = 0; h <= slots; h += step) {
+            for (int l = 0; l + h <= slots; l += step) look.applyAsInt(h, l);
+        }
+        while (step > 1) {
+            step = (step + 1) / 2;
+            int h = best[0], l = best[1];
+            for (int i = 0; i < 9; i++) look.applyAsInt(h + (i / 3 - 1) * step, l + (i % 3 - 1) * step);
         }
         return best;
     }
@@ -967,7 +985,7 @@
             sum = new double[n + 1];
             mean = new double[n + 1];
             loss = new double[n + 1];
-            double next = 1, all = 0, weighted = 0;
+            double next = 1e-290, all = 0, weighted = 0;   // only their ratios count: room for large loads
             for (int i = 0; i <= n; i++) {
                 term[i] = next;
                 sum[i] = all += next;
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -45,7 +45,8 @@
 
     public void watch() {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            net.loop().execute(this::begin);
+            long told = clock.now();            // the stay counts from here, however late the loop hears of it
+            net.loop().execute(() -> begin(told));
             try {
                 Thread.sleep(Long.MAX_VALUE);       // the loop ends the process
             } catch (InterruptedException e) {
@@ -62,8 +63,8 @@
         Signal.handle(new Signal("HUP"), signal -> what.run());
     }
 
-    private void begin() {
-        since = clock.now();
+    private void begin(long told) {
+        since = told;
         LOG.info("planned end begun: unanswered={} standing={}", broker.unanswered(), broker.standing());
         look(since);
     }
--- a/src/test/java/dockshed/MethodTwoTest.java
+++ b/src/test/java/dockshed/MethodTwoTest.java
@@ -58,4 +58,32 @@
             }
         }
     }
+
+    @Test
+    void aLargeServersSlotsAreGoneThroughInSteps() {
+        // Guards against trying each pair of quotas: at the fleet's size a server has hundreds of slots, the pairs' sums
+        // grow with their cube, and every broker stood still for over a second at its first recompute, five seconds
+        // after its start. 8,000 slots that way take minutes and gigabytes.
+        int[] best = assertTimeoutPreemptively(Duration.ofSeconds(30),
+                () -> Choice.bestQuotas(8000, 300, 900, 1, 3, 1));
+        assertTrue(best[0] + best[1] <= 8000);
+        // 1,000 erlangs: the terms' sum is beyond a double's range unless it begins small.
+        assertTrue(Choice.bestQuotas(1100, 300, 700, 1, 3, 1)[0] > 0);
+    }
+
+    @Test
+    void stepsLoseNextToNothing() {
+        for (int slots : new int[] {65, 100, 130}) {
+            double heavy = slots * 0.9;
+            int[] best = Choice.bestQuotas(slots, heavy * 0.3, heavy * 0.7, 1, 3, 1);
+            double found = Choice.payoff(best[0], best[1], slots - best[0] - best[1], heavy * 0.3, heavy * 0.7, 1, 3, 1);
+            double most = found;
+            for (int h = 0; h <= slots; h++) {
+                for (int l = 0; h + l <= slots; l++) {
+                    most = Math.max(most, Choice.payoff(h, l, slots - h - l, heavy * 0.3, heavy * 0.7, 1, 3, 1));
+                }
+            }
+            assertTrue(found > most - 0.01 * Math.abs(most), slots + " slots: " + found + " of " + most);
+        }
+    }
 }
