Tell all ends at their time whatever is unanswered, and halt on what is written, not on a pause

Cause: Signals.look waited for `broker.unanswered() > 0` to end before it told any session's end, then halted 50 ms later whatever was unwritten; a set-up of those 50 ms was taken and lost.

Change: the steps are net.PlannedEnd, without I/O. At its time (0.25 s before SIGKILL may come) everything that stands is told its end and what comes new is turned away with word of when to return; what is unanswered goes on, is told its end too if it comes to stand, and is told a failure 0.1 s before SIGKILL. It halts once nothing written waits in a connection and nothing came for 50 ms, 20 ms before SIGKILL at the latest. A look every 10 ms instead of 20. Who is listed in a whole list is looked up in a set (Broker.members went through a list for each server).

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -17,8 +17,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
+import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -117,7 +119,7 @@
     private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();
     private final ArrayDeque<Owed> owed = new ArrayDeque<>();
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
-    private boolean busy;
+    private boolean busy, ending;
     private long now;
     private int unanswered;
     private final Counts counts = new Counts();
@@ -233,6 +235,12 @@
                 || wish.patience() <= 0 || wish.patience() > PATIENCE * cls.deadline()) {
             return false;
         }
+        if (ending) {
+            counts.requests++;
+            counts.refused++;
+            front.refused(connection, wish.name(), longestComeBack());
+            return true;
+        }
         Call call = add(new Call(wish, front, via, cls, connection, at));
         unanswered++;
         counts.requests++;
@@ -404,7 +412,7 @@
         event(at, t -> {
             List<Server> merged = new ArrayList<>();
             if (scope == Scope.SNAPSHOT || scope == Scope.DISK) {
-                List<String> named = servers.stream().map(Server::id).toList();
+                Set<String> named = servers.stream().map(Server::id).collect(Collectors.toSet());
                 for (Box b : boxes.values()) {
                     if (b.listings.containsKey(source) && !named.contains(b.id)) {
                         b.listings.remove(source);
@@ -487,9 +495,13 @@
         return counts;
     }
 
-    /** At a planned end: tells every viewer and server that its session is over. */
+    /**
+     * At a planned end: takes nothing more (what comes is turned away at once), and tells every viewer and server that
+     * its session is over. What is unanswered goes on; called again, it tells what has come to stand meanwhile.
+     */
     public void releaseAll(long at) {
         event(at, t -> {
+            ending = true;
             List<Call> all = new ArrayList<>();
             calls.each(call -> {
                 if (call.stands) {
@@ -504,6 +516,22 @@
         });
     }
 
+    /** At the very end: whoever still waits is told that its request has failed, rather than nothing. */
+    public void failAll(long at) {
+        event(at, t -> {
+            List<Call> waiting = new ArrayList<>();
+            calls.each(call -> {
+                if (!call.answered) {
+                    waiting.add(call);
+                }
+            });
+            for (Call call : waiting) {
+                fail(call.id);
+                director.gone(t, call.id);
+            }
+        });
+    }
+
     // ---- The module's actions.
 
     @Override
--- a/src/main/java/dockshed/net/HttpFetch.java
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -34,7 +34,7 @@
         byte[] request = head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
         ChannelFuture coming = net.connect(to, connectMillis, () -> f.new Handler(limit));
         f.channel = coming.channel();
-        coming.addListener(done -> {
+        net.then(coming, done -> {
             if (!done.isSuccess()) {
                 f.broken(false, "not connected: " + done.cause().getMessage());
             } else if (!f.over) {
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -7,8 +7,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
@@ -16,18 +19,29 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Set;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** The one event loop and the sockets on it. */
 public final class Net {
     /** Bytes that may wait on a connection before its reader is seen as slow, and may be left for it to catch up. */
     private static final WriteBufferWaterMark BACKLOG = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
 
+    /** Milliseconds after which a connection that could not be accepted is tried again. */
+    private static final int ACCEPT_AGAIN = 20;
+    private static final Logger LOG = LoggerFactory.getLogger(Net.class);
+
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final Set<Channel> open = new HashSet<>();      // connections, of the loop's thread
 
     public EventLoop loop() {
         return group.next();
@@ -45,8 +59,25 @@
         }
     }
 
+    /** Does what follows from a connection's coming up or failing, on the loop's thread even if no socket was opened. */
+    public void then(ChannelFuture coming, Consumer<Future<? super Void>> what) {
+        coming.addListener(done -> {
+            if (loop().inEventLoop()) {
+                what.accept(done);
+            } else {
+                loop().execute(() -> what.accept(done));
+            }
+        });
+    }
+
     public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler) {
+        return listen(at, handler, () -> { });
+    }
+
+    /** {@code full} is run where a connection could not be accepted, for want of a descriptor: it may let one go. */
+    public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler, Runnable full) {
         return new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
+                .handler(new Accepting(full))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -55,6 +86,28 @@
                 .childHandler(initializer(handler)).bind(at);
     }
 
+    /** Netty would accept nobody for a second after a failure; viewers would wait for as long. */
+    static final class Accepting extends ChannelInboundHandlerAdapter {
+        private final Runnable full;
+
+        Accepting(Runnable full) {
+            this.full = full;
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (!ctx.channel().config().isAutoRead()) {
+                return;
+            }
+            LOG.warn("connection not accepted: why={}", cause.toString());
+            ctx.channel().config().setAutoRead(false);
+            full.run();
+            ctx.channel().eventLoop().schedule(() -> {
+                ctx.channel().config().setAutoRead(true);
+            }, ACCEPT_AGAIN, TimeUnit.MILLISECONDS);
+        }
+    }
+
     public ChannelFuture connect(InetSocketAddress to, int timeoutMillis, Supplier<ChannelHandler> handler) {
         return new Bootstrap().group(group).channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
@@ -69,10 +122,20 @@
                 .handler(handler).bind(at);
     }
 
-    private static ChannelInitializer<Channel> initializer(Supplier<ChannelHandler> handler) {
+    /** Whether something written to a connection has not been handed to the system yet. */
+    public boolean unwritten() {
+        return open.stream().anyMatch(ch -> {
+            ChannelOutboundBuffer out = ch.unsafe().outboundBuffer();
+            return out != null && !out.isEmpty();
+        });
+    }
+
+    private ChannelInitializer<Channel> initializer(Supplier<ChannelHandler> handler) {
         return new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel ch) {
+                open.add(ch);
+                ch.closeFuture().addListener(closed -> open.remove(ch));
                 ch.pipeline().addLast(handler.get());
             }
         };
--- /dev/null
+++ b/src/main/java/dockshed/net/PlannedEnd.java
@@ -0,0 +1,70 @@
+package dockshed.net;
+
+/**
+ * What is due when, from SIGTERM on; no I/O. Viewers still come for a while and are served as ever, and sessions play on
+ * for as long as the program may stay. Then nothing new is taken and each session is told its end, whether requests are
+ * unanswered or not; those go on until they are answered or shortly before the program would be killed. It halts once
+ * nothing that was written waits any more, and nothing more came to be written for a while.
+ */
+final class PlannedEnd {
+    enum Step { WAIT, TELL, FAIL, TELL_AGAIN, HALT }
+
+    /** New connections come for 0.4 s at most, and requests for 0.2 s more; some slack on top. */
+    static final long STILL_COMING = 800_000;
+    /** Viewers' time counts up to this, and SIGKILL comes no sooner than that and the grace after SIGTERM. */
+    private static final long LONGEST = 3_000_000, GRACE = 700_000;
+    /** What is kept of that: to tell every viewer and server, on a processor that others use too. */
+    private static final long MARGIN = 250_000;
+    /** Before SIGKILL: to tell those still unanswered; to have halted. */
+    private static final long FAIL_MARGIN = 100_000, HALT_MARGIN = 20_000;
+    /** So long nothing may have come or waited: what a viewer still sends, unread, would reset its connection. */
+    private static final long QUIET = 50_000;
+
+    private final long told, tellAt, failAt, haltAt;
+    private boolean ends, failed;
+    private long answeredAt = -1, quietSince = -1;
+
+    /** {@code told}: when SIGTERM came; {@code longest}: the longest time that a viewer waits. */
+    PlannedEnd(long told, long longest) {
+        this.told = told;
+        long killed = told + Math.max(STILL_COMING + MARGIN, Math.min(longest, LONGEST) + GRACE);
+        tellAt = killed - MARGIN;
+        failAt = killed - FAIL_MARGIN;
+        haltAt = killed - HALT_MARGIN;
+    }
+
+    long told() {
+        return told;
+    }
+
+    /** The next step; asked again and again, each step but WAIT having been carried out. */
+    Step step(long now, int unanswered, boolean unwritten) {
+        if (now < tellAt) {
+            return Step.WAIT;
+        }
+        if (!ends) {
+            ends = true;
+            return Step.TELL;
+        }
+        if (now >= haltAt) {
+            return Step.HALT;
+        }
+        if (unanswered > 0) {
+            answeredAt = -1;
+            if (now < failAt || failed) {
+                return Step.WAIT;
+            }
+            failed = true;
+            return Step.FAIL;
+        }
+        if (answeredAt < 0) {
+            answeredAt = now;
+            quietSince = now;
+            return Step.TELL_AGAIN;     // those answered since the first time
+        }
+        if (unwritten) {
+            quietSince = now;
+        }
+        return now - quietSince >= QUIET ? Step.HALT : Step.WAIT;
+    }
+}
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -6,28 +6,17 @@
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
 
-/**
- * The planned end. After SIGTERM viewers still come for a while and are served as ever, and sessions play on for as
- * long as the program may stay; then each is told its end, and the program ends with status 0.
- */
+/** The signals: SIGTERM begins the planned end, whose steps {@link PlannedEnd} names; SIGHUP runs what it is given. */
 public final class Signals {
-    /** New connections come for 0.4 s at most, and requests for 0.2 s more; some slack on top. */
-    static final long STILL_COMING = 800_000;
-    /** Viewers' time counts up to this, and SIGKILL comes no sooner than that and the grace after SIGTERM. */
-    private static final long LONGEST = 3_000_000, GRACE = 700_000;
-    /** What is kept of that: to tell every viewer and server, on a processor that others use too. */
-    private static final long MARGIN = 250_000;
-    private static final long LOOK = 20_000;
-    /** Time for the last bytes to leave. */
-    private static final long FLUSH = 50_000;
+    private static final long LOOK = 10_000;
     private static final Logger LOG = LoggerFactory.getLogger(Signals.class);
 
     private final Net net;
     private final Clock clock;
     private final Deadlines deadlines;
     private final Broker broker;
-    private final long stay;
-    private long since;
+    private final long longest;
+    private PlannedEnd end;
 
     /** {@code longest}: the longest time that a viewer waits. */
     public Signals(Net net, Clock clock, Deadlines deadlines, Broker broker, long longest) {
@@ -35,12 +24,7 @@
         this.clock = clock;
         this.deadlines = deadlines;
         this.broker = broker;
-        stay = stay(longest);
-    }
-
-    /** How long after SIGTERM the program stays. */
-    static long stay(long longest) {
-        return Math.max(STILL_COMING, Math.min(longest, LONGEST) + GRACE - MARGIN);
+        this.longest = longest;
     }
 
     public void watch() {
@@ -64,19 +48,33 @@
     }
 
     private void begin(long told) {
-        since = told;
+        end = new PlannedEnd(told, longest);
         LOG.info("planned end begun: unanswered={} standing={}", broker.unanswered(), broker.standing());
-        look(since);
+        look(told);
     }
 
     private void look(long due) {
         long now = clock.now();
-        if (now - since < stay || broker.unanswered() > 0) {
-            deadlines.at(now + LOOK, this::look);
-            return;
+        PlannedEnd.Step step = end.step(now, broker.unanswered(), net.unwritten());
+        switch (step) {
+            case WAIT -> { }
+            case TELL -> {
+                LOG.info("planned end: ms={} unanswered={} standing={} {}", (now - end.told()) / 1000,
+                        broker.unanswered(), broker.standing(), broker.counts());
+                broker.releaseAll(now);
+            }
+            case FAIL -> {
+                LOG.warn("planned end: failed for want of time: requests={}", broker.unanswered());
+                broker.failAll(now);
+            }
+            case TELL_AGAIN -> broker.releaseAll(now);
+            case HALT -> {
+                if (net.unwritten()) {
+                    LOG.warn("planned end: not everything could be written: ms={}", (now - end.told()) / 1000);
+                }
+                Runtime.getRuntime().halt(0);
+            }
         }
-        LOG.info("planned end: ms={} standing={} {}", (now - since) / 1000, broker.standing(), broker.counts());
-        broker.releaseAll(now);
-        deadlines.at(now + FLUSH, t -> Runtime.getRuntime().halt(0));
+        deadlines.at(now + LOOK, this::look);
     }
 }
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -360,6 +360,34 @@
         assertEquals(0, s.broker.standing());
     }
 
+    @Test
+    void whatComesOnceTheEndsAreToldIsTurnedAwayAtOnce() {
+        // A set-up of the last 50 ms was taken, sent on, and lost when the program halted.
+        s.ask("v1", "safe");
+        s.broker.releaseAll(s.now);
+        s.ask("v2", "paid");
+        assertEquals(1, s.count("front refused v2"));
+        assertEquals(0, s.count("box a setUp v2"));
+        // The one under way goes on, and is told its end once it stands.
+        s.broker.answered(s.now, "a", "v1", "answer");
+        assertEquals(1, s.count("front served v1"));
+        s.broker.releaseAll(s.now);
+        assertEquals(1, s.count("front over v1 RESET"));
+        assertEquals(1, s.count("box a release v1"));
+    }
+
+    @Test
+    void whoStillWaitsAtTheVeryEndIsToldAFailure() {
+        s.ask("v1", "paid");
+        s.broker.releaseAll(s.now);
+        s.broker.failAll(s.now);
+        assertEquals(1, s.count("front failed v1"));
+        assertEquals(1, s.count("box a giveUp v1"));
+        assertEquals(0, s.broker.unanswered());
+        s.broker.answered(s.now, "a", "v1", "answer");      // too late: one answer is enough
+        assertEquals(0, s.count("front served v1"));
+    }
+
     @Test
     void aServerThatIsGoneIsForgottenInTheEnd() {
         // On a day of many replacements every id that ever was stayed in the broker's table.
