Keep lines to servers within the descriptors, idle ones closed first, and blame no server for want

Seen in reading: one line a server at least, viewers up to half of the descriptors and a quarter more that are ending. With 300 servers and 512 descriptors that is 620. A socket that could not be opened ended as CONNECT_FAILED, twice in a row as 'server lost': the sessions of a healthy server were ended, and Netty told it on a thread of its own.

Cause: Edges.begin had no bound on all lines; Edges.Line.failed took every failure for the server's; Bootstrap.connect answers a failed socket() from the global executor.

Change: Config reckons viewers' part (three eighths; they hold a third) and the lines' (the rest less 32 of our own). At the bound the longest unused line goes: first of servers without sessions, then second lines, then the only line of a server with sessions where a set-up needs it; servers with sessions but no line take turns, four every half second, as their ends come on the next line that is opened. No descriptor: MOOT, and an idle line is let go; the same where a viewer could not be accepted. Datagrams' senders are looked up in a table, not by going through all peers.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -67,8 +67,8 @@
                 : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module), peers, deadlines);
         clock.onDue(broker::tick);
         edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
-                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.sockets()));
-        rtsp = new RtspFront(broker, edges, clock, deadlines, config.sockets() / 2);
+                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.lines()));
+        rtsp = new RtspFront(broker, edges, clock, deadlines, config.viewers());
     }
 
     /** Begins to serve; returns where viewers can connect. Throws IllegalStateException where it cannot. */
@@ -85,9 +85,11 @@
         if (config.peerListen() != null) {
             w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
         }
-        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept).syncUninterruptibly().channel().localAddress();
+        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom).syncUninterruptibly()
+                .channel().localAddress();
         if (hls != null) {
-            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept).syncUninterruptibly().channel().localAddress();
+            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept, w.edges::makeRoom).syncUninterruptibly()
+                    .channel().localAddress();
             LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
--- a/src/main/java/dockshed/config/Config.java
+++ b/src/main/java/dockshed/config/Config.java
@@ -28,10 +28,22 @@
             .create();
     private static final int DEFAULT_SOCKETS = 1024;
     private static final long DEFAULT_IDLE = 30_000_000;
+    /** Descriptors that are neither viewers' nor lines: standard streams, jar, archive, poll, listeners, datagrams. */
+    static final int OWN = 32;
 
     /** An event of the list that was known before the start. */
     public record Notice(long number, boolean complete, List<Listing> members) { }
 
+    /** Viewers hold a third of the descriptors at most; a little more is let in before one is turned away. */
+    public int viewers() {
+        return sockets * 3 / 8;
+    }
+
+    /** What is left for lines to edge servers; an eighth more viewers than those may be on their way out. */
+    public int lines() {
+        return Math.max(4, sockets - OWN - viewers() * 9 / 8);
+    }
+
     /** Reads what the environment names. */
     public static Config load(Map<String, String> environment) {
         String file = environment.get("EDGE_CONFIG");
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -10,6 +10,7 @@
 import dockshed.net.Clock;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
@@ -45,13 +46,15 @@
     /** From so many servers with sessions on, all falling silent at once means that reports stay out, not that all died. */
     private static final int MANY = 4;
     private static final int BACKLOG = 1000;
+    /** Lines a look that change hands where there are fewer than servers with sessions. */
+    private static final int TURNS = 4;
     /** No figure of a note or report is higher: a server runs fewer streams, and asks less of its link. */
     private static final double MOST = 100_000;
     private static final Logger LOG = LoggerFactory.getLogger(Edges.class);
 
-    /** The figures of the settings that bear on the connections; times in microseconds. */
+    /** The figures of the settings that bear on the connections; times in microseconds, {@code lines} at most in all. */
     public record Terms(long connectTimeout, long idleClose, long tell, long see, List<String> reportFields,
-                        int sockets) { }
+                        int lines) { }
 
     /** A server and the lines to it, the longest in use first. */
     private final class Box {
@@ -85,6 +88,7 @@
     private final Terms terms;
     private final Map<String, Box> boxes = new HashMap<>();
     private int mostLines = 1;
+    private int all;                // lines to all servers, those not up yet too
     private boolean oddReport;      // told once
     private long notedAt;           // when a server last wrote a note
     private long unreachedAt = -Deadlines.NEVER / 2;    // when a server with sessions last did not come up
@@ -117,8 +121,7 @@
                 boxes.remove(b.id);
             }
         }
-        // A quarter of the descriptors at most for lines; viewers have theirs, and the rest is for what comes and goes.
-        mostLines = Math.max(1, Math.min(MOST_LINES, terms.sockets() / 4 / Math.max(1, boxes.size())));
+        mostLines = Math.max(1, Math.min(MOST_LINES, terms.lines() / 2 / Math.max(1, boxes.size())));
     }
 
     /** The list tells that the process is gone: so are its sessions. */
@@ -169,8 +172,9 @@
             return;
         }
         Line line = usable(b);
-        if (line == null) {             // no socket was to be had
-            broker.ended(clock.now(), server, s.name(), Outcome.CONNECT_FAILED, LoadReport.NONE);
+        if (line == null) {             // no descriptor was to be had, which says nothing of the server
+            LOG.warn("set-up held back: server={} why=no descriptor for a line: lines={}", server, all);
+            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
         if (line.open.size() >= BACKLOG || line.up && !line.channel.isWritable()) {
@@ -269,22 +273,68 @@
     }
 
     private Line begin(Box b) {
-        if (b.at == null) {
+        if (b.at == null || all >= terms.lines() && !spare(false)) {
             return null;
         }
         Line l = new Line(b);
         b.lines.add(l);
+        all++;
         l.start();
         return l.over ? null : l;
     }
 
     private void connect(Box b) {
-        if (b.lines.isEmpty() && b.at != null) {
+        if (b.lines.isEmpty() && b.at != null && (all < terms.lines() || spare(true))) {
             b.triedAt = clock.now();
             begin(b);
         }
     }
 
+    /** Accepting or connecting failed for want of descriptors: lets one go that is idle. */
+    public void makeRoom() {
+        spare(false);
+    }
+
+    /**
+     * Ends the line that is missed least: the longest unused one of a server without sessions, then one of several,
+     * then, unless {@code kept}, the only one of a server with sessions; none with a set-up out or not up yet.
+     */
+    private boolean spare(boolean kept) {
+        Line least = null;
+        for (Box b : boxes.values()) {
+            for (Line l : b.lines) {
+                if (l.up && l.open.isEmpty() && !(kept && l.sort() == 2)
+                        && (least == null || l.sort() < least.sort()
+                        || l.sort() == least.sort() && l.usedAt < least.usedAt)) {
+                    least = l;
+                }
+            }
+        }
+        if (least != null) {
+            LOG.debug("line ended to make room: id={} lines={}", least.box.id, all);
+            drop(least);
+        }
+        return least != null;
+    }
+
+    /**
+     * Where there are more servers with sessions than lines, those without one take turns: an end that could not be
+     * sent comes on the next line that is opened.
+     */
+    private void takeTurns() {
+        if (all < terms.lines()) {
+            return;
+        }
+        List<Box> without = boxes.values().stream().filter(b -> b.hold && b.at != null && b.lines.isEmpty())
+                .sorted(Comparator.comparingLong(b -> b.triedAt)).limit(TURNS).toList();
+        for (Box b : without) {
+            if (spare(false)) {
+                b.triedAt = clock.now();
+                begin(b);
+            }
+        }
+    }
+
     /** One line is kept up where sessions stand; a server that ends each at once is not tried all the time. */
     private void keep(Box b) {
         if (b.hold && b.lines.isEmpty()) {
@@ -332,6 +382,7 @@
                 connect(b);
             }
         }
+        takeTurns();
         tryTheSilent(now);
     }
 
@@ -388,6 +439,11 @@
             this.box = box;
         }
 
+        /** What goes first where room is needed. */
+        int sort() {
+            return !box.hold ? 0 : box.lines.size() > 1 ? 1 : 2;
+        }
+
         boolean nearIdleClose(long now) {
             return up && open.isEmpty() && now - usedAt > terms.idleClose() - IDLE_MARGIN;
         }
@@ -400,7 +456,7 @@
         void start() {
             ChannelFuture coming = net.connect(box.at, (int) (terms.connectTimeout() / 1000), () -> this);
             channel = coming.channel();
-            coming.addListener(done -> {
+            net.then(coming, done -> {
                 if (over) {
                     channel.close();
                 } else if (done.isSuccess()) {
@@ -424,6 +480,14 @@
         }
 
         private void failed(Throwable why) {
+            if (why instanceof ChannelException) {      // no socket could be opened: nothing was tried
+                LOG.warn("no socket for a line: id={} lines={} why={}", box.id, all, why.toString());
+                box.lines.remove(this);
+                end(Outcome.MOOT);
+                spare(false);
+                again(box);
+                return;
+            }
             boolean refused = why instanceof java.net.ConnectException
                     && !(why instanceof io.netty.channel.ConnectTimeoutException);
             LOG.info("edge server not reached: id={} refused={} waiting={}", box.id, refused, open.size());
@@ -444,9 +508,10 @@
 
         /** No more of this line: what never left in full did not run, the rest may have. */
         void end(Outcome unwritten) {
+            all -= over ? 0 : 1;
             over = true;
             up = false;
-            if (channel != null) {
+            if (channel != null && channel.isRegistered()) {    // else it never had a socket
                 channel.close();
             }
             Map<String, Pending> left = new LinkedHashMap<>(open);
--- a/src/main/java/dockshed/peers/UdpPeers.java
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -9,7 +9,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -20,20 +22,24 @@
 
     private final List<InetSocketAddress> each;
     private final InetSocketAddress all;
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
 
     /** {@code all} may be null: then each is written to. */
     public UdpPeers(List<InetSocketAddress> each, InetSocketAddress all) {
         this.each = List.copyOf(each);
         this.all = all;
+        for (InetSocketAddress a : each) {
+            numbers.putIfAbsent(a, numbers.size());
+        }
     }
 
     public void listen(Net net, InetSocketAddress at, Broker broker, Clock clock) {
         channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                int from = each.indexOf(packet.sender());
-                if (from < 0 || packet.content().readableBytes() > LIMIT) {
+                Integer from = numbers.get(packet.sender());
+                if (from == null || packet.content().readableBytes() > LIMIT) {
                     LOG.debug("datagram from nobody known: sender={}", packet.sender());
                     return;
                 }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -105,7 +105,7 @@
                 worst = c;
             }
         }
-        if (worst == null || open.size() > mostConnections + mostConnections / 4) {
+        if (worst == null || open.size() > mostConnections + mostConnections / 8) {
             return false;
         }
         Connection chosen = worst;
--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -44,6 +44,10 @@
     }
 
     private void begin(long idleClose, long tell) {
+        begin(idleClose, tell, 256);
+    }
+
+    private void begin(long idleClose, long tell, int lines) {
         net.call(() -> {
             clock = new LoopClock(net.loop());
             Deadlines deadlines = new Deadlines(clock::wake);
@@ -53,7 +57,7 @@
             }, m -> { }, deadlines);
             clock.onDue(broker::tick);
             edges = new Edges(broker, net, clock, deadlines,
-                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), 1024));
+                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), lines));
             stage.onRequest = r -> act.send(r.id(), "a", 0);
             stage.onOutcome = id -> act.fail(id);
             stage.connection = broker.connected(clock.now(), stage, h -> { });
@@ -417,4 +421,70 @@
             assertEquals("front over v" + ids.get(i) + " OK", stage.await("front over"));
         }
     }
+
+    /** One line in all, and a second server, b. */
+    private ServerSocket scarce() throws Exception {
+        begin(30_000_000, 0, 1);
+        ServerSocket b = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        b.setSoTimeout(20_000);
+        net.call(() -> {
+            broker.members(clock.now(), "names", Director.Scope.CHANGES,
+                    List.of(new Director.Server("b", "z", "k", 0, Director.State.UP, 1, 0)));
+            edges.addresses(Map.of("a", new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    "b", new InetSocketAddress("127.0.0.1", b.getLocalPort())));
+            return null;
+        });
+        return b;
+    }
+
+    @Test
+    void anIdleLineMakesRoomForOneToAnotherServer() throws Exception {
+        // One line a server was held at least, and some hundreds of servers are more than there are descriptors.
+        try (ServerSocket b = scarce()) {
+            play("0000000000000001");
+            say("release", "0000000000000001", 16, Map.of());
+            stage.await("front over 0000000000000001");
+            stage.onRequest = r -> act.send(r.id(), "b", 0);
+            ask("0000000000000002", "safe");
+            try (Socket other = b.accept()) {
+                assertEquals(null, read(), "the idle line was ended");
+                assertEquals(1, (int) net.call(edges::lines));
+            }
+        }
+    }
+
+    @Test
+    void withoutADescriptorASetUpIsMootAndTheServerIsNotBlamed() throws Exception {
+        // It was told as a refused connection: proof that the server's process is gone, and so were its sessions.
+        try (ServerSocket b = scarce()) {
+            ask("0000000000000001", "safe");
+            accept();
+            assertEquals("setup", read().type());
+            stage.onRequest = r -> act.send(r.id(), "b", 0);
+            ask("0000000000000002", "safe");
+            stage.await("module outcome 0 b MOOT");
+            assertEquals(1, (int) net.call(edges::lines));
+        }
+    }
+
+    @Test
+    void serversWithSessionsTakeTurnsWhereLinesAreFewer() throws Exception {
+        // What a server without a line could not send comes on the next one that is opened.
+        try (ServerSocket b = scarce()) {
+            play("0000000000000001");
+            stage.onRequest = r -> act.send(r.id(), "b", 0);
+            ask("0000000000000002", "safe");
+            try (Socket other = b.accept()) {
+                String asked = new BufferedReader(new InputStreamReader(other.getInputStream(),
+                        StandardCharsets.UTF_8)).readLine();
+                assertEquals("0000000000000002", Message.read(asked).id());
+                other.getOutputStream().write(new Message("answer", "0000000000000002", Map.of(), -1, "v=0").write()
+                        .getBytes(StandardCharsets.UTF_8));
+                stage.await("front served 0000000000000002");
+                accept();                       // a's turn again, by itself
+                say("release", "0000000000000001", 16, Map.of());
+                stage.await("front over 0000000000000001");
+            }
+        }
+    }
 }
