Bring the list of servers up to date from cut and lacking answers, and from the asked server only

Seen in reading, measured on stand-in answers: an answer holds 8,000 bytes, 200 targets' SRV records fill it. An answer marked as cut was dropped whole (Names.answer: `a.cut()`), so that with some hundreds of servers a broker would never hear of a drain or a new server again. Where an answer lacks records of its targets, one query a target and type went out at once, 600 for 300 servers, and the next answer, 250 ms later, forgot what had been gathered (`partial = p`). An answer from any sender whose number fitted was taken.

Change: names.Survey, without I/O. What an answer tells counts at once, drains first of all; whoever a cut answer leaves out stays, and is asked for by name, four between two looks, gone only when it has no records; a cut answer that lost its serial takes no drain back. A new server is listed once its address and text are known, 16 questions out at a time; what was gathered is kept over the next answers. Of a known one whose text is lacking the text alone is asked for again, in turn. Answers count from the server that was asked, and to the question that was put.

--- a/src/main/java/dockshed/names/Dns.java
+++ b/src/main/java/dockshed/names/Dns.java
@@ -9,6 +9,8 @@
 /** The part of RFC 1035 and RFC 2782 that the fleet's list needs. */
 final class Dns {
     static final int A = 1, SOA = 6, TXT = 16, SRV = 33;
+    /** The response code of a name that has no records (RFC 1035, 4.1.1). */
+    static final int NO_SUCH_NAME = 3;
 
     /** Bytes that are no answer that can be used. */
     static final class Malformed extends Exception {
@@ -75,7 +77,14 @@
             List<Record> out = new ArrayList<>();
             boolean cut = (flags & 0x0200) != 0;
             for (int i = 0; i < records && !(cut && at >= in.length); i++) {
-                out.add(record());
+                try {
+                    out.add(record());
+                } catch (Malformed e) {
+                    if (!cut) {
+                        throw e;
+                    }
+                    break;          // cut within a record: those before it are whole
+                }
             }
             return new Answer(id, flags & 15, cut, question, type, out);
         }
--- a/src/main/java/dockshed/names/FleetList.java
+++ b/src/main/java/dockshed/names/FleetList.java
@@ -62,9 +62,7 @@
         List<Listing> changes = new ArrayList<>();
         for (Listing was : List.copyOf(now.values())) {
             if (!next.containsKey(was.server().id())) {
-                Server s = was.server();
-                changes.add(new Listing(new Server(s.id(), s.zone(), s.kind(), s.cell(), State.GONE, s.weight(),
-                        s.upSince()), was.at()));
+                changes.add(gone(was));
             }
         }
         for (Listing l : listings) {
@@ -75,57 +73,68 @@
         return apply(changes);
     }
 
+    /** What part of a list of this number changes; whoever it does not name stays. */
+    List<Server> part(long number, List<Listing> listings) {
+        serial = Math.max(serial, number);
+        return apply(listings.stream().filter(l -> !l.equals(now.get(l.server().id()))).toList());
+    }
+
+    /** The server has no records any more. */
+    List<Server> gone(String id) {
+        Listing was = now.get(id);
+        return was == null ? List.of() : apply(List.of(gone(was)));
+    }
+
+    Listing get(String id) {
+        return now.get(id);
+    }
+
+    List<Listing> all() {
+        return List.copyOf(now.values());
+    }
+
+    private static Listing gone(Listing was) {
+        Server s = was.server();
+        return new Listing(new Server(s.id(), s.zone(), s.kind(), s.cell(), State.GONE, s.weight(), s.upSince()), was.at());
+    }
+
     /** The serial of the list in an answer; -1 where there is none. */
     static long serial(List<Record> records) {
         return records.stream().filter(r -> r.type() == Dns.SOA).mapToLong(Record::serial).findFirst().orElse(-1);
     }
 
-    /** The targets of an answer that lack an address or a text in it. */
-    static List<String> lacking(List<Record> records, int type) {
-        Map<String, Record> have = byName(records, type);
-        return records.stream().filter(r -> r.type() == Dns.SRV && !have.containsKey(r.target()))
-                .map(Record::target).distinct().toList();
-    }
-
-    private static Map<String, Record> byName(List<Record> records, int type) {
+    static Map<String, Record> byName(List<Record> records, int type) {
         Map<String, Record> out = new HashMap<>();
         records.stream().filter(r -> r.type() == type).forEach(r -> out.put(r.name(), r));
         return out;
     }
 
-    /** The list that an answer's records make. */
-    static List<Listing> listings(List<Record> records, String service) throws Dns.Malformed {
-        Map<String, Record> addresses = byName(records, Dns.A);
-        Map<String, Record> texts = byName(records, Dns.TXT);
-        List<Listing> out = new ArrayList<>();
-        for (Record r : records) {
-            if (r.type() != Dns.SRV || !r.name().equals(service)) {
-                continue;
-            }
-            Record address = addresses.get(r.target());
-            String[] labels = r.target().split("\\.");
-            if (address == null || labels.length < 2) {
-                throw new Dns.Malformed("target without an address or a zone: " + r.target());
-            }
-            Map<String, String> facts = new HashMap<>();
-            if (texts.containsKey(r.target())) {
-                for (String text : texts.get(r.target()).texts()) {
-                    int equals = text.indexOf('=');
-                    if (equals > 0) {
-                        facts.put(text.substring(0, equals), text.substring(equals + 1));
-                    }
+    /** A server as its records tell; what {@code address} or {@code text} lacks is as {@code known}, which may be null. */
+    static Listing listing(Record service, Record address, Record text, Listing known) throws Dns.Malformed {
+        String[] labels = service.target().split("\\.");
+        if (labels.length < 2 || address == null && known == null) {
+            throw new Dns.Malformed("target without an address or a zone: " + service.target());
+        }
+        Map<String, String> facts = new HashMap<>();
+        if (text != null) {
+            for (String each : text.texts()) {
+                int equals = each.indexOf('=');
+                if (equals > 0) {
+                    facts.put(each.substring(0, equals), each.substring(equals + 1));
                 }
             }
-            try {
-                out.add(new Listing(new Server(labels[0], labels[1], facts.getOrDefault("kind", ""),
-                        Integer.parseInt(facts.getOrDefault("cell", "0")),
-                        r.priority() == 0 ? State.UP : State.DRAINING, r.weight() / WEIGHT_UNIT,
-                        Math.round(Double.parseDouble(facts.getOrDefault("started", "0")) * 1000)),
-                        new InetSocketAddress(address.address(), r.port())));
-            } catch (NumberFormatException e) {
-                throw new Dns.Malformed("text of " + r.target() + " holds no number: " + e.getMessage());
-            }
         }
-        return out;
+        Server was = text != null || known == null ? new Server("", "", "", 0, State.UP, 0, 0) : known.server();
+        try {
+            return new Listing(new Server(labels[0], labels[1], facts.getOrDefault("kind", was.kind()),
+                    facts.containsKey("cell") ? Integer.parseInt(facts.get("cell")) : was.cell(),
+                    service.priority() == 0 ? State.UP : State.DRAINING, service.weight() / WEIGHT_UNIT,
+                    facts.containsKey("started") ? Math.round(Double.parseDouble(facts.get("started")) * 1000)
+                            : was.upSince()),
+                    new InetSocketAddress(address != null ? address.address() : known.at().getHostString(),
+                            service.port()));
+        } catch (NumberFormatException e) {
+            throw new Dns.Malformed("text of " + service.target() + " holds no number: " + e.getMessage());
+        }
     }
 }
--- a/src/main/java/dockshed/names/Names.java
+++ b/src/main/java/dockshed/names/Names.java
@@ -6,14 +6,12 @@
 import dockshed.net.Clock;
 import dockshed.net.Net;
 import dockshed.names.Dns.Answer;
-import dockshed.names.Dns.Record;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,25 +35,18 @@
         void news(Scope scope, List<Server> servers, Map<String, InetSocketAddress> addresses);
     }
 
-    /** A list that still lacks records of its targets. */
-    private static final class Partial {
-        final List<Record> records;
-        final Map<Integer, String> asked = new HashMap<>();
-
-        Partial(List<Record> records) {
-            this.records = new ArrayList<>(records);
-        }
-    }
+    /** A query that is out: to whom, when, and the question by name; null for the whole list. */
+    private record Asked(InetSocketAddress to, long at, Survey.Question of) { }
 
     private final FleetList list = new FleetList();
+    private final Survey survey = new Survey(list, SERVICE);
     private final Listener listener;
     private final Clock clock;
     private final Deadlines deadlines;
     private InetSocketAddress server;
     private final Random random;
-    private final Map<Integer, Long> asked = new HashMap<>();   // by query number: when
+    private final Map<Integer, Asked> asked = new HashMap<>();      // by query number
     private Channel channel;
-    private Partial partial;
     private boolean confirmed, reached = true;
     private long answeredAt;
 
@@ -80,7 +71,7 @@
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
                 try {
-                    answer(Dns.read(Net.bytes(packet.content())));
+                    answer(Dns.read(Net.bytes(packet.content())), packet.sender());
                 } catch (Dns.Malformed e) {
                     LOG.warn("name server's answer malformed: why={}", e.getMessage());
                 }
@@ -108,69 +99,63 @@
         }
         LOG.info("name server moved: from={} to={} number={}", server, to, list.serial());
         server = to;
-        partial = null;             // what one server began the other does not finish
+        survey.moved();             // what one server began the other does not finish
         if (channel != null && channel.isActive()) {
-            query(SERVICE, Dns.SRV);
+            query(null);
         }
     }
 
     private void ask(long due) {
         long now = clock.now();
         deadlines.at(now + PERIOD, this::ask);
-        asked.values().removeIf(at -> now - at > 10 * PATIENCE);
+        asked.values().removeIf(q -> now - q.at() > 10 * PATIENCE);
         boolean was = reached;
         reached = now - answeredAt < 2 * PATIENCE;
         if (was != reached) {
             LOG.warn("name server {}", reached ? "reached again" : "out of reach: the last list stands");
         }
-        query(SERVICE, Dns.SRV);
+        query(null);
+        askMore(now);
+    }
+
+    /** What the list lacks, a few at a time. */
+    private void askMore(long now) {
+        for (Survey.Question q = survey.next(now); q != null; q = survey.next(now)) {
+            query(q);
+        }
     }
 
-    private int query(String name, int type) {
+    private void query(Survey.Question of) {
         int id = random.nextInt(1 << 16);
-        asked.put(id, clock.now());
-        channel.writeAndFlush(new DatagramPacket(Net.buf(Dns.query(id, name, type)), server));
-        return id;
+        asked.put(id, new Asked(server, clock.now(), of));
+        byte[] query = of == null ? Dns.query(id, SERVICE, Dns.SRV) : Dns.query(id, of.target(), of.type());
+        channel.writeAndFlush(new DatagramPacket(Net.buf(query), server));
     }
 
-    private void answer(Answer a) throws Dns.Malformed {
-        if (asked.remove(a.id()) == null || a.code() != 0 || a.cut()) {
+    private void answer(Answer a, InetSocketAddress from) throws Dns.Malformed {
+        Asked q = asked.get(a.id());
+        if (q == null || !q.to().equals(from)) {
+            LOG.debug("name server's answer to no query: from={} id={}", from, a.id());
             return;
         }
-        answeredAt = clock.now();
-        if (a.type() == Dns.SRV && a.question().equals(SERVICE)) {
-            if (FleetList.serial(a.records()) < 0) {
-                throw new Dns.Malformed("list without a serial");
-            }
-            Partial p = new Partial(a.records());
-            for (int type : new int[] {Dns.A, Dns.TXT}) {
-                for (String target : FleetList.lacking(a.records(), type)) {
-                    p.asked.put(query(target, type), target);
-                }
-            }
-            partial = p;
-        } else if (partial != null && partial.asked.remove(a.id()) != null) {
-            partial.records.addAll(a.records());
+        String name = q.of() == null ? SERVICE : q.of().target();
+        if (!a.question().equals(name) || a.type() != (q.of() == null ? Dns.SRV : q.of().type())) {
+            throw new Dns.Malformed("answers another question than was asked: " + a.question());
         }
-        if (partial != null && partial.asked.isEmpty()) {
-            List<Record> records = partial.records;
-            partial = null;
-            take(records);
-        }
-    }
-
-    private void take(List<Record> records) throws Dns.Malformed {
-        long number = FleetList.serial(records);
-        if (number == list.serial() && confirmed) {
-            return;
+        asked.remove(a.id());
+        if (a.code() != 0 && (q.of() == null || a.code() != Dns.NO_SUCH_NAME)) {
+            return;                 // its own trouble: asked again
         }
+        answeredAt = clock.now();
         long before = list.serial();
-        List<Server> changes = list.whole(number, FleetList.listings(records, SERVICE));
-        if (changes == null) {
-            return;                 // a late answer
+        List<Server> changes = q.of() == null ? survey.whole(a) : survey.reply(q.of(), a);
+        boolean whole = survey.settled();
+        if (changes != null && (!changes.isEmpty() || whole && (list.serial() != before || !confirmed))) {
+            confirmed |= whole;
+            LOG.info("list of edge servers: number={} before={} changed={}{}", list.serial(), before, changes.size(),
+                    a.cut() ? " cut" : "");
+            listener.news(Scope.CHANGES, changes, list.addresses());
         }
-        confirmed = true;
-        LOG.info("list of edge servers: number={} before={} changed={}", number, before, changes.size());
-        listener.news(Scope.CHANGES, changes, list.addresses());
+        askMore(clock.now());
     }
 }
--- /dev/null
+++ b/src/main/java/dockshed/names/Survey.java
@@ -0,0 +1,213 @@
+package dockshed.names;
+
+import dockshed.Director.Server;
+import dockshed.names.Dns.Answer;
+import dockshed.names.Dns.Record;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Brings the fleet's list up to date from answers that may lack records or be cut: what is told counts at once, what is
+ * lacking is asked for by name, a few at a time, and a server's absence from a cut answer is never taken for its end. No I/O.
+ *
+ * <p>A new server is listed once its address and its text are known, as without a cell nothing may be sent there. Of one
+ * that is known the address stands, since another machine has another id; its text is asked for again in turn, as it
+ * tells of a restart.
+ */
+final class Survey {
+    /** Questions out at a time: a fleet's brokers ask the same service, and its answers to the list must not wait. */
+    static final int AT_ONCE = 16;
+    /** Of them, those between two looks that ask for what is known already. */
+    static final int REFRESHED = 4;
+    /** A question unanswered for so long is put again. */
+    static final long PATIENCE = 1_000_000;
+    /** Targets of one list at most: as many as the program bears, four times over. */
+    static final int MOST_TARGETS = 4096;
+
+    record Question(String target, int type) { }
+
+    /** What an answer to the list says of a target: its SRV record, and the others as far as they are known. */
+    private static final class Target {
+        final Record service;
+        Record address, text;
+
+        Target(Record service) {
+            this.service = service;
+        }
+    }
+
+    private final FleetList list;
+    private final String service;
+    private final Map<String, Target> targets = new LinkedHashMap<>();
+    private final Set<Question> needed = new LinkedHashSet<>(), refreshed = new LinkedHashSet<>();
+    private final Map<Question, Long> out = new HashMap<>();
+    private long number = -1;
+    private boolean settled;
+    private int budget;
+
+    Survey(FleetList list, String service) {
+        this.list = list;
+        this.service = service;
+    }
+
+    /** An answer to the question for the whole list: what changes by it; null where it is of no use or older than known. */
+    List<Server> whole(Answer a) throws Dns.Malformed {
+        long told = FleetList.serial(a.records());
+        boolean undated = told < 0;
+        if (undated && !a.cut()) {
+            throw new Dns.Malformed("list without a serial");
+        }
+        if (undated) {
+            told = Math.max(number, list.serial());     // what was cut off may be the serial
+        }
+        budget = REFRESHED;
+        if (told < list.serial() || told == number && settled) {
+            return told < list.serial() ? null : List.of();
+        }
+        boolean news = told != number;
+        if (news) {
+            number = told;
+            needed.clear();
+            refreshed.clear();
+        }
+        Map<String, Record> addresses = FleetList.byName(a.records(), Dns.A);
+        Map<String, Record> texts = FleetList.byName(a.records(), Dns.TXT);
+        Set<String> named = new HashSet<>();
+        for (Record r : a.records()) {
+            if (r.type() != Dns.SRV || !r.name().equals(service) || targets.size() >= MOST_TARGETS) {
+                continue;
+            }
+            Target was = targets.get(r.target());
+            Target t = new Target(r);
+            t.address = addresses.getOrDefault(r.target(), was == null ? null : was.address);
+            t.text = texts.getOrDefault(r.target(), was == null ? null : was.text);
+            targets.put(r.target(), t);
+            named.add(r.target());
+            boolean known = list.get(id(r.target())) != null;
+            if (t.address == null && !known) {
+                need(needed, r.target(), Dns.A);
+            }
+            if (!texts.containsKey(r.target()) && (known ? news || was == null : t.text == null)) {
+                need(known ? refreshed : needed, r.target(), Dns.TXT);
+            }
+        }
+        List<Listing> listings = new ArrayList<>();
+        for (String target : named) {
+            Listing l = listing(targets.get(target));
+            Listing was = l == null ? null : list.get(l.server().id());
+            // One without a date may be late: it takes no drain back.
+            if (l != null && !(undated && was != null && was.server().state().compareTo(l.server().state()) > 0)) {
+                listings.add(l);
+            }
+        }
+        if (a.cut()) {
+            if (news) {
+                absent(named);
+            }
+            return list.part(told, listings);
+        }
+        targets.keySet().retainAll(named);
+        settled = needed.isEmpty() && refreshed.isEmpty() && out.isEmpty();
+        return list.whole(told, listings);
+    }
+
+    private void need(Set<Question> among, String target, int type) {
+        Question q = new Question(target, type);
+        if (!out.containsKey(q)) {
+            among.add(q);
+        }
+    }
+
+    /** Of the servers that a cut answer does not name: whether they have an address still. */
+    private void absent(Set<String> named) {
+        String suffix = named.stream().map(n -> n.split("\\.", 3)).filter(l -> l.length == 3).map(l -> "." + l[2])
+                .findFirst().orElse("");
+        for (Listing l : list.all()) {
+            String target = l.server().id() + "." + l.server().zone() + suffix;
+            if (!suffix.isEmpty() && !named.contains(target)) {
+                need(refreshed, target, Dns.A);
+            }
+        }
+    }
+
+    /** An answer to a question by name: what changes by it. */
+    List<Server> reply(Question q, Answer a) throws Dns.Malformed {
+        out.remove(q);
+        Record r = FleetList.byName(a.records(), q.type()).get(q.target());
+        Target t = targets.get(q.target());
+        if (r == null && q.type() == Dns.A) {       // one that is gone has no records
+            targets.remove(q.target());
+            return list.gone(id(q.target()));
+        }
+        if (t == null) {
+            return List.of();       // only absent from a cut answer, and there still
+        }
+        if (q.type() == Dns.A) {
+            t.address = r;
+        } else {
+            t.text = r != null ? r : new Record(q.target(), Dns.TXT, 0, 0, 0, null, null, List.of(), 0);
+        }
+        Listing l = listing(t);
+        settled = needed.isEmpty() && refreshed.isEmpty() && out.isEmpty();
+        return l == null ? List.of() : list.part(number, List.of(l));
+    }
+
+    /** The next question to be put now, or null. */
+    Question next(long now) {
+        for (Map.Entry<Question, Long> e : out.entrySet()) {
+            if (now - e.getValue() > PATIENCE) {
+                e.setValue(now);
+                return e.getKey();
+            }
+        }
+        if (out.size() >= AT_ONCE) {
+            return null;
+        }
+        Question q = null;
+        if (!needed.isEmpty()) {
+            q = needed.iterator().next();
+            needed.remove(q);
+        } else if (!refreshed.isEmpty() && budget > 0) {
+            budget--;
+            q = refreshed.iterator().next();
+            refreshed.remove(q);
+        }
+        if (q != null) {
+            out.put(q, now);
+        }
+        return q;
+    }
+
+    /** Whether all of the last list is known. */
+    boolean settled() {
+        return settled;
+    }
+
+    /** Another server is asked from now on: what was out is put to it as its list wants. */
+    void moved() {
+        out.clear();
+        needed.clear();
+        refreshed.clear();
+        number = -1;
+        settled = false;
+    }
+
+    /** What is known of the target as a server of the list; null while it lacks what it can't do without. */
+    private Listing listing(Target t) throws Dns.Malformed {
+        Listing known = list.get(id(t.service.target()));
+        if (known == null && (t.address == null || t.text == null)) {
+            return null;
+        }
+        return FleetList.listing(t.service, t.address, t.text, known);
+    }
+
+    private static String id(String target) {
+        return target.split("\\.", 2)[0];
+    }
+}
--- a/src/test/java/dockshed/names/DnsTest.java
+++ b/src/test/java/dockshed/names/DnsTest.java
@@ -26,7 +26,7 @@
     static final class Packet {
         private final ByteArrayOutputStream out = new ByteArrayOutputStream();
         private final Map<String, Integer> seen = new HashMap<>();
-        private int records;
+        private int records, flags = 0x8400;
 
         Packet(int id, String question, int type) {
             u16(id).u16(0x8400).u16(1).u16(0).u16(0).u16(0);
@@ -92,8 +92,22 @@
                     .u16(serial >> 16).u16(serial).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1));
         }
 
+        Packet code(int code) {
+            flags |= code;
+            return this;
+        }
+
+        /** Marked as cut, and so many bytes long at most. */
+        byte[] cut(int limit) {
+            flags |= 0x0200;
+            return Arrays.copyOf(bytes(), Math.min(limit, bytes().length));
+        }
+
         byte[] bytes() {
             byte[] all = out.toByteArray();
+            all[2] = (byte) (flags >> 8);
+            all[3] = (byte) flags;
+            all[6] = (byte) (records >> 8);
             all[7] = (byte) records;
             return all;
         }
@@ -118,20 +132,14 @@
         Dns.Answer a = Dns.read(fleet());
         assertEquals(7, a.id());
         assertEquals(70_000, FleetList.serial(a.records()));
+        FleetList list = new FleetList();
+        Survey survey = new Survey(list, Names.SERVICE);
+        assertEquals(2, survey.whole(a).size());
         assertEquals(List.of(
                 new Listing(new Server("s-1", "east", "std", 2, State.UP, 4, 0), new InetSocketAddress("127.0.0.9", 5080)),
                 new Listing(new Server("s-2", "west", "big", 3, State.DRAINING, 1.5, 1_500_500),
-                        new InetSocketAddress("127.0.0.10", 5081))),
-                FleetList.listings(a.records(), Names.SERVICE));
-        assertEquals(List.of(), FleetList.lacking(a.records(), Dns.A));
-    }
-
-    @Test
-    void targetsWithoutAddressAreNamed() throws Exception {
-        List<Dns.Record> records = Dns.read(new Packet(1, Names.SERVICE, Dns.SRV)
-                .srv("s-1.east.hosts", 0, 40, 5080).soa(1).bytes()).records();
-        assertEquals(List.of("s-1.east.hosts"), FleetList.lacking(records, Dns.A));
-        assertThrows(Dns.Malformed.class, () -> FleetList.listings(records, Names.SERVICE));
+                        new InetSocketAddress("127.0.0.10", 5081))), list.all());
+        assertNull(survey.next(0), "nothing is lacking");
     }
 
     @Test
--- a/src/test/java/dockshed/names/NamesTest.java
+++ b/src/test/java/dockshed/names/NamesTest.java
@@ -88,6 +88,18 @@
         assertEquals("CHANGES [a GONE] [b]", news());
     }
 
+    @Test
+    void whatAStrangerAnswersAndWhatAnswersAnotherQuestionIsPassedOver() throws Exception {
+        int id = query();
+        try (DatagramSocket stranger = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))) {
+            byte[] bytes = list(id, 9, "x").bytes();
+            stranger.send(new DatagramPacket(bytes, bytes.length, last.getSocketAddress()));
+        }
+        answer(new Packet(id, "x.east.hosts", Dns.A).a("x.east.hosts", 3).bytes());
+        answer(list(id, 1, "a").bytes());
+        assertEquals("CHANGES [a UP] [a]", news());
+    }
+
     @Test
     void aLateAnswerThatWasOvertakenChangesNothing() throws Exception {
         int late = query();
