--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -248,7 +248,7 @@
     // ---- Lines.
 
     /** Lines to all servers, for tests. */
-    int lines() {
+    public int lines() {
         return boxes.values().stream().mapToInt(b -> b.lines.size()).sum();
     }
 
--- a/src/main/java/dockshed/peers/UdpPeers.java
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -29,17 +29,22 @@
     public UdpPeers(List<InetSocketAddress> each, InetSocketAddress all) {
         this.each = List.copyOf(each);
         this.all = all;
-        for (InetSocketAddress a : each) {
-            numbers.putIfAbsent(a, numbers.size());
+        for (int i = 0; i < each.size(); i++) {
+            numbers.putIfAbsent(each.get(i), i);
         }
     }
 
+    /** The number of the broker that sends from there; -1: none does. */
+    public int number(InetSocketAddress sender) {
+        return numbers.getOrDefault(sender, -1);
+    }
+
     public void listen(Net net, InetSocketAddress at, Broker broker, Clock clock) {
         channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                Integer from = numbers.get(packet.sender());
-                if (from == null || packet.content().readableBytes() > LIMIT) {
+                int from = number(packet.sender());
+                if (from < 0 || packet.content().readableBytes() > LIMIT) {
                     LOG.debug("datagram from nobody known: sender={}", packet.sender());
                     return;
                 }
--- /dev/null
+++ b/src/test/java/dockshed/CapacityTest.java
@@ -0,0 +1,121 @@
+package dockshed;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.Director.Scope;
+import dockshed.Director.Server;
+import dockshed.config.Config;
+import dockshed.config.ConfigTest;
+import dockshed.core.Broker;
+import dockshed.core.Deadlines;
+import dockshed.core.Stage;
+import dockshed.core.Wish;
+import dockshed.edge.Edges;
+import dockshed.net.LoopClock;
+import dockshed.net.Net;
+import dockshed.peers.UdpPeers;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** 1,024 servers and as many brokers, and one more of each: no list is cut, nothing stands still, lines keep to their bound. */
+class CapacityTest {
+    @TempDir
+    Path dir;
+
+    private Config config(int count) throws Exception {
+        StringBuilder members = new StringBuilder(), peers = new StringBuilder();
+        for (int i = 0; i < count; i++) {
+            members.append(i == 0 ? "" : ",").append(String.format("{\"id\":\"s-%08x\",\"host_port\":\"127.0.%d.%d:5080\","
+                    + "\"locality\":\"east\",\"flavor\":\"std\",\"cell\":%d,\"phase\":\"active\",\"size\":4,\"up_since_ms\":0}",
+                    i, i / 250, i % 250 + 1, i % 3));
+            peers.append(i == 0 ? "" : ",").append(String.format("\"127.1.%d.%d:7946\"", i / 250, i % 250 + 1));
+        }
+        String text = ConfigTest.WHOLE.replaceFirst("(?s)\"notices\":.*?}]}}]", "\"notices\":[{\"rev\":1,\"pool\":"
+                + "{\"revision\":1,\"complete\":true,\"members\":[" + members + "]}}]")
+                .replace("\"peers\":[\"127.0.0.1:7946\"]", "\"peers\":[" + peers + "]")
+                .replace("\"balancers\":2", "\"balancers\":" + count);
+        return Config.load(Map.of("EDGE_CONFIG", Files.writeString(dir.resolve("c.json"), text).toString()));
+    }
+
+    @Test
+    void aListOfSomeHundredsIsReadWholeAndServed() throws Exception {
+        for (int count : new int[] {1024, 1025}) {
+            Config c = config(count);
+            List<Server> servers = c.known().get(0).members().stream().map(l -> l.server()).toList();
+            assertEquals(count, servers.size());
+            assertEquals(count, c.peers().size());
+            Stage stage = new Stage();
+            Choice[] module = {null};
+            Broker broker = new Broker(c.settings(), a -> module[0] = new Choice(c.settings(), 1, a), m -> { },
+                    stage.deadlines);
+            broker.members(stage.now, "names", Scope.DISK, servers);
+            broker.members(stage.now, "names", Scope.CHANGES, List.of());
+            assertEquals(count, module[0].known());
+            long connection = broker.connected(stage.now, stage, h -> { });
+            for (int i = 0; i < 300; i++) {
+                String name = "v" + i;
+                broker.request(stage.now, connection, stage, stage, new Wish(name, "paid", "viewer" + i, "t", 3_000_000,
+                        0, 0, 3, 1, false, false, false, "sdp"));
+                String sent = stage.log.get(stage.log.size() - 1);
+                assertTrue(sent.contains(" setUp " + name + " "), sent);
+                broker.answered(stage.now, sent.split(" ")[1], name, "answer");
+                stage.pass(10_000);
+            }
+            assertEquals(300, broker.counts().served);
+            broker.members(stage.now, "names", Scope.SNAPSHOT, servers.subList(0, count / 2));
+            broker.lost(stage.now, stage, servers.get(0).id(), stage.now);
+        }
+    }
+
+    @Test
+    void linesToServersWithSessionsKeepToTheirBound() throws Exception {
+        // One line a server, whatever the descriptors: beyond their limit no viewer could be accepted.
+        Net net = new Net();
+        try (ServerSocket all = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Stage stage = new Stage();
+            Edges edges = net.call(() -> {
+                LoopClock clock = new LoopClock(net.loop());
+                Deadlines deadlines = new Deadlines(clock::wake);
+                clock.onDue(deadlines::run);
+                Edges made = new Edges(stage.broker, net, clock, deadlines,
+                        new Edges.Terms(250_000, 30_000_000, 0, 0, List.of(), 8));
+                Map<String, InetSocketAddress> at = new TreeMap<>();
+                for (int i = 0; i < 1025; i++) {
+                    at.put("s-" + i, new InetSocketAddress("127.0.0.1", all.getLocalPort()));
+                }
+                made.addresses(at);
+                return made;
+            });
+            for (int i = 0; i < 1025; i++) {
+                String id = "s-" + i;
+                assertTrue((int) net.call(() -> {
+                    edges.hold(id, true);
+                    return edges.lines();
+                }) <= 8);
+            }
+        } finally {
+            net.close();
+        }
+    }
+
+    @Test
+    void peersOfAFullTierAreToldApart() throws Exception {
+        List<InetSocketAddress> peers = new ArrayList<>();
+        for (int i = 0; i < 1025; i++) {
+            peers.add(new InetSocketAddress("127.1." + i / 250 + "." + (i % 250 + 1), 7946));
+        }
+        UdpPeers all = new UdpPeers(peers, null);
+        assertEquals(1024, all.number(peers.get(1024)));
+        assertEquals(-1, all.number(new InetSocketAddress("127.9.9.9", 7946)));
+    }
+}
--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -94,6 +94,38 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void aTrickleThatDoesNotStopAndASecondSigtermChangeNothingAtThePlannedEnd() throws Exception {
+        // It waited for the trickle to end before it told anybody; a set-up of its last moment was taken and lost.
+        start(ConfigTest.WHOLE, "serve");
+        int port = port(line("serving:"));
+        int asked = 0, refused = 0;
+        try (Socket s = new Socket("127.0.0.1", port)) {
+            assertEquals(200, ask(s, TEST).status());
+            process.toHandle().destroy();
+            line("planned end begun");
+            process.toHandle().destroy();
+            while (true) {
+                Headed answer;
+                try {
+                    answer = ask(s, String.format("SETUP rtsp://media/t RTSP/1.0\r\nSession: %016x\r\n"
+                            + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 5\r\n\r\nv=0\r\n", ++asked));
+                } catch (java.net.SocketException e) {
+                    answer = null;      // it came when the program was no more
+                }
+                if (answer == null) {
+                    break;
+                }
+                assertTrue(answer.status() == 453 || answer.status() == 503, answer.first());
+                refused++;
+            }
+        }
+        assertEquals(asked - 1, refused, "one whole answer each, but to the one that found nobody");
+        assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+        assertEquals(0, process.exitValue());
+        assertTrue(refused > 1);
+    }
+
     @Test
     void sighupReadsTheConfigurationAgainAndABadFileLeavesTheOldOne() throws Exception {
         // Without a handler a JVM takes SIGHUP for the planned end.
