--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -182,6 +182,8 @@
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
+        LOG.debug("set-up out: session={} server={} left={} line={}", s.name(), server, s.left(),
+                line.up ? "up" : "new");
         Pending p = new Pending(text);
         line.open.put(s.name(), p);
         if (line.up) {
@@ -191,6 +193,7 @@
 
     @Override
     public void giveUp(String server, String name) {
+        LOG.debug("set-up given up: session={} server={}", name, server);
         Box b = boxes.get(server);
         if (b == null) {
             return;
@@ -576,6 +579,9 @@
     private void message(Line line, Message m) throws Message.Malformed {
         long now = clock.now();
         String server = line.box.id;
+        if (!m.type().equals("note")) {
+            LOG.debug("from server: id={} session={} type={} cause={}", server, m.id(), m.type(), m.cause());
+        }
         switch (m.type()) {
             case "answer" -> {
                 if (line.open.containsKey(m.id())) {    // else a second copy, or what nobody has asked for
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -250,6 +250,8 @@
 
         @Override
         protected void closed(ChannelHandlerContext ctx, boolean reset) {
+            LOG.debug("viewer's connection ended: remote={} reset={} open={}", ctx.channel().remoteAddress(), reset,
+                    setUps);
             leave();
         }
     }
@@ -268,6 +270,7 @@
         switch (m.word(0)) {
             case "SETUP" -> setUp(c, m);
             case "TEARDOWN" -> {
+                LOG.debug("torn down by its viewer: session={} reason={}", m.header("session"), m.header("reason"));
                 c.setUps.remove(m.header("session", ""));
                 broker.leave(clock.now(), m.header("session", ""));
                 reply(ch, 200, "OK", m);
@@ -302,6 +305,7 @@
             return;
         }
         c.setUps.add(wish.name());
+        LOG.debug("set-up taken: session={} remote={}", wish.name(), c.channel.remoteAddress());
         if (!broker.request(clock.now(), c.handle, this, servers, wish)) {
             c.setUps.remove(wish.name());
             c.fault("session held already, class unknown, or a figure out of range", m);
@@ -355,6 +359,7 @@
 
     private void answer(long connection, String name, int code, String phrase, byte[] body, Map<String, String> more) {
         Connection c = channels.get(connection);
+        LOG.debug("set-up answered: session={} code={} connection={}", name, code, c == null ? "gone" : "up");
         if (c != null) {
             answer(c, name, code, phrase, body, more);
         } else if (code == 200) {
@@ -382,6 +387,7 @@
         if (c == null) {
             return;
         }
+        LOG.debug("told: method={} session={} reason={}", method, name, reason);
         c.usedAt = clock.now();
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("CSeq", method.equals("TEARDOWN") ? "2" : "4");
