Let a SIGHUP that comes while the program starts wait until it can be obeyed

Seen in reading and by a probe: SIGHUP's handler was set at the end of Wiring.start, and until then a JVM takes SIGHUP for the planned end, or dies of it. A broker that is restarted while a new configuration moves discovery would not come up.

An ignored signal in the shell was ruled out: the JVM then never takes a handler for it.

Change: Main takes SIGHUP over before it reads anything; one that came early is obeyed once the list is there.

--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -4,6 +4,7 @@
 import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
 import dockshed.config.OperatorConfig;
+import dockshed.net.Signals;
 import dockshed.simhost.SimHost;
 import java.nio.file.Path;
 import java.util.HashMap;
@@ -37,6 +38,7 @@
             System.err.println("usage: java -jar dockshed.jar serve [--hls FILE] [--conf FILE] | simhost | rehearse FILE");
             System.exit(2);
         }
+        Signals.expectHangUps();
         try {
             Wiring.start(Config.load(System.getenv()),
                     files.containsKey("--hls") ? HlsConfig.load(files.get("--hls")) : null,
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -11,6 +11,10 @@
     private static final long LOOK = 10_000;
     private static final Logger LOG = LoggerFactory.getLogger(Signals.class);
 
+    /** What a SIGHUP runs; whether one came before that was known. */
+    private static Runnable hungUp;
+    private static boolean early;
+
     private final Net net;
     private final Clock clock;
     private final Deadlines deadlines;
@@ -39,12 +43,31 @@
         }, "planned-end"));
     }
 
-    /**
-     * Runs something at each SIGHUP, which would end the program otherwise; not on the loop's thread, so that reading
-     * a file holds nobody up.
-     */
+    /** From now on a SIGHUP no longer ends the program; one that comes before {@link #onHangUp} waits for it. */
+    public static void expectHangUps() {
+        Signal.handle(new Signal("HUP"), signal -> {
+            Runnable what;
+            synchronized (Signals.class) {
+                what = hungUp;
+                early |= what == null;
+            }
+            if (what != null) {
+                what.run();
+            }
+        });
+    }
+
+    /** Runs something at each SIGHUP; not on the loop's thread, so that reading a file holds nobody up. */
     public static void onHangUp(Runnable what) {
-        Signal.handle(new Signal("HUP"), signal -> what.run());
+        boolean waits;
+        synchronized (Signals.class) {
+            hungUp = what;
+            waits = early;
+            early = false;
+        }
+        if (waits) {
+            what.run();
+        }
     }
 
     private void begin(long told) {
--- a/src/test/java/dockshed/net/SignalsTest.java
+++ b/src/test/java/dockshed/net/SignalsTest.java
@@ -1,12 +1,16 @@
 package dockshed.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dockshed.net.PlannedEnd.Step;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.IntPredicate;
 import org.junit.jupiter.api.Test;
+import sun.misc.Signal;
 
 /** The steps of a planned end, told at 0; times in milliseconds. */
 class SignalsTest {
@@ -56,4 +60,14 @@
         assertEquals(List.of("1850 TELL", "1930 TELL_AGAIN", "1980 HALT"),
                 steps(1400, ms -> ms >= 1840 && ms < 1930, ms -> false));
     }
+
+    @Test
+    void aHangUpThatComesBeforeItIsKnownWhatToDoWaitsForThat() throws Exception {
+        // In the first moments of a start it ended the program: a broker restarted while the list moved never came up.
+        Signals.expectHangUps();
+        Signal.raise(new Signal("HUP"));
+        CountDownLatch heard = new CountDownLatch(1);
+        Signals.onHangUp(heard::countDown);
+        assertTrue(heard.await(20, TimeUnit.SECONDS));
+    }
 }
