--- a/src/main/java/dockshed/net/LoopClock.java
+++ b/src/main/java/dockshed/net/LoopClock.java
@@ -5,12 +5,18 @@
 import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongConsumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Unix time in microseconds that never goes back, and one wake-up on the event loop. */
 public final class LoopClock implements Clock {
     private static final long START = micros(Instant.now());
     private static final long NANOS = System.nanoTime();
 
+    /** Microseconds: answers go out 10 ms before viewers' time is up, and are lost half a second after it. */
+    private static final long LATE = 100_000;
+    private static final Logger LOG = LoggerFactory.getLogger(LoopClock.class);
+
     private final EventLoop loop;
     private LongConsumer due;
     private ScheduledFuture<?> armed;
@@ -45,7 +51,11 @@
         armed = loop.schedule(() -> {
             armed = null;
             armedFor = Long.MAX_VALUE;
-            due.accept(now());
+            long now = now();
+            if (now - at > LATE) {
+                LOG.warn("loop late: ms={}", (now - at) / 1000);
+            }
+            due.accept(now);
         }, Math.max(0, at - now()), TimeUnit.MICROSECONDS);
     }
 }
