Collect the broker's calls in one place, and keep one state less at a planned end

Read once more, behaviour as it was. Broker spelled out four times how to copy the calls that meet a condition (disconnected, lost, releaseAll, failAll): now `calls(which)`. PlannedEnd held two times of which one was only a flag for the other.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -20,6 +20,7 @@
 import java.util.Set;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -205,13 +206,7 @@
             return;
         }
         event(at, t -> {
-            List<Call> left = new ArrayList<>();
-            calls.each(call -> {
-                if (call.connection == connection && !call.stands) {
-                    left.add(call);
-                }
-            });
-            left.forEach(this::abandon);
+            calls(call -> call.connection == connection && !call.stands).forEach(this::abandon);
             for (Told told : c.told) {
                 if (t - told.at() < MAYBE_UNHEARD) {
                     tellEnd(told.owed(), 0);
@@ -389,12 +384,8 @@
     /** The server's process is gone, and its sessions of this adapter that began before {@code since} with it. */
     public void lost(long at, Servers via, String server, long since) {
         event(at, t -> {
-            List<Call> broken = new ArrayList<>();
-            calls.each(call -> {
-                if (call.stands && call.via == via && call.box.id.equals(server) && call.stoodSince < since) {
-                    broken.add(call);
-                }
-            });
+            List<Call> broken = calls(call -> call.stands && call.via == via && call.box.id.equals(server)
+                    && call.stoodSince < since);
             if (!broken.isEmpty()) {
                 LOG.warn("server lost: id={} sessions={}", server, broken.size());
             }
@@ -502,13 +493,7 @@
     public void releaseAll(long at) {
         event(at, t -> {
             ending = true;
-            List<Call> all = new ArrayList<>();
-            calls.each(call -> {
-                if (call.stands) {
-                    all.add(call);
-                }
-            });
-            for (Call call : all) {
+            for (Call call : calls(c -> c.stands)) {
                 call.via.release(call.box.id, call.wish.name());
                 tellEnd(new Owed(call.front, call.wish.name(), Outcome.RESET, t + TELL_WITHIN), call.connection);
                 end(call, Outcome.RESET, LoadReport.NONE);
@@ -519,13 +504,7 @@
     /** At the very end: whoever still waits is told that its request has failed, rather than nothing. */
     public void failAll(long at) {
         event(at, t -> {
-            List<Call> waiting = new ArrayList<>();
-            calls.each(call -> {
-                if (!call.answered) {
-                    waiting.add(call);
-                }
-            });
-            for (Call call : waiting) {
+            for (Call call : calls(c -> !c.answered)) {
                 fail(call.id);
                 director.gone(t, call.id);
             }
@@ -662,6 +641,17 @@
         return call;
     }
 
+    /** Those that meet a condition, copied: what is done with one may remove it. */
+    private List<Call> calls(Predicate<Call> which) {
+        List<Call> out = new ArrayList<>();
+        calls.each(call -> {
+            if (which.test(call)) {
+                out.add(call);
+            }
+        });
+        return out;
+    }
+
     private Call call(String id) {
         return calls.get(Long.parseUnsignedLong(id, 16));
     }
--- a/src/main/java/dockshed/net/PlannedEnd.java
+++ b/src/main/java/dockshed/net/PlannedEnd.java
@@ -22,7 +22,7 @@
 
     private final long told, tellAt, failAt, haltAt;
     private boolean ends, failed;
-    private long answeredAt = -1, quietSince = -1;
+    private long quietSince = -1;   // -1: something is unanswered, or was when last asked
 
     /** {@code told}: when SIGTERM came; {@code longest}: the longest time that a viewer waits. */
     PlannedEnd(long told, long longest) {
@@ -50,15 +50,14 @@
             return Step.HALT;
         }
         if (unanswered > 0) {
-            answeredAt = -1;
+            quietSince = -1;
             if (now < failAt || failed) {
                 return Step.WAIT;
             }
             failed = true;
             return Step.FAIL;
         }
-        if (answeredAt < 0) {
-            answeredAt = now;
+        if (quietSince < 0) {
             quietSince = now;
             return Step.TELL_AGAIN;     // those answered since the first time
         }
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -78,8 +78,8 @@
 
     private void look(long due) {
         long now = clock.now();
-        PlannedEnd.Step step = end.step(now, broker.unanswered(), net.unwritten());
-        switch (step) {
+        boolean unwritten = net.unwritten();
+        switch (end.step(now, broker.unanswered(), unwritten)) {
             case WAIT -> { }
             case TELL -> {
                 LOG.info("planned end: ms={} unanswered={} standing={} {}", (now - end.told()) / 1000,
@@ -92,7 +92,7 @@
             }
             case TELL_AGAIN -> broker.releaseAll(now);
             case HALT -> {
-                if (net.unwritten()) {
+                if (unwritten) {
                     LOG.warn("planned end: not everything could be written: ms={}", (now - end.told()) / 1000);
                 }
                 Runtime.getRuntime().halt(0);
