Answer what is open before a connection ends, pass over lines that have died

Cause: a connection that we end (half or malformed message, faults, an internal error) was left at once, and set-ups taken whole on it never had an answer (RtspFront.spoilt -> end -> leave). It takes nothing more now, answers what is open, then ends its output once that is written; a close for room no longer throws away what the viewer has not read yet.

When a process dies the system resets all lines to it, and Netty tells them one after the other: until then usable() gave out lines whose channels were down ('set-up held back ... open=0 why=server does not read'), and a request spent its attempts on them within a millisecond. Such lines are passed over.

core.Trail keeps the last steps of requests in a ring and writes them down at a bad end only.

Each test fails without its fix.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -124,6 +124,7 @@
     private long now;
     private int unanswered;
     private final Counts counts = new Counts();
+    private final Trail trail = new Trail();
 
     /** What has happened since the start, for the log. */
     public static final class Counts {
@@ -486,6 +487,11 @@
         return counts;
     }
 
+    /** Where adapters book the steps of a request. */
+    public Trail trail() {
+        return trail;
+    }
+
     /**
      * At a planned end: takes nothing more (what comes is turned away at once), and tells every viewer and server that
      * its session is over. What is unanswered goes on; called again, it tells what has come to stand meanwhile.
@@ -742,6 +748,7 @@
             attemptTimedOut(call);
         }
         if (!call.answered) {       // the module holds it still
+            trail.bad(call.wish.name(), "out of time, unanswered by the module");
             fail(call.id);
             director.gone(now, call.id);
         }
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -178,12 +178,14 @@
             return;
         }
         if (line.open.size() >= BACKLOG || line.up && !line.channel.isWritable()) {
+            broker.trail().add(clock.now(), s.name(), "held-back", server);
             LOG.warn("set-up held back: server={} open={} why=server does not read", server, line.open.size());
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
         LOG.debug("set-up out: session={} server={} left={} line={}", s.name(), server, s.left(),
                 line.up ? "up" : "new");
+        broker.trail().add(clock.now(), s.name(), line.up ? "out" : "out-on-new-line", server);
         Pending p = new Pending(text);
         line.open.put(s.name(), p);
         if (line.up) {
@@ -200,6 +202,9 @@
         }
         for (Line l : List.copyOf(b.lines)) {
             Pending p = l.open.remove(name);
+            if (p != null) {
+                broker.trail().add(clock.now(), name, "given-up", server);
+            }
             if (p == null || !l.up) {
                 continue;
             }
@@ -220,7 +225,7 @@
 
     /** Sends at once, or once a line is up. */
     private void tell(Box b, Message m) {
-        Line up = b.lines.stream().filter(l -> l.up).max(Comparator.comparing((Line l) -> !l.doubted)).orElse(null);
+        Line up = b.lines.stream().filter(l -> l.up && !l.dead()).max(Comparator.comparing((Line l) -> !l.doubted)).orElse(null);
         if (up != null) {
             up.send(m);
         } else if (b.owed.size() < BACKLOG) {
@@ -262,7 +267,7 @@
         for (Line l : List.copyOf(b.lines)) {
             if (l.nearIdleClose(now)) {
                 drop(l);
-            } else if (l.retired || l.doubted) {
+            } else if (l.retired || l.doubted || l.dead()) {
                 continue;
             } else if (best == null || l.open.size() < best.open.size() || l.up && !best.up
                     && l.open.size() == best.open.size()) {
@@ -270,7 +275,8 @@
             }
         }
         if (best == null && b.lines.size() > mostLines) {
-            best = b.lines.get(b.lines.size() - 1);     // none is above doubt: the newest
+            Line newest = b.lines.get(b.lines.size() - 1);      // none is above doubt
+            best = newest.dead() ? null : newest;
         }
         return best == null || !best.open.isEmpty() && b.lines.size() < mostLines ? begin(b) : best;
     }
@@ -447,6 +453,15 @@
             return !box.hold ? 0 : box.lines.size() > 1 ? 1 : 2;
         }
 
+        /**
+         * Whether the connection is down and its close is still to be told. When a process dies, the system resets all
+         * lines to it at once and they are told one after the other: what the first one's set-ups do next must not go
+         * out on the others.
+         */
+        boolean dead() {
+            return up && !channel.isActive();
+        }
+
         boolean nearIdleClose(long now) {
             return up && open.isEmpty() && now - usedAt > terms.idleClose() - IDLE_MARGIN;
         }
@@ -519,9 +534,11 @@
             }
             Map<String, Pending> left = new LinkedHashMap<>(open);
             open.clear();
-            left.forEach((name, p) -> broker.ended(clock.now(), box.id, name,
-                    p.written ? Outcome.RESET : unwritten == Outcome.RESET ? Outcome.MOOT : unwritten,
-                    LoadReport.NONE));
+            left.forEach((name, p) -> {
+                Outcome end = p.written ? Outcome.RESET : unwritten == Outcome.RESET ? Outcome.MOOT : unwritten;
+                broker.trail().add(clock.now(), name, end.name(), box.id);
+                broker.ended(clock.now(), box.id, name, end, LoadReport.NONE);
+            });
         }
 
         void write(Pending p) {
@@ -580,6 +597,7 @@
         long now = clock.now();
         String server = line.box.id;
         if (!m.type().equals("note")) {
+            broker.trail().add(now, m.id(), m.type(), server);
             LOG.debug("from server: id={} session={} type={} cause={}", server, m.id(), m.type(), m.cause());
         }
         switch (m.type()) {
--- a/src/main/java/dockshed/net/ByteHandler.java
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -23,6 +23,11 @@
 
     protected abstract void closed(ChannelHandlerContext ctx, boolean reset);
 
+    /** What follows an internal error while the connection itself is whole. */
+    protected void failed(ChannelHandlerContext ctx) {
+        ctx.close();
+    }
+
     @Override
     public final void channelRead(ChannelHandlerContext ctx, Object msg) {
         ByteBuf buf = (ByteBuf) msg;
@@ -50,9 +55,10 @@
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             broken = true;
+            ctx.close();
         } else {
-            LOG.error("connection closed after an internal error: remote={}", ctx.channel().remoteAddress(), cause);
+            LOG.error("connection ends after an internal error: remote={}", ctx.channel().remoteAddress(), cause);
+            failed(ctx);
         }
-        ctx.close();
     }
 }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -11,8 +11,10 @@
 import dockshed.net.Headed;
 import dockshed.net.HeadedDecoder;
 import dockshed.net.Net;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -78,7 +80,7 @@
         deadlines.at(now + LOOK, this::look);
         for (Connection c : List.copyOf(open)) {
             if (c.ending) {
-                if (now - c.since > LINGER) {
+                if (c.shut && now - c.since > LINGER) {
                     c.channel.close();
                 }
             } else if (c.since >= 0 && now - c.since > SILENT) {
@@ -100,7 +102,8 @@
         long now = clock.now();
         for (Connection c : open) {
             boolean fresh = now - c.usedAt < FRESH;
-            if (!c.doomed && c.setUps.isEmpty() && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
+            boolean owed = !c.setUps.isEmpty() || c.unwritten() && now - c.usedAt < LINGER;
+            if (!c.doomed && !owed && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
                     || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
                 worst = c;
             }
@@ -131,6 +134,7 @@
         private Channel channel;
         private long handle;
         private boolean ending, asked, viewer, doomed;
+        private boolean shut;           // all answers owed are written: our output is ended, or is about to be
         private long since;             // the beginning of a first message, of a part of one, of the ending; else -1
         private long usedAt;
         private long passedOver;
@@ -163,7 +167,11 @@
         @Override
         protected boolean passesOver(int count) {
             if (ending && (passedOver += count) > MOST_PASSED_OVER) {
-                channel.close();
+                if (shut) {
+                    channel.close();
+                } else {
+                    channel.config().setAutoRead(false);    // answers are owed: it is read on once they are written
+                }
             }
             return ending;
         }
@@ -211,24 +219,59 @@
 
         private void quiet(String why) {
             LOG.debug("viewer's connection closed: remote={} why={}", channel.remoteAddress(), why);
+            if (!ending && unwritten()) {       // a close would throw away what the viewer has not made room for yet
+                end();
+                return;
+            }
             leave();
             channel.close();
         }
 
+        /** Whether something that it was sent still waits for the viewer to read on. */
+        boolean unwritten() {
+            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
+            return out != null && !out.isEmpty();
+        }
+
         /**
-         * Writes no more, but reads on for a while: to close under a sender resets the connection, and the answer
-         * may be lost to that before it is read.
+         * Takes nothing more, and writes no more once what is open here has its answers: whatever was wrong with a later
+         * message, they were taken whole. Each has one by its deadline.
          */
         private void end() {
+            if (ending) {
+                return;
+            }
+            ending = true;
+            since = clock.now();
+            channel.config().setAutoRead(true);
+            if (!setUps.isEmpty()) {
+                LOG.info("viewer's connection ends after its answers: remote={} open={}", channel.remoteAddress(),
+                        setUps.size());
+            }
+            shutOnceAnswered();
+        }
+
+        /**
+         * Ends our output and reads on for a while: to close under a sender resets the connection, and the answer may be
+         * lost to that before it is read.
+         */
+        private void shutOnceAnswered() {
+            if (!ending || shut || !setUps.isEmpty()) {
+                return;
+            }
             leave();
+            shut = true;
             open.add(this);
             since = clock.now();
-            if (channel instanceof DuplexChannel duplex) {
-                channel.config().setAutoRead(true);
-                duplex.shutdownOutput();
-            } else {
-                channel.close();
-            }
+            channel.config().setAutoRead(true);
+            // After what is written already: the end of our output throws away what still waits for the viewer.
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
+                if (channel instanceof DuplexChannel duplex) {
+                    duplex.shutdownOutput();
+                } else {
+                    channel.close();
+                }
+            });
         }
 
         /** Whoever waited here for an answer has it or has left. */
@@ -254,6 +297,12 @@
                     setUps);
             leave();
         }
+
+        /** An error of our own in one message costs that message, not what others on the connection wait for. */
+        @Override
+        protected void failed(ChannelHandlerContext ctx) {
+            end();
+        }
     }
 
     private void message(Connection c, Headed m) throws Headed.Malformed {
@@ -271,8 +320,10 @@
             case "SETUP" -> setUp(c, m);
             case "TEARDOWN" -> {
                 LOG.debug("torn down by its viewer: session={} reason={}", m.header("session"), m.header("reason"));
-                c.setUps.remove(m.header("session", ""));
-                broker.leave(clock.now(), m.header("session", ""));
+                String name = m.header("session", "");
+                broker.trail().add(clock.now(), name, "torn-down", m.header("reason"));
+                c.setUps.remove(name);
+                broker.leave(clock.now(), name);
                 reply(ch, 200, "OK", m);
             }
             case "OPTIONS" -> reply(ch, 200, "OK", m);
@@ -281,7 +332,7 @@
         }
     }
 
-    private void setUp(Connection c, Headed m) throws Headed.Malformed {
+    private void setUp(Connection c, Headed m) {
         SetUpFields f;
         try {
             f = SetUpFields.read(m);
@@ -291,7 +342,11 @@
         }
         Wish wish = f.wish();
         if (c.setUps.contains(wish.name())) {   // no telling any more which of the two an answer would be for
-            throw new Headed.Malformed("two set-ups under one session");
+            LOG.warn("viewer's message malformed: remote={} why=two set-ups under one session", c.channel.remoteAddress());
+            broker.leave(clock.now(), wish.name());
+            answer(c, wish.name(), 400, "Bad Request", NOTHING, Map.of());
+            c.end();
+            return;
         }
         if (c.setUps.size() >= MOST_SET_UPS) {
             answer(c, wish.name(), 503, "Service Unavailable", NOTHING, Map.of());
@@ -305,6 +360,7 @@
             return;
         }
         c.setUps.add(wish.name());
+        broker.trail().add(clock.now(), wish.name(), "taken", wish.className());
         LOG.debug("set-up taken: session={} remote={}", wish.name(), c.channel.remoteAddress());
         if (!broker.request(clock.now(), c.handle, this, servers, wish)) {
             c.setUps.remove(wish.name());
@@ -370,16 +426,21 @@
     private void answer(Connection c, String name, int code, String phrase, byte[] body, Map<String, String> more) {
         c.setUps.remove(name);
         c.usedAt = clock.now();
+        broker.trail().add(c.usedAt, name, "answered", phrase);
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("CSeq", "1");
         headers.put("Session", name);
         headers.putAll(more);
         c.channel.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
                 .addListener(done -> {
-                    if (!done.isSuccess() && code == 200) {
-                        broker.undelivered(clock.now(), name);
+                    if (!done.isSuccess()) {
+                        broker.trail().bad(name, "answer not written");
+                        if (code == 200) {
+                            broker.undelivered(clock.now(), name);
+                        }
                     }
                 });
+        c.shutOnceAnswered();
     }
 
     private void request(long connection, String method, String name, String reason) {
--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -306,6 +306,39 @@
         assertEquals("front over v1 OK", stage.await("front over"));
     }
 
+    @Test
+    void whatADeathSetsFreeDoesNotGoOutOnLinesThatDiedWithIt() throws Exception {
+        // A process died, the system reset all lines to it at once, and in the millisecond until the last was told each
+        // further attempt of a request was spent on one of them.
+        net.call(() -> stage.onOutcome = id -> {
+            if (stage.count("module outcome") <= 2) {
+                act.send(id, "a", 0);
+            } else {
+                act.fail(id);
+            }
+        });
+        ask("v1", "safe");
+        accept();
+        assertEquals("v1", read().id());
+        Socket first = line;
+        ask("v2", "safe");
+        accept();
+        say(new Message("answer", read().id(), Map.of(), -1, "v=0").write());
+        stage.await("front served v2");     // the second line is free now
+        net.call(() -> {            // both are gone before the loop looks again, that with the set-up first
+            for (Socket s : List.of(first, line)) {
+                s.setSoLinger(true, 0);
+                s.close();
+            }
+            return null;
+        });
+        accept();
+        assertEquals("setup", read().type());
+        net.call(() -> null);
+        assertEquals(List.of("module outcome 0 a RESET"),
+                stage.log.stream().filter(l -> l.startsWith("module outcome")).toList());
+    }
+
     @Test
     void oneRefusedConnectionEndsNoSessions() throws Exception {
         play("v1");
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -117,15 +117,88 @@
         assertEquals(0, s.broker.unanswered());
     }
 
+    /** Each thing that ends a connection from our side; what comes before it is owed its answer all the same. */
+    private static List<String> spoilers() {
+        String faults = "";
+        for (int i = 0; i < RtspFront.MOST_FAULTS; i++) {
+            faults += setUp(id(100 + i), "").replace("safe", "none");
+        }
+        return List.of("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n" + setUp(id(2), ""),
+                setUp(id(2), "X: " + "y".repeat(16 * 1024) + "\r\n"),
+                setUp(id(2), "").replace("Length: 9", "Length: nine"), faults, setUp(id(2), "") + setUp(id(2), ""));
+    }
+
     @Test
-    void garbageGetsOne400AndIsClosedWithItsOpenSetUpsGivenUp() {
+    void whateverEndsAConnectionWhatIsOpenOnItIsAnsweredFirst() {
+        // A half message after a whole one ended the connection, and the first set-up, paid and taken, had no answer.
+        for (String spoiler : spoilers()) {
+            Stage stage = new Stage();
+            EmbeddedChannel c = new EmbeddedChannel(new RtspFront(stage.broker, stage, () -> stage.now, stage.deadlines, 3)
+                    .accept());
+            say(c, setUp(id(1), ""));
+            say(c, spoiler);
+            List<String> answers = heard(c);
+            assertTrue(answers.stream().allMatch(a -> a.startsWith("RTSP/1.0 400 ")), spoiler);
+            assertTrue(c.isOpen(), spoiler);
+            say(c, setUp(id(3), ""));
+            assertEquals(0, stage.count("box a setUp " + id(3)), "taken after the end: " + spoiler);
+            stage.broker.answered(stage.now, "a", id(1), "x");
+            c.runPendingTasks();
+            assertEquals(1, heard(c).stream().filter(a -> a.startsWith("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1)
+                    + "\r\n") && a.endsWith("x")).count(), spoiler);
+            assertFalse(c.isOpen(), spoiler);
+            assertEquals(1, stage.broker.standing());
+        }
+    }
+
+    @Test
+    void aHalfMessageDoesNotCostThePaidSetUpBeforeItItsAnswer() {
+        say(ch, setUp(id(1), "").replace("safe", "paid"));
+        say(ch, setUp(id(2), "").substring(0, 60));
+        s.pass(RtspFront.SILENT + S / 2);
+        List<String> half = heard(ch);
+        assertEquals(1, half.size());
+        assertTrue(half.get(0).startsWith("RTSP/1.0 400 ") && !half.get(0).contains("Session"), half.get(0));
+        s.pass(S);                  // the box stays silent, until the viewer's time is up
+        assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 504 Gateway Time-out\r\nCSeq: 1\r\nSession: " + id(1)));
+        assertFalse(ch.isOpen());
+        assertEquals(0, s.broker.unanswered());
+    }
+
+    @Test
+    void anErrorOfOurOwnCostsNoOtherSetUpItsAnswer() {
         say(ch, setUp(id(1), ""));
-        say(ch, "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n" + setUp(id(2), ""));
-        List<String> answers = heard(ch);
-        assertEquals(1, answers.size());
-        assertTrue(answers.get(0).startsWith("RTSP/1.0 400 "));
+        ch.pipeline().fireExceptionCaught(new IllegalStateException("as a test"));
+        s.broker.answered(s.now, "a", id(1), "x");
+        assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 200 "));
         assertFalse(ch.isOpen());
-        assertEquals(List.of("box a setUp " + id(1) + " left=2990", "box a giveUp " + id(1), "module gone"), s.log);
+    }
+
+    @Test
+    void whatIsNotReadYetIsNotThrownAwayForRoom() {
+        // A close throws away what the system has not taken yet; the viewer would have had half an answer.
+        List<Object> held = new ArrayList<>();
+        List<io.netty.channel.ChannelPromise> promises = new ArrayList<>();
+        EmbeddedChannel slow = new EmbeddedChannel(new io.netty.channel.ChannelOutboundHandlerAdapter() {
+            @Override
+            public void flush(io.netty.channel.ChannelHandlerContext ctx) {
+                if (promises.isEmpty()) {
+                    held.add(ctx);      // the viewer makes no room yet
+                }
+            }
+        }, front.accept());
+        say(slow, setUp(id(1), ""));
+        s.broker.answered(s.now, "a", id(1), "x");
+        slow.unsafe().outboundBuffer().addFlush();
+        new EmbeddedChannel(front.accept());
+        new EmbeddedChannel(front.accept());
+        s.pass(S);
+        new EmbeddedChannel(front.accept());
+        s.pass(RtspFront.LAST_READ);
+        assertTrue(slow.isOpen());
+        s.pass(RtspFront.LINGER + S);
+        assertEquals(3, java.util.stream.Stream.generate(() -> new EmbeddedChannel(front.accept())).limit(3)
+                .filter(EmbeddedChannel::isOpen).count(), "not for ever");
     }
 
     @Test
