--- /dev/null
+++ b/src/test/java/dockshed/fleet/MembershipTest.java
@@ -0,0 +1,175 @@
+package dockshed.fleet;
+
+import static dockshed.fleet.FleetWorld.MS;
+import static dockshed.fleet.FleetWorld.S;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.fleet.Member.State;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Who is there, in a simulated fleet with faults; times are the world's. */
+class MembershipTest {
+    private static FleetWorld world(int brokers, long seed) {
+        return new FleetWorld(brokers, FleetTerms.USUAL, seed).startAll();
+    }
+
+    private static List<Integer> all(int n) {
+        return IntStream.range(0, n).boxed().toList();
+    }
+
+    private static State seen(FleetWorld w, int by, int of) {
+        return w.nodes[by].heart.who().member(of).state;
+    }
+
+    @Test
+    void allFindOneAnotherFromTheConfiguredPeers() {
+        FleetWorld w = world(20, 1);
+        w.run(12 * S);
+        for (FleetWorld.Node n : w.nodes) {
+            assertEquals(all(20), n.view().living());
+        }
+    }
+
+    @Test
+    void aKilledBrokerIsFoundAndComesBackWithNothing() {
+        FleetWorld w = world(9, 2);
+        w.run(6 * S);
+        w.nodes[3].kill();
+        w.run(20 * S);
+        for (FleetWorld.Node n : w.nodes) {
+            assertTrue(!n.up() || !n.view().living().contains(3), "still thought there by " + n.number);
+        }
+        w.nodes[3].start();
+        w.run(8 * S);
+        for (FleetWorld.Node n : w.nodes) {
+            assertEquals(all(9), n.view().living(), "as " + n.number + " sees it");
+        }
+    }
+
+    @Test
+    void oneThatLeavesIsGoneAtOnceAndNobodySuspectsIt() {
+        FleetWorld w = world(9, 3);
+        w.run(6 * S);
+        w.nodes[4].news(new News.Leaving());
+        w.run(3 * S);
+        long told = Arrays.stream(w.nodes).filter(n -> n.number != 4 && !n.view().living().contains(4)).count();
+        assertTrue(told >= 3, "told of it: " + told);
+        w.nodes[4].kill();
+        w.run(20 * S);
+        assertTrue(Arrays.stream(w.nodes).filter(FleetWorld.Node::up).noneMatch(n -> n.view().living().contains(4)));
+    }
+
+    @Test
+    void aBrokerThatStoodStillNeitherCallsOthersDeadNorActsOnItsOldView() {
+        // SIGSTOP for five seconds: all its probes had run out when it went on.
+        FleetWorld w = world(7, 4);
+        w.run(10 * S);
+        FleetWorld.Node n = w.nodes[2];
+        n.still(5 * S);
+        w.run(5 * S + 1);
+        View first = n.view();
+        assertFalse(first.steady(), "acts on what it knew");
+        assertEquals(0, first.cut());
+        assertEquals(n.heart.shares().share(n.clock(), Shares.NEWCOMERS), FleetTerms.USUAL.floor() / 7, 1e-9,
+                "a lease outlived the pause");
+        w.run(4 * S, 50 * MS, () -> {
+            for (int i = 0; i < 7; i++) {
+                assertTrue(seen(w, 2, i) != State.DEAD, "called " + i + " dead");
+            }
+        });
+        assertTrue(n.view().steady());
+        assertEquals(all(7), n.view().living());
+        w.run(10 * S);
+        assertTrue(Arrays.stream(w.nodes).allMatch(o -> o.view().living().contains(2)), "it is taken back");
+    }
+
+    @Test
+    void lossAndPausesCallNobodyDead() {
+        FleetWorld w = world(24, 5);
+        w.loss = 0.2;
+        w.twice = 0.05;
+        w.most = 40 * MS;
+        w.run(15 * S);
+        for (int i = 0; i < 120; i++) {
+            w.nodes[w.random.nextInt(24)].still(500 * MS);
+            w.run(S, 250 * MS, () -> {
+                for (FleetWorld.Node n : w.nodes) {
+                    for (int of = 0; of < 24; of++) {
+                        assertTrue(n.heart.who().member(of).state != State.DEAD, n.number + " calls " + of + " dead");
+                    }
+                }
+            });
+        }
+    }
+
+    @Test
+    void oneThatIsHeardByNobodyDoesNotTakeOthersWithIt() {
+        FleetWorld w = world(9, 6);
+        w.run(8 * S);
+        for (int to = 0; to < 9; to++) {
+            w.cut(8, to, true);         // it hears, and is not heard
+        }
+        w.run(25 * S);
+        for (int by = 0; by < 8; by++) {
+            assertEquals(all(8), w.nodes[by].view().living(), "as " + by + " sees it");
+        }
+    }
+
+    @Test
+    void halvesThatWereCutApartFindOneAnotherAgain() {
+        FleetWorld w = world(8, 7);
+        w.run(8 * S);
+        w.halve(4, true);
+        w.run(30 * S);
+        assertEquals(List.of(0, 1, 2, 3), w.nodes[0].view().living());
+        w.halve(4, false);
+        w.run(10 * S);
+        assertTrue(Arrays.stream(w.nodes).allMatch(n -> n.view().living().size() == 8));
+    }
+
+    @Test
+    void aClockThatWentBackDoesNotKeepABrokerOut() {
+        FleetWorld w = world(5, 8);
+        w.run(8 * S);
+        w.nodes[1].kill();
+        w.run(2 * S);
+        w.nodes[1].offset -= 600 * S;       // started again with its clock ten minutes behind
+        w.nodes[1].start();
+        w.run(10 * S);
+        assertTrue(Arrays.stream(w.nodes).allMatch(n -> n.view().living().equals(all(5))));
+        w.nodes[1].news(new News.Found(77, false));
+        w.run(6 * S);
+        assertTrue(w.nodes[0].view().words().containsKey(77), "rows of its new life are passed over");
+    }
+
+    @Test
+    void aLiarAtFullRateKillsNobody() {
+        // It names everybody dead or left under high incarnations, makes up rows, and floods.
+        FleetWorld w = world(9, 9);
+        w.run(8 * S);
+        FleetWorld.Node liar = w.nodes[8];
+        liar.kill();
+        int[] serial = {1};
+        long life = liar.clock() / 1000 + 5000;
+        w.run(40 * S, 5 * MS, () -> {
+            for (int to = 0; to < 8; to++) {
+                Envelope.Bodies b = new Envelope.Bodies().u16(w.random.nextInt(9)).u8(2 + w.random.nextInt(3))
+                        .u48(life + w.random.nextInt(100_000));
+                Row made = new Row(w.random.nextInt(9), 1 + w.random.nextInt(5), 7, life, serial[0], liar.clock(),
+                        new byte[] {2, 9, 9});
+                w.carry(8, to, new Envelope(8, life, serial[0]++, List.of(b.item(Envelope.MEMBER), made.write(liar.clock())))
+                        .write());
+            }
+            for (int by = 0; by < 8; by++) {
+                for (int of = 0; of < 8; of++) {
+                    assertTrue(seen(w, by, of) != State.DEAD && seen(w, by, of) != State.LEFT, by + " calls " + of + " dead");
+                }
+            }
+        });
+    }
+}
