Wire the fleet: gate before the module, turns at finding out, one talk among brokers

Need: the heart alone changes nothing. A host runs it on one loop on one thread of its own and publishes an immutable view; the broker's loop hands news over by one bounded queue and goes on alone where no view holds. fleet.Gate stands before the storm part and the module: refuses under the fleet's cut at once with the viewer's own place of return, gives the module its share of newcomers' room and of further attempts. Edges asks a Finder who opens the line that finds out. The storm part's notes travel as rows, and its cold pace takes the leased share. Off in run: only the operator's file switches it on.

Layer holds what passes through a director and its actions; the storm part uses it, too.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -292,6 +292,8 @@
             holders++;
             if (usable(now, n) && !s.tried.contains(n)) out.add(n);
         }
+        List<Node> clear = out.stream().filter(n -> !act.shunned(n.info.id())).toList();
+        if (!clear.isEmpty()) out.retainAll(clear);     // else the request itself finds out
         double trying = trying(now);
         double crowd = holders * Math.min(1, 2.0 / Math.max(1, out.size()));    // at one of two picked
         out.removeIf(n -> !thawed(now, n, trying * crowd));
@@ -736,7 +738,8 @@
         for (Rack r : racks) ownKb += r.own;
         double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
                 * set.limits().tell() / SECOND;
-        newcomerPart = Math.max(1.0 / set.balancers(), 1 / (1 + RIVALS * rivals));
+        double shared = act.newcomers();
+        newcomerPart = shared >= 0 ? shared : Math.max(1.0 / set.balancers(), 1 / (1 + RIVALS * rivals));
         going(now);
         for (Node n : nodes.values()) raise(now, n, false);
         if (nodes.values().removeIf(n -> n.gone && n.mine.isEmpty())) measure();
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -212,6 +212,16 @@
             return Pace.UNKNOWN;
         }
 
+        /** The part of a server's headroom that this director's newcomers may take, of 1; negative: nobody shares it out. */
+        default double newcomers() {
+            return -1;
+        }
+
+        /** Whether somebody is just finding out about the server: what can go elsewhere need not go there. */
+        default boolean shunned(String server) {
+            return false;
+        }
+
         /** What a viewer's way back is told in: microseconds, whole multiples of which reach it. */
         default long comeBackUnit(String request) {
             return 1000;
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -9,8 +9,13 @@
 import dockshed.config.OperatorConfig;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
+import dockshed.core.Finder;
 import dockshed.edge.Edges;
 import dockshed.eureka.EurekaClient;
+import dockshed.fleet.FleetFinder;
+import dockshed.fleet.FleetHost;
+import dockshed.fleet.Gate;
+import dockshed.fleet.News;
 import dockshed.hls.HlsFront;
 import dockshed.hls.Origins;
 import dockshed.load.LoadTeller;
@@ -37,13 +42,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
 
     /** The parts' random numbers must not be one another's. */
-    private static final long STORM_SEED = 0x73746f726dL;
+    private static final long STORM_SEED = 0x73746f726dL, FLEET_SEED = 0x666c656574L;
 
     private final Config config;
     private final Net net;
     private final LoopClock clock;
     private final Deadlines deadlines;
     private final UdpPeers peers;
+    private final FleetHost fleet;      // null: off
     private final Broker broker;
     private final Edges edges;
     private final RtspFront rtsp;
@@ -62,12 +68,22 @@
         deadlines = new Deadlines(clock::wake);
         peers = new UdpPeers(config.peers(), config.peersAll());
         Director.Settings s = config.settings();
+        fleet = operator.fleet() == null || !config.fleet() ? null
+                : new FleetHost(operator.fleet(), s.me(), config.peers(), clock, config.seed() ^ FLEET_SEED);
+        // From the broker inwards: the fleet's gate, the storm part, the module.
         Function<Director.Actions, Director> module = actions -> new Choice(s, config.seed(), actions);
-        broker = new Broker(s, operator.storm() == null ? module
-                : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module), peers, deadlines);
+        Function<Director.Actions, Director> damped = operator.storm() == null ? module
+                : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module);
+        Gate[] gate = new Gate[1];
+        broker = new Broker(s, fleet == null ? damped : actions -> {
+            gate[0] = Gate.before(s, fleet::view, fleet::news, damped).apply(actions);
+            return gate[0];
+        }, fleet == null ? peers : fleet, deadlines);
         clock.onDue(broker::tick);
         edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
-                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.lines()));
+                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.lines()),
+                fleet == null || !operator.fleet().probes() ? Finder.ALONE
+                        : new FleetFinder(s.me(), fleet::view, fleet::news, gate[0]::shun));
         rtsp = new RtspFront(broker, edges, clock, deadlines, config.viewers());
     }
 
@@ -82,8 +98,14 @@
             }
             return made;
         });
-        if (config.peerListen() != null) {
-            w.peers.listen(w.net, config.peerListen(), w.broker, w.clock);
+        if (w.fleet != null) {
+            w.fleet.start(config.peerListen());
+            LOG.info("fleet part on: me={} of={} {}", config.settings().me(), config.peers().size(), operator.fleet());
+        } else if (operator.fleet() != null) {
+            LOG.warn("fleet part off: the settings allow no talk among brokers, or name no peers");
+        }
+        if (config.peerListen() != null && w.fleet == null) {
+            w.peers.listen(w.net, config.peerListen(), (from, message) -> w.broker.told(w.clock.now(), from, message));
         }
         SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom).syncUninterruptibly()
                 .channel().localAddress();
@@ -98,7 +120,11 @@
         }
         Signals.onHangUp(w::reload);
         long longest = config.settings().classes().stream().mapToLong(Director.SessionClass::deadline).max().orElse(0);
-        new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch();
+        new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch(() -> {
+            if (w.fleet != null) {
+                w.fleet.news(new News.Leaving());
+            }
+        });
         LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), rtspAt,
                 w.upSince.size(), config.peers().size());
         return rtspAt;
--- a/src/main/java/dockshed/config/Config.java
+++ b/src/main/java/dockshed/config/Config.java
@@ -34,6 +34,11 @@
     /** An event of the list that was known before the start. */
     public record Notice(long number, boolean complete, List<Listing> members) { }
 
+    /** Whether brokers may talk to one another: allowed by the settings, with an address for each and one to listen on. */
+    public boolean fleet() {
+        return settings.limits().peers() && peerListen != null && peers.size() > 1 && settings.me() < peers.size();
+    }
+
     /** Viewers hold a third of the descriptors at most; a little more is let in before one is turned away. */
     public int viewers() {
         return sockets * 3 / 8;
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -1,13 +1,14 @@
 package dockshed.config;
 
+import dockshed.fleet.FleetTerms;
 import dockshed.storm.Terms;
 import java.nio.file.Path;
 
-/** What the operator's file switches on and sets; {@code storm} null: without the storm part. */
-public record OperatorConfig(Terms storm) {
+/** What the operator's file switches on and sets; {@code storm} or {@code fleet} null: without that part. */
+public record OperatorConfig(Terms storm, FleetTerms fleet) {
     private static final long MS = 1000, S = 1_000_000;
 
-    public static final OperatorConfig NONE = new OperatorConfig(null);
+    public static final OperatorConfig NONE = new OperatorConfig(null, null);
 
     public static OperatorConfig load(String file) {
         return read(ConfFile.load(Path.of(file)));
@@ -19,9 +20,22 @@
         boolean on = s.flag("enabled", true);
         Terms terms = storm(s);
         s.end();
+        boolean fleetNamed = file.root().has("fleet");
+        ConfFile.Section f = file.root().section("fleet");
+        boolean fleetOn = f.flag("enabled", true);
+        FleetTerms fleet = fleet(f);
+        f.end();
         file.root().end();
         file.check();
-        return new OperatorConfig(named && on ? terms : null);
+        return new OperatorConfig(named && on ? terms : null, fleetNamed && fleetOn ? fleet : null);
+    }
+
+    private static FleetTerms fleet(ConfFile.Section s) {
+        FleetTerms u = FleetTerms.USUAL;
+        return new FleetTerms(s.multiple("bytes_a_second", u.bytes(), 100, 100_000),
+                s.multiple("bytes_a_session", u.perSession(), 0, 100_000),
+                s.share("floor", u.floor(), 0, 1), s.flag("shares", u.shares()), s.flag("cut", u.cut()),
+                s.flag("probes", u.probes()));
     }
 
     private static Terms storm(ConfFile.Section s) {
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -5,6 +5,7 @@
 import dockshed.Director.Topic;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
+import dockshed.core.Finder;
 import dockshed.core.Servers;
 import dockshed.net.ByteHandler;
 import dockshed.net.Clock;
@@ -64,6 +65,7 @@
         boolean hold;
         int failures;               // connections in a row that did not come up
         long heardAt, triedAt;      // when it last wrote; when a line was last begun for its sessions' sake
+        long suspect = -1;          // since when it is not known whether its process is there; -1: it is
         final ArrayDeque<Message> owed = new ArrayDeque<>();    // releases for when a line is up again
 
         Box(String id) {
@@ -86,6 +88,7 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Terms terms;
+    private final Finder finder;
     private final Map<String, Box> boxes = new HashMap<>();
     private int mostLines = 1;
     private int all;                // lines to all servers, those not up yet too
@@ -95,6 +98,12 @@
     private long testedAt = -Deadlines.NEVER / 2;       // when one was last tried in the silence of all
 
     public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms) {
+        this(broker, net, clock, deadlines, terms, Finder.ALONE);
+    }
+
+    /** {@code finder}: says which broker finds out about a server that may be gone. */
+    public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms, Finder finder) {
+        this.finder = finder;
         this.broker = broker;
         this.net = net;
         this.clock = clock;
@@ -129,6 +138,7 @@
         Box b = boxes.get(server);
         if (b != null) {
             drop(b);
+            cleared(b);
         }
         broker.lost(clock.now(), this, server, clock.now());
     }
@@ -293,7 +303,7 @@
     }
 
     private void connect(Box b) {
-        if (b.lines.isEmpty() && b.at != null && (all < terms.lines() || spare(true))) {
+        if (b.lines.isEmpty() && b.at != null && mayTry(b) && (all < terms.lines() || spare(true))) {
             b.triedAt = clock.now();
             begin(b);
         }
@@ -344,6 +354,50 @@
         }
     }
 
+    // ---- Whether a process is there.
+
+    private void suspect(Box b) {
+        if (b.suspect < 0) {
+            b.suspect = clock.now();
+            finder.suspected(b.id, true);
+        }
+    }
+
+    private void cleared(Box b) {
+        if (b.suspect >= 0) {
+            b.suspect = -1;
+            finder.suspected(b.id, false);
+        }
+    }
+
+    /** Whether a line may be begun to find out; does what others' words say of it. */
+    private boolean mayTry(Box b) {
+        if (b.suspect < 0) {
+            return true;
+        }
+        switch (finder.ask(clock.now(), b.id, new Finder.Suspicion(b.suspect, b.heardAt, b.triedAt, b.failures))) {
+            case DOWN -> {
+                LOG.info("edge server down as others found, too: id={} ms={}", b.id, (clock.now() - b.suspect) / 1000);
+                lost(b);
+                return false;
+            }
+            case WAIT -> {
+                return false;
+            }
+            default -> {
+                return true;
+            }
+        }
+    }
+
+    /** The process is gone: so are its sessions. */
+    private void lost(Box b) {
+        b.failures = 0;
+        drop(b);
+        cleared(b);
+        broker.lost(clock.now(), this, b.id, clock.now());
+    }
+
     /** One line is kept up where sessions stand; a server that ends each at once is not tried all the time. */
     private void keep(Box b) {
         if (b.hold && b.lines.isEmpty()) {
@@ -358,8 +412,12 @@
     private void again(Box b) {
         deadlines.at(clock.now() + RETRY, t -> {
             if (b.hold && boxes.get(b.id) == b && b.at != null && b.lines.stream().allMatch(l -> l.doubted)) {
-                b.triedAt = clock.now();
-                begin(b);
+                if (mayTry(b)) {
+                    b.triedAt = clock.now();
+                    begin(b);
+                } else if (b.suspect >= 0) {
+                    again(b);
+                }
             }
         });
     }
@@ -421,6 +479,10 @@
             LOG.info("no edge server reports: held={} ms={}", held.size(), (now - notedAt) / 1000);
         }
         for (Box b : silent) {
+            suspect(b);
+            if (!mayTry(b)) {
+                continue;
+            }
             LOG.info("edge server silent: id={} ms={}", b.id, (now - b.heardAt) / 1000);
             b.heardAt = now;
             b.triedAt = now;
@@ -488,6 +550,10 @@
         private void came() {
             up = true;
             box.failures = 0;
+            if (box.suspect >= 0) {
+                finder.found(box.id, true);
+                cleared(box);
+            }
             usedAt = clock.now();
             for (Message m = box.owed.poll(); m != null; m = box.owed.poll()) {
                 send(m);
@@ -511,14 +577,14 @@
             LOG.info("edge server not reached: id={} refused={} waiting={}", box.id, refused, open.size());
             box.lines.remove(this);
             end(Outcome.CONNECT_FAILED);
+            finder.found(box.id, false);
             if (!box.hold || !box.lines.stream().allMatch(l -> l.doubted)) {
                 return;             // another line is up or on its way, and tells more
             }
             unreachedAt = clock.now();
+            suspect(box);
             if (++box.failures >= LOST_AFTER) {
-                box.failures = 0;
-                drop(box);
-                broker.lost(clock.now(), Edges.this, box.id, clock.now());
+                lost(box);
             } else {
                 again(box);
             }
@@ -561,6 +627,7 @@
             heardAt = usedAt;
             box.heardAt = usedAt;
             doubted = false;
+            cleared(box);
             decoder.add(bytes);
             try {
                 for (String line = decoder.next(); line != null && !over; line = decoder.next()) {
@@ -582,6 +649,9 @@
             }
             LOG.info("line to edge server closed: id={} reset={} open={} sessions={}", box.id, reset, open.size(),
                     box.hold);
+            if (reset && box.hold && box.lines.stream().allMatch(l -> l == this || l.dead())) {
+                suspect(box);
+            }
             drop(this);
             keep(box);
         }
--- a/src/main/java/dockshed/fleet/Cut.java
+++ b/src/main/java/dockshed/fleet/Cut.java
@@ -19,13 +19,15 @@
     static final int WORTHS = 8;
     /** Microseconds after which the hashes turn, so that nobody is last for long. */
     static final long TURNS = 60_000_000;
-    /** Refused for want of room, over all tries: above, the fleet is over its room; below, it is within again. */
-    private static final double OVER = 0.10, WITHIN = 0.03;
-    /** So long within before the cut ends; what is taken is hoped to be a little more than was, lest the cut bite for ever. */
+    /** Without room, over what the modules were given: above, the fleet is over its room and a cut begins. */
+    static final double OVER = 0.25;
+    /** That share under a cut: the modules are still given a little more than there is room for, so that all of it is used. */
+    static final double KEPT = 0.12;
+    /** Of all ranks in use, how far the cut moves in a second for what is given twice too much, or half too little. */
+    private static final double SPEED = 0.25;
+    /** So long without a cut before it is over, and what the modules have to be given a second for shares to say something. */
     private static final long CALM = 2_000_000;
-    private static final double HOPE = 1.08;
-    /** A proposal moves only by more than this, of all ranks in use. */
-    private static final double STILL = 0.02;
+    private static final double FEW = 2;
 
     /** A broker's figures: tries a second by step of rank, and of all of them what was taken and what had no room. */
     record Load(double[] demand, double taken, double unfit, int proposal) {
@@ -81,10 +83,9 @@
         }
     }
 
-    private int proposal;
+    private double proposal;
     private boolean on;
-    private long within;        // since when, while on
-    private double room;        // what the fleet takes, a second
+    private long zeroSince, movedAt;
 
     /** A rank's step: of its class's worth and its age. */
     static int step(int worth, int age) {
@@ -96,7 +97,11 @@
         return step << HASH_BITS | hash;
     }
 
-    /** This broker's proposal by the rows that it holds; {@code mine} is its own, the others' are of those that are there. */
+    /**
+     * This broker's proposal by the rows that it holds; {@code mine} is its own, the others' are of those that are there.
+     * Where it begins it is set by the demand; from there it moves by what the modules find no room for, since those under
+     * the cut come again and again and their tries tell nothing of how many would come if they were let in.
+     */
     int propose(long now, Load mine, List<Load> others) {
         double[] demand = mine.demand().clone();
         double taken = mine.taken();
@@ -108,40 +113,38 @@
             taken += l.taken();
             unfit += l.unfit();
         }
-        double all = 0;
-        for (double d : demand) {
-            all += d;
-        }
-        double refused = all > 0 ? unfit / all : 0;
-        double shed = all > 0 ? Math.max(0, 1 - (taken + unfit) / all) : 0;     // under the cut, not tried at all
-        if (!on && refused > OVER) {
-            on = true;
-            room = taken;
-        } else if (on && refused + shed < WITHIN) {
-            within = within == 0 ? now : within;
-            on = now - within < CALM;
-        } else {
-            within = 0;
-        }
+        double given = taken + unfit;
+        double refused = given > 0 ? unfit / given : 0;
+        long passed = Math.min(1_000_000, now - movedAt);
+        movedAt = now;
         if (!on) {
-            proposal = 0;
-            within = 0;
-            return proposal;
+            on = given > FEW && refused > OVER;
+            proposal = on ? rankAt(demand, taken / (1 - KEPT)) : 0;
+            zeroSince = 0;
+            return (int) proposal;
         }
-        room += 0.5 * (taken * (refused < WITHIN ? HOPE : 1) - room);
-        int found = rankAt(demand, room);
-        if (proposal == 0 || Math.abs(found - proposal) > STILL * span(demand)) {
-            proposal = found;
+        int low = 0;
+        int high = STEPS;
+        while (low < STEPS - 1 && demand[low] <= 0) {
+            low++;
         }
-        return proposal;
-    }
-
-    private static double span(double[] demand) {
-        int used = 0;
-        for (double d : demand) {
-            used += d > 0 ? 1 : 0;
+        while (high > low + 1 && demand[high - 1] <= 0) {
+            high--;
+        }
+        double span = (high - low) << HASH_BITS;
+        double wanted = given > 0 ? taken / (1 - KEPT) / given - 1 : 1;      // over what is given now
+        double faster = refused < KEPT / 2 ? 0.5 : 0;
+        proposal -= SPEED * span * Math.max(-1, Math.min(1, wanted + faster)) * passed / 1e6;
+        proposal = Math.max(low << HASH_BITS, Math.min(proposal, high << HASH_BITS));
+        if (proposal > low << HASH_BITS) {
+            zeroSince = 0;
+        } else if (zeroSince == 0) {
+            zeroSince = now;
+        } else if (now - zeroSince > CALM) {
+            on = false;
+            proposal = 0;
         }
-        return Math.max(1, used) << HASH_BITS;
+        return (int) proposal;
     }
 
     /** The rank over which the demand is what there is room for. */
--- a/src/main/java/dockshed/fleet/Heart.java
+++ b/src/main/java/dockshed/fleet/Heart.java
@@ -94,6 +94,11 @@
         return counts;
     }
 
+    /** The part of the whole that this broker may use now, for checks: of newcomers. */
+    public double newcomers(long now) {
+        return shares.share(now, Shares.NEWCOMERS);
+    }
+
     Membership who() {
         return who;
     }
@@ -376,16 +381,18 @@
             }
         }
         List<Integer> proposals = new ArrayList<>();
+        double tries = 0;
         for (Row r : rows.of(Row.LOAD)) {
             Cut.Load l = who.member(r.owner()).there() ? Cut.Load.read(r.value()) : null;
             if (l != null) {
                 proposals.add(l.proposal());
+                tries += l.all();
             }
         }
         boolean steady = now >= steadyAt;
         return new View(now, steady, List.copyOf(living), shared(shares.share(now, Shares.NEWCOMERS)),
                 shared(shares.share(now, Shares.ATTEMPTS)), shared(terms.floor() / brokers), shares.until(now),
-                terms.cut() && steady ? Cut.inForce(proposals) : 0, Map.copyOf(words), Map.copyOf(notes));
+                terms.cut() && steady ? Cut.inForce(proposals) : 0, tries, Map.copyOf(words), Map.copyOf(notes));
     }
 
     private double shared(double share) {
--- a/src/main/java/dockshed/fleet/Probes.java
+++ b/src/main/java/dockshed/fleet/Probes.java
@@ -1,5 +1,7 @@
 package dockshed.fleet;
 
+import dockshed.core.Finder.Suspicion;
+import dockshed.core.Finder.Verdict;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -10,8 +12,8 @@
  * what it found. So a dead box is tried by one broker in each turn, whatever the size of the fleet, and a finder that is
  * dead or cut off costs one turn.
  *
- * <p>Trust: that a box is down counts only by this broker's own trial or by the words of two others, both later than the
- * box's last sign of life here; a single word makes it wait and choose others, for {@link #HOLD} at most.
+ * <p>Trust: that a box is down counts only by the trials of two brokers, this one included, both later than the box's last
+ * sign of life here. That it is up is believed for {@link #LONGEST} of a suspicion; then this broker looks for itself.
  */
 final class Probes {
     /** Microseconds between two brokers' turns: a trial that does not come up takes a quarter of a second. */
@@ -21,12 +23,9 @@
     /** Nobody waits longer for the others than this, from the suspicion on. */
     static final long LONGEST = 6_000_000;
     static final int UP = 1, DOWN = 2;
-    /** Others' words that stand for an own trial. */
+    /** Trials that have to agree that a box is down, of different brokers; an own one is one of them. */
     static final int WITNESSES = 2;
 
-    /** What to do about a box. */
-    enum Verdict { TRY, WAIT, UP, DOWN }
-
     private Probes() { }
 
     /** The brokers of a box's order: the highest hash first. */
@@ -36,33 +35,24 @@
         return out;
     }
 
-    /**
-     * @param words    on the box, from brokers that are there
-     * @param suspect  since when it is suspect here
-     * @param signOf   when it last gave a sign of life here
-     * @param triedAt  when this broker itself last tried it
-     */
-    static Verdict verdict(long now, int me, List<Integer> living, int box, List<Row> words, long suspect, long signOf,
-                           long triedAt) {
-        int down = 0;
-        boolean lately = false;
+    /** What this broker has to do about a suspect box, by the words on it of brokers that are there. */
+    static Verdict verdict(long now, int me, List<Integer> living, int box, List<Row> words, Suspicion s) {
+        int down = Math.min(1, s.failures());
         for (Row w : words) {
-            if (w.owner() == me || w.value().length == 0 || now - w.born() > HOLD || w.born() < signOf) {
+            if (w.owner() == me || w.value().length == 0 || now - w.born() > HOLD || w.born() < s.signOf()) {
                 continue;
             }
-            if (w.value()[0] == UP) {
+            if (w.value()[0] == UP && now - s.since() < LONGEST) {
                 return Verdict.UP;
             }
             down += w.value()[0] == DOWN ? 1 : 0;
-            lately |= w.value()[0] == DOWN && now - w.born() < TURN;
         }
         if (down >= WITNESSES) {
             return Verdict.DOWN;
         }
         int turn = order(living, box).indexOf(me);
         long mine = Math.min(LONGEST, Math.max(0, turn) * TURN);
-        // One word of a trial: the next in the order makes sure of it, so that two know.
-        boolean due = now - suspect >= mine && now - triedAt >= TURN * Math.max(1, Math.min(living.size(), 4));
-        return due && !lately ? Verdict.TRY : Verdict.WAIT;
+        boolean due = now - s.since() >= mine && (s.failures() == 0 || now - s.triedAt() >= LONGEST);
+        return due ? Verdict.TRY : Verdict.WAIT;
     }
 }
--- a/src/main/java/dockshed/fleet/View.java
+++ b/src/main/java/dockshed/fleet/View.java
@@ -15,11 +15,12 @@
  * @param floor     what it may use of both after {@code until}
  * @param until     of the leased shares
  * @param cut       the rank under which to refuse; 0: none
+ * @param tries     a second of the whole fleet, as told
  * @param words     on boxes, by the box's hash
  * @param notes     of the storm part, by broker
  */
 public record View(long at, boolean steady, List<Integer> living, double newcomers, double attempts, double floor,
-                   long until, int cut, Map<Integer, List<Row>> words, Map<Integer, Row> notes) {
+                   long until, int cut, double tries, Map<Integer, List<Row>> words, Map<Integer, Row> notes) {
     /** An older view is none: the fleet's loop has stalled. */
     public static final long STALE = 1_500_000;
 
@@ -27,7 +28,7 @@
     public static final double UNSHARED = -1;
 
     /** Before anything is known: the broker is alone. */
-    public static final View ALONE = new View(Long.MIN_VALUE / 2, false, List.of(), UNSHARED, UNSHARED, UNSHARED, Long.MIN_VALUE / 2, 0,
+    public static final View ALONE = new View(Long.MIN_VALUE / 2, false, List.of(), UNSHARED, UNSHARED, UNSHARED, Long.MIN_VALUE / 2, 0, 0,
             Map.of(), Map.of());
 
     public boolean holds(long now) {
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -19,6 +19,7 @@
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
 import java.util.HashSet;
@@ -40,9 +41,19 @@
     private static final int ACCEPT_AGAIN = 20;
     private static final Logger LOG = LoggerFactory.getLogger(Net.class);
 
-    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final NioEventLoopGroup group;
     private final Set<Channel> open = new HashSet<>();      // connections, of the loop's thread
 
+    /** The broker's. */
+    public Net() {
+        group = new NioEventLoopGroup(1);
+    }
+
+    /** Another part's, on a thread of that name. */
+    public Net(String name) {
+        group = new NioEventLoopGroup(1, new DefaultThreadFactory(name, true));
+    }
+
     public EventLoop loop() {
         return group.next();
     }
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -31,9 +31,11 @@
         this.longest = longest;
     }
 
-    public void watch() {
+    /** {@code leaving}: run as the planned end begins, on no loop's thread. */
+    public void watch(Runnable leaving) {
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             long told = clock.now();            // the stay counts from here, however late the loop hears of it
+            leaving.run();
             net.loop().execute(() -> begin(told));
             try {
                 Thread.sleep(Long.MAX_VALUE);       // the loop ends the process
--- a/src/main/java/dockshed/peers/UdpPeers.java
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -1,8 +1,6 @@
 package dockshed.peers;
 
-import dockshed.core.Broker;
 import dockshed.core.Peers;
-import dockshed.net.Clock;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
@@ -39,7 +37,12 @@
         return numbers.getOrDefault(sender, -1);
     }
 
-    public void listen(Net net, InetSocketAddress at, Broker broker, Clock clock) {
+    /** Where a datagram of a known broker goes: its number and the bytes. */
+    public interface Heard {
+        void told(int from, byte[] message);
+    }
+
+    public void listen(Net net, InetSocketAddress at, Heard heard) {
         channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -48,7 +51,7 @@
                     LOG.debug("datagram from nobody known: sender={}", packet.sender());
                     return;
                 }
-                broker.told(clock.now(), from, Net.bytes(packet.content()));
+                heard.told(from, Net.bytes(packet.content()));
             }
 
             @Override
@@ -70,4 +73,11 @@
             channel.writeAndFlush(new DatagramPacket(Net.buf(message), a));
         }
     }
+
+    /** To one of them; dropped where the system takes no more: a later one tells more anyway. */
+    public void tell(int to, byte[] message) {
+        if (channel != null && message.length <= LIMIT && to >= 0 && to < each.size()) {
+            channel.writeAndFlush(new DatagramPacket(Net.buf(message), each.get(to)));
+        }
+    }
 }
--- a/src/main/java/dockshed/storm/Damper.java
+++ b/src/main/java/dockshed/storm/Damper.java
@@ -1,6 +1,7 @@
 package dockshed.storm;
 
 import dockshed.Director;
+import dockshed.Layer;
 import dockshed.storm.Visits.Standing;
 import dockshed.storm.Visits.Visit;
 import dockshed.storm.WaitingRoom.Waiter;
@@ -17,7 +18,7 @@
  * a request may wait for its turn or be turned away before the module sees it, every refusal becomes an appointment, and
  * the module is told what the budget of further attempts and the pace of cold boxes leave.
  */
-public final class Damper implements Director {
+public final class Damper extends Layer {
     private static final String KEY = "storm";
     /** Between turns while requests wait, and between looks while none does. */
     private static final long TURN = 20_000, LOOK = 250_000;
@@ -60,7 +61,6 @@
 
     private final Settings settings;
     private final Terms terms;
-    private final Director module;
     private final Director.Actions out;
     private final SplittableRandom random;
     private final Map<String, SessionClass> classes = new HashMap<>();
@@ -287,8 +287,13 @@
 
     // ---- Time and peers.
 
-    private void begin(long at) {
+    @Override
+    protected void begin(long at) {
         now = Math.max(now, at);
+        double shared = out.newcomers();
+        if (shared >= 0) {
+            cold.part(shared);          // leased: no guess by the others' notes is needed
+        }
         if (armedFor == Long.MAX_VALUE) {
             arm(now + LOOK);
         }
@@ -371,7 +376,9 @@
         }
         // Those that are silent may be starting: their even share is left to them.
         double spoken = known / (double) settings.balancers();
-        cold.part(all > 0 ? spoken * own / all : 1.0 / settings.balancers());
+        if (out.newcomers() < 0) {
+            cold.part(all > 0 ? spoken * own / all : 1.0 / settings.balancers());
+        }
     }
 
     // ---- Events that pass through.
@@ -383,12 +390,6 @@
         module.connected(at);
     }
 
-    @Override
-    public void open(long at, Request request, String server) {
-        begin(at);
-        module.open(at, request, server);
-    }
-
     @Override
     public void first(long at, String request, int attempt, String server) {
         begin(at);
@@ -419,12 +420,6 @@
         }
     }
 
-    @Override
-    public void note(long at, String request, String server, Topic topic, double value) {
-        begin(at);
-        module.note(at, request, server, topic, value);
-    }
-
     @Override
     public void gone(long at, String request) {
         begin(at);
@@ -443,14 +438,12 @@
         module.members(at, scope, servers);
     }
 
-    @Override
-    public void probed(long at, String server, boolean healthy, LoadReport report) {
-        begin(at);
-        module.probed(at, server, healthy, report);
-    }
-
     /** What the module may do, on its way to the broker. */
-    private final class Inner implements Director.Actions {
+    private final class Inner extends Through {
+        Inner() {
+            super(Damper.this.out);
+        }
+
         @Override
         public void send(String request, String server, long allow) {
             Held h = held.get(request);
@@ -483,34 +476,9 @@
             out.fail(request);
         }
 
-        @Override
-        public void rate(String request, int rung) {
-            out.rate(request, rung);
-        }
-
-        @Override
-        public void move(String request) {
-            out.move(request);
-        }
-
-        @Override
-        public void probe(String server) {
-            out.probe(server);
-        }
-
-        @Override
-        public void tell(byte[] message) {
-            out.tell(message);
-        }
-
-        @Override
-        public void timer(String key, long at) {
-            out.timer(key, at);
-        }
-
         @Override
         public boolean mayTryAgain() {
-            return budget.may(now);
+            return budget.may(now) && out.mayTryAgain();
         }
 
         @Override
--- a/src/test/java/dockshed/storm/DamperTest.java
+++ b/src/test/java/dockshed/storm/DamperTest.java
@@ -36,6 +36,8 @@
                         yield note("refuse " + args[0]);
                     }
                     case "tell", "timer" -> null;
+                    case "newcomers" -> -1.0;
+                    case "mayTryAgain" -> true;
                     default -> note(method.getName() + " " + args[0]);
                 });
         return new Damper(settings, Terms.USUAL, 1, broker, a -> {
