Start five brokers as processes with faults between them, and mend what that showed

Need: the heart was checked in a simulated fleet only.

Found by it: the host could not start (it waited for its socket on its own loop); a broker without a purser looked at its shares every millisecond; a minority took over a minute to see that the rest was gone, as the local health lengthened suspicions too. Health lengthens probes only now, suspects are asked by each that suspects them.

--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -34,6 +34,7 @@
     private long reportAt, stalls;
     private List<Integer> living = List.of();
     private boolean purser;
+    private long leased;
     private int cut;
 
     /** {@code me}: this broker's number, and place in {@code peers}. */
@@ -46,11 +47,8 @@
 
     /** Begins to listen and to talk. Throws IllegalStateException where the address cannot be listened on. */
     public void start(InetSocketAddress at) {
-        net.call(() -> {
-            peers.listen(net, at, (from, message) -> turn(() -> heart.receive(clock.now(), message, peers::tell)));
-            reportAt = clock.now() + REPORT;
-            return null;
-        });
+        reportAt = clock.now() + REPORT;
+        peers.listen(net, at, (from, message) -> turn(() -> heart.receive(clock.now(), message, peers::tell)));
         net.loop().execute(this::look);
     }
 
@@ -112,6 +110,11 @@
                     .addKeyValue("gone", minus(living, v.living())).addKeyValue("come", minus(v.living(), living))
                     .addKeyValue("steady", v.steady()).addKeyValue("purser", shares).addKeyValue("cut", v.cut()).log();
         }
+        if (v.until() > leased && v.until() > now && v.newcomers() >= 0) {
+            LOG.atDebug().setMessage("fleet lease").addKeyValue("from", now).addKeyValue("until", v.until())
+                    .addKeyValue("share", v.newcomers()).log();
+        }
+        leased = Math.max(leased, v.until());
         living = v.living();
         purser = shares;
         cut = v.cut();
--- a/src/main/java/dockshed/fleet/Heart.java
+++ b/src/main/java/dockshed/fleet/Heart.java
@@ -33,6 +33,9 @@
     /** Whoever names a later life than this much from now is not believed: a clock is seldom off by more than a week. */
     private static final long PLAUSIBLE = 7L * 24 * 3600 * 1000;
 
+    /** Words on itself that no process contradicts in its life: beyond that another life of it is meant. */
+    private static final long CONTRADICTED = 10_000;
+
     /** Where datagrams go. */
     public interface Sink {
         void send(int to, byte[] datagram);
@@ -232,6 +235,10 @@
                 }
                 default -> who.item(now, from, i, out);
             }
+            if (who.incarnation() - life > CONTRADICTED) {
+                life = who.incarnation();   // the others know of a life that began later: this clock went back
+                rows.reborn(life);
+            }
             if (i.kind() == Envelope.ACK && steadyAt == Long.MAX_VALUE) {
                 steadyAt = now;
             }
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -24,10 +24,10 @@
     static final long PERIOD = 500_000, ANSWER = 150_000;
     /** Those asked to probe for us; accusers that shorten a suspicion most. */
     static final int HELPERS = 3;
-    /** The local health score at its worst: periods are nine times as long then. */
-    static final int WORST = 8;
+    /** The local health score at its worst: periods are five times as long then. */
+    static final int WORST = 4;
     /** A suspicion lasts so many periods at least, times the logarithm of the tier's size; at most so many times that. */
-    private static final double LEAST = 4, MOST = 4;
+    private static final double LEAST = 5, MOST = 4;
     /** Who was called dead is tried again now and then: a cut that has healed tells nobody. */
     static final long RETRY_DEAD = 3_000_000;
     /** Datagrams of one sender that are read: so many a second, so many at once. A sound one sends under ten. */
@@ -63,7 +63,7 @@
     private final Map<Integer, Errand> errands = new HashMap<>();
     private long incarnation, nextAt, deadAt;
     private int health, numbers;
-    private boolean leaving;
+    private boolean leaving, odd;
     int refutations, falseAlarms;       // words on us contradicted; suspicions that a sign of life ended
 
     Membership(int me, int brokers, long incarnation, long now, SplittableRandom random) {
@@ -113,7 +113,7 @@
     }
 
     private long suspicion(Member m) {
-        double least = LEAST * PERIOD * Math.max(1, Math.log10(members.length + 1)) * (1 + health);
+        double least = LEAST * PERIOD * Math.max(1, Math.log10(members.length + 1));
         double most = least * MOST;
         int c = Math.min(HELPERS, Math.max(0, m.accusers.size() - 1));
         return (long) Math.max(least, most - (most - least) * Math.log(c + 1) / Math.log(HELPERS + 1));
@@ -196,6 +196,18 @@
 
     /** In turn through a shuffled list, so that each is probed once a round; now and then one that was called dead. */
     private Member nextTarget(long now) {
+        odd = !odd;
+        if (odd) {                          // a suspect is asked by each that suspects it: one answer clears it
+            List<Member> suspects = new ArrayList<>();
+            for (Member m : members) {
+                if (m.state == State.SUSPECT) {
+                    suspects.add(m);
+                }
+            }
+            if (!suspects.isEmpty()) {
+                return suspects.get(random.nextInt(suspects.size()));
+            }
+        }
         if (now >= deadAt) {
             deadAt = now + RETRY_DEAD;
             List<Integer> gone = new ArrayList<>();
--- a/src/main/java/dockshed/fleet/Shares.java
+++ b/src/main/java/dockshed/fleet/Shares.java
@@ -166,7 +166,9 @@
 
     long next(long now) {
         long ask = requestAt + (answered ? (long) (RENEW * Math.max(1, heldUntil - heldSince)) : ASK_AGAIN);
-        return Math.max(now + 1000, Math.min(ask, askedAt + PROMISE / 4));
+        long round = askedAt + PROMISE / 4;
+        // What is due and could not be done waits for the next look: there is nobody to ask, or it is not this one's to.
+        return Math.min(ask > now ? ask : Long.MAX_VALUE, round > now ? round : Long.MAX_VALUE);
     }
 
     void tick(long now, Rows rows, Membership.Out out) {
--- a/src/test/java/dockshed/fleet/SharesTest.java
+++ b/src/test/java/dockshed/fleet/SharesTest.java
@@ -131,4 +131,19 @@
             assertTrue(worst(seed, w -> { }) <= WHOLE, "seed " + seed);
         }
     }
+
+    @Test
+    void oneWithoutAPurserDoesNotSpin() {
+        // Cut off from the witnesses it was due to ask at every moment, and its loop turned every millisecond.
+        FleetWorld w = new FleetWorld(5, FleetTerms.USUAL, 5).startAll();
+        w.run(8 * S);
+        w.halve(2, true);
+        w.run(10 * S);
+        for (FleetWorld.Node n : w.nodes) {
+            for (int i = 0; i < 40; i++) {
+                w.run(13 * MS);
+                assertTrue(n.heart.shares().next(n.clock()) > n.clock(), "due at once, again and again");
+            }
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -0,0 +1,84 @@
+package dockshed.rig;
+
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What carries datagrams between brokers that run as processes: one socket for each ordered pair, so that each broker knows
+ * each other by an address of its own. It loses, delays, repeats and reorders, and is cut one way or both.
+ */
+final class Fabric {
+    private final Net net;
+    private final Channel[][] from;         // [a][b]: what a knows as b
+    private final InetSocketAddress[] listens;
+    private final boolean[][] cut;
+    private final SplittableRandom random = new SplittableRandom(5);
+    volatile double loss, twice;
+    volatile int mostMillis;
+
+    Fabric(Net net, InetSocketAddress[] listens) {
+        this.net = net;
+        this.listens = listens;
+        int n = listens.length;
+        from = new Channel[n][n];
+        cut = new boolean[n][n];
+        for (int a = 0; a < n; a++) {
+            for (int b = 0; b < n; b++) {
+                from[a][b] = a == b ? null : open(a, b);
+            }
+        }
+    }
+
+    private Channel open(int a, int b) {
+        return net.datagrams(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                new SimpleChannelInboundHandler<DatagramPacket>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
+                        carry(a, b, Net.bytes(p.content()));
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }     // nobody listens there now
+                }).syncUninterruptibly().channel();
+    }
+
+    /** The address under which a knows b. */
+    InetSocketAddress address(int a, int b) {
+        return a == b ? listens[a] : (InetSocketAddress) from[a][b].localAddress();
+    }
+
+    /** From a to b, as if a had sent it; on the loop's thread. */
+    void carry(int a, int b, byte[] datagram) {
+        if (cut[a][b] || random.nextDouble() < loss) {
+            return;
+        }
+        int times = random.nextDouble() < twice ? 2 : 1;
+        for (int i = 0; i < times; i++) {
+            Runnable deliver = () -> from[b][a].writeAndFlush(new DatagramPacket(Net.buf(datagram), listens[b]));
+            if (mostMillis > 0) {
+                net.loop().schedule(deliver, random.nextInt(mostMillis + 1), TimeUnit.MILLISECONDS);
+            } else {
+                deliver.run();
+            }
+        }
+    }
+
+    /** Cuts the first brokers off from the others, both ways, or joins them again. */
+    void halve(int first, boolean is) {
+        net.call(() -> {
+            for (int a = 0; a < cut.length; a++) {
+                for (int b = 0; b < cut.length; b++) {
+                    cut[a][b] = is && a < first != b < first;
+                }
+            }
+            return null;
+        });
+    }
+}
