Read datagrams that were overtaken, and tell newcomers whom to ask for a share

Cause: a probe that the figures sent with it overtook was passed over, its sender suspected. Serials are kept in a window of 64 now.

--- a/src/main/java/dockshed/fleet/Cut.java
+++ b/src/main/java/dockshed/fleet/Cut.java
@@ -25,6 +25,10 @@
     static final double KEPT = 0.12;
     /** Of all ranks in use, how far the cut moves in a second for what is given twice too much, or half too little. */
     private static final double SPEED = 0.25;
+    /** So many times faster it falls: what it lets in too much the modules refuse, what it keeps out too long nobody serves. */
+    private static final double FALLS = 3;
+    /** A broker's figures count for at most so many times the median broker's: one that makes them up moves little. */
+    private static final double LOUD = 3;
     /** So long without a cut before it is over, and what the modules have to be given a second for shares to say something. */
     private static final long CALM = 2_000_000;
     private static final double FEW = 2;
@@ -106,12 +110,14 @@
         double[] demand = mine.demand().clone();
         double taken = mine.taken();
         double unfit = mine.unfit();
+        double most = 1 + LOUD * median(mine, others);
         for (Load l : others) {
+            double counts = Math.min(1, most / Math.max(1e-9, Math.max(l.all(), l.taken() + l.unfit())));
             for (int i = 0; i < STEPS; i++) {
-                demand[i] += l.demand()[i];
+                demand[i] += counts * l.demand()[i];
             }
-            taken += l.taken();
-            unfit += l.unfit();
+            taken += counts * l.taken();
+            unfit += counts * l.unfit();
         }
         double given = taken + unfit;
         double refused = given > 0 ? unfit / given : 0;
@@ -134,7 +140,8 @@
         double span = (high - low) << HASH_BITS;
         double wanted = given > 0 ? taken / (1 - KEPT) / given - 1 : 1;      // over what is given now
         double faster = refused < KEPT / 2 ? 0.5 : 0;
-        proposal -= SPEED * span * Math.max(-1, Math.min(1, wanted + faster)) * passed / 1e6;
+        double move = Math.max(-1, Math.min(1, wanted + faster));
+        proposal -= SPEED * span * (move > 0 ? FALLS : 1) * move * passed / 1e6;
         proposal = Math.max(low << HASH_BITS, Math.min(proposal, high << HASH_BITS));
         if (proposal > low << HASH_BITS) {
             zeroSince = 0;
@@ -147,6 +154,13 @@
         return (int) proposal;
     }
 
+    private static double median(Load mine, List<Load> others) {
+        List<Double> all = new ArrayList<>(List.of(mine.all()));
+        others.forEach(l -> all.add(l.all()));
+        Collections.sort(all);
+        return all.get(all.size() / 2);
+    }
+
     /** The rank over which the demand is what there is room for. */
     static int rankAt(double[] demand, double room) {
         double left = room;
--- a/src/main/java/dockshed/fleet/Heart.java
+++ b/src/main/java/dockshed/fleet/Heart.java
@@ -221,8 +221,10 @@
             counts.passedOver++;
             return;
         }
-        who.heard(now, e);
         int from = e.sender();
+        if (who.heard(now, e)) {
+            welcome(now, from, sink);
+        }
         Membership.Out out = (to, items) -> send(now, to, items, sink);
         for (Item i : e.items()) {
             switch (i.kind()) {
@@ -245,6 +247,17 @@
         }
     }
 
+    /** Who has just come is told at once whom to ask for its share. */
+    private void welcome(long now, int to, Sink sink) {
+        List<Item> items = new ArrayList<>();
+        for (Row r : rows.of(Row.PURSER)) {
+            items.add(r.write(now));
+        }
+        if (!items.isEmpty() && items.size() <= Shares.WITNESSES) {
+            sendAsIs(now, to, items, sink);
+        }
+    }
+
     private void row(long now, int from, Item item) {
         Row r = Row.read(item, now);
         if (r == null || r.incarnation() > now / 1000 + PLAUSIBLE) {
@@ -352,7 +365,7 @@
             List<Item> gossip = who.gossip(left);
             all.addAll(gossip);
             left -= gossip.stream().mapToInt(Item::size).sum();
-            all.addAll(rows.deltas(now, left, who.times()));
+            all.addAll(rows.deltas(now, left, who.times() / 3 + 1));
         }
         sendAsIs(now, to, all, sink);
     }
--- a/src/main/java/dockshed/fleet/Member.java
+++ b/src/main/java/dockshed/fleet/Member.java
@@ -13,7 +13,8 @@
     long incarnation;           // the latest known
     long heardAt = Long.MIN_VALUE / 2;      // when a datagram of its own last came
     long since;                 // in this state
-    int serial;                 // of the last datagram of its own
+    int serial;                 // the highest of a datagram of its own
+    long window;                // of the 64 serials up to that one, those that came: bit 0 is the highest
     boolean heard;              // ever, in this life
     int sends;                  // how often its state was passed on
     final Set<Integer> accusers = new HashSet<>();
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -277,8 +277,9 @@
         if (e.incarnation() < m.incarnation) {
             return false;               // of an earlier life, or of one that has still to hear what was said of it
         }
-        if (e.incarnation() == m.incarnation && m.heard && e.serial() - m.serial <= 0) {
-            return false;               // told before, or overtaken
+        if (e.incarnation() == m.incarnation && m.heard) {
+            int behind = m.serial - e.serial();
+            return behind < 0 || behind < 64 && (m.window >> behind & 1) == 0;     // else told before, or too late to tell
         }
         return true;
     }
@@ -293,22 +294,33 @@
         return word(members[number]);
     }
 
-    /** A datagram of its own came: whatever else is said, it is there. */
-    void heard(long now, Envelope e) {
+    /** A datagram of its own came: whatever else is said, it is there. True where it was not before, or in another life. */
+    boolean heard(long now, Envelope e) {
         Member m = members[e.sender()];
         boolean later = e.incarnation() > m.incarnation;
         m.incarnation = e.incarnation();
-        m.serial = e.serial();
+        int ahead = e.serial() - m.serial;
+        if (later || !m.heard || ahead >= 64) {
+            m.window = 1;
+            m.serial = e.serial();
+        } else if (ahead > 0) {
+            m.window = m.window << ahead | 1;
+            m.serial = e.serial();
+        } else {
+            m.window |= 1L << -ahead;
+        }
+        boolean news = later || !m.heard || !m.there();
         m.heard = true;
         m.heardAt = now;
         if (m.state == State.LEFT && !later) {
-            return;
+            return false;
         }
         falseAlarms += m.state == State.SUSPECT ? 1 : 0;
         if (m.state != State.ALIVE) {
             become(now, m, State.ALIVE);
         }
         m.accusers.clear();
+        return news;
     }
 
     void item(long now, int from, Item item, Out out) {
--- a/src/main/java/dockshed/fleet/Rows.java
+++ b/src/main/java/dockshed/fleet/Rows.java
@@ -17,6 +17,9 @@
 final class Rows {
     /** Rows of one owner at most: one of each single kind, and words on boxes. */
     static final int MOST_OF_ONE = 24;
+    /** So often within so many microseconds no datagram of an owner is overtaken by the same relay's. */
+    static final int STRIKES = 3;
+    static final long WITHIN = 10_000_000;
     /** Buckets of the digest: owners by their number. */
     static final int BUCKETS = 16;
 
@@ -39,7 +42,8 @@
     private final Map<Integer, Long> lives = new HashMap<>();       // the latest incarnation known, by owner
     private final Map<Long, Integer> counters = new HashMap<>();    // of own rows, withdrawn ones too: never used again
     private final long[] keep = new long[Row.KNOWN + 1];
-    int forged;             // proofs that a relay told what the owner never wrote
+    int forged;             // times that an owner's own word was behind what a relay had told
+    private final Map<Integer, List<Long>> strikes = new HashMap<>();     // of those, when, by relay
 
     Rows(int me, int brokers, long incarnation) {
         this.me = me;
@@ -100,7 +104,8 @@
 
     /**
      * Takes in what {@code via} tells. Returns true where that was news. A copy told by the owner itself that is older
-     * than the one held, in the same life, proves that whoever told the held one made it up; {@code liar} hears of it.
+     * than the one held, in the same life, was overtaken on its way, or whoever told the held one made it up. The owner's
+     * is taken; what it lacks comes again. A relay to which that happens {@link #STRIKES} times is told to {@code liar}.
      */
     boolean merge(long now, Row told, int via, Consumer<Integer> liar) {
         if (told.owner() >= brokers || now - told.born() > keep[told.kind()]) {
@@ -127,7 +132,13 @@
         int c = told.compareVersion(was.row);
         if (c < 0 && via == told.owner() && was.via != via) {
             forged++;
-            liar.accept(was.via);
+            List<Long> of = strikes.computeIfAbsent(was.via, x -> new ArrayList<>());
+            of.removeIf(t -> now - t > WITHIN);
+            of.add(now);
+            if (of.size() >= STRIKES) {
+                strikes.remove(was.via);
+                liar.accept(was.via);
+            }
             drop(was);
             set(new Held(told, via));
             return true;
--- a/src/main/java/dockshed/fleet/Shares.java
+++ b/src/main/java/dockshed/fleet/Shares.java
@@ -43,7 +43,7 @@
     /** Demand is told in tenths a second, shares in parts of 65,535. */
     private static final double DEMAND_UNIT = 10, SHARE_UNIT = 65_535;
     /** A lease is asked for again once this part of it is over; a new one at most so often. */
-    private static final double RENEW = 0.4;
+    private static final double RENEW = 0.65;
     private static final long ASK_AGAIN = 300_000;
 
     private record Lease(double[] share, long until) { }
@@ -144,7 +144,7 @@
     /** A witness's row: the purser's number and life. */
     private void testify(long now, Rows rows) {
         Row told = rows.get(me, Row.PURSER, 0);
-        if (promisedTo < 0 || now >= promisedUntil || told != null && now - told.born() < PROMISE / 4
+        if (promisedTo < 0 || now >= promisedUntil || told != null && now - told.born() < PROMISE / 2
                 && ByteBuffer.wrap(told.value()).getLong() == vote()) {
             return;
         }
--- a/src/test/java/dockshed/fleet/MembershipTest.java
+++ b/src/test/java/dockshed/fleet/MembershipTest.java
@@ -172,4 +172,19 @@
             }
         });
     }
+
+    @Test
+    void whatIsOvertakenOnItsWayIsReadAndWhatComesTwiceIsNot() {
+        // A probe overtaken by the figures sent with it was passed over, and its sender suspected for it.
+        Membership who = new Membership(0, 2, 5, 0, new java.util.SplittableRandom(1));
+        for (int serial : new int[] {10, 12, 11, 100, 50, 37}) {
+            Envelope e = new Envelope(1, 7, serial, List.of());
+            assertTrue(who.admits(S, e, 100), "serial " + serial);
+            who.heard(S, e);
+            assertFalse(who.admits(S, e, 100), "twice " + serial);
+        }
+        assertFalse(who.admits(S, new Envelope(1, 7, 36, List.of()), 100), "64 behind");
+        assertFalse(who.admits(S, new Envelope(1, 6, 200, List.of()), 100), "of an earlier life");
+        assertFalse(who.admits(S, new Envelope(1, 101, 1, List.of()), 100), "of a life that cannot be");
+    }
 }
