--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -292,8 +292,9 @@
             holders++;
             if (usable(now, n) && !s.tried.contains(n)) out.add(n);
         }
-        List<Node> clear = out.stream().filter(n -> !act.shunned(n.info.id())).toList();
-        if (!clear.isEmpty()) out.retainAll(clear);     // else the request itself finds out
+        List<Node> clear = new ArrayList<>(out);
+        clear.removeIf(n -> act.shunned(n.info.id()));
+        if (!clear.isEmpty()) out = clear;  // else the request itself finds out
         double trying = trying(now);
         double crowd = holders * Math.min(1, 2.0 / Math.max(1, out.size()));    // at one of two picked
         out.removeIf(n -> !thawed(now, n, trying * crowd));
@@ -738,8 +739,8 @@
         for (Rack r : racks) ownKb += r.own;
         double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
                 * set.limits().tell() / SECOND;
-        double shared = act.newcomers();
-        newcomerPart = shared >= 0 ? shared : Math.max(1.0 / set.balancers(), 1 / (1 + RIVALS * rivals));
+        // A share that is surely its own; more where few of the others come to the same server between two readings.
+        newcomerPart = Math.max(Math.max(1.0 / set.balancers(), act.newcomers()), 1 / (1 + RIVALS * rivals));
         going(now);
         for (Node n : nodes.values()) raise(now, n, false);
         if (nodes.values().removeIf(n -> n.gone && n.mine.isEmpty())) measure();
--- a/src/main/java/dockshed/fleet/Cut.java
+++ b/src/main/java/dockshed/fleet/Cut.java
@@ -25,6 +25,8 @@
     static final double KEPT = 0.12;
     /** Of all ranks in use, how far the cut moves in a second for what is given twice too much, or half too little. */
     private static final double SPEED = 0.25;
+    /** Of what the modules have taken at most, what is forgotten in a second: a cut that lowers what is taken is too high. */
+    private static final double FORGOTTEN = 0.08;
     /** So many times faster it falls: what it lets in too much the modules refuse, what it keeps out too long nobody serves. */
     private static final double FALLS = 3;
     /** A broker's figures count for at most so many times the median broker's: one that makes them up moves little. */
@@ -87,7 +89,7 @@
         }
     }
 
-    private double proposal;
+    private double proposal, able;
     private boolean on;
     private long zeroSince, movedAt;
 
@@ -123,6 +125,7 @@
         double refused = given > 0 ? unfit / given : 0;
         long passed = Math.min(1_000_000, now - movedAt);
         movedAt = now;
+        able = Math.max(taken, able * (1 - FORGOTTEN * passed / 1e6));
         if (!on) {
             on = given > FEW && refused > OVER;
             proposal = on ? rankAt(demand, taken / (1 - KEPT)) : 0;
@@ -138,11 +141,13 @@
             high--;
         }
         double span = (high - low) << HASH_BITS;
-        double wanted = given > 0 ? taken / (1 - KEPT) / given - 1 : 1;      // over what is given now
+        double wanted = given > 0 ? able / (1 - KEPT) / given - 1 : 1;       // over what is given now
         double faster = refused < KEPT / 2 ? 0.5 : 0;
         double move = Math.max(-1, Math.min(1, wanted + faster));
         proposal -= SPEED * span * (move > 0 ? FALLS : 1) * move * passed / 1e6;
-        proposal = Math.max(low << HASH_BITS, Math.min(proposal, high << HASH_BITS));
+        // What is worth most is the modules' to take or refuse: it is not shed for what is worth less.
+        int top = high - 1 >> 2 << 2;
+        proposal = Math.max(low << HASH_BITS, Math.min(proposal, (top > low ? top : high) << HASH_BITS));
         if (proposal > low << HASH_BITS) {
             zeroSince = 0;
         } else if (zeroSince == 0) {
