--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -740,7 +740,8 @@
         double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
                 * set.limits().tell() / SECOND;
         // A share that is surely its own; more where few of the others come to the same server between two readings.
-        newcomerPart = Math.max(Math.max(1.0 / set.balancers(), act.newcomers()), 1 / (1 + RIVALS * rivals));
+        double least = Math.max(1.0 / set.balancers(), act.newcomers());
+        newcomerPart = Math.max(least, 1 / (1 + RIVALS * rivals));
         going(now);
         for (Node n : nodes.values()) raise(now, n, false);
         if (nodes.values().removeIf(n -> n.gone && n.mine.isEmpty())) measure();
