--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -739,7 +739,7 @@
         for (Rack r : racks) ownKb += r.own;
         double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
                 * set.limits().tell() / SECOND;
-        // A share that is surely its own; more where few of the others come to the same server between two readings.
+        // A share that is surely its own; more where few others come to a server between two readings.
         double least = Math.max(1.0 / set.balancers(), act.newcomers());
         newcomerPart = Math.max(least, 1 / (1 + RIVALS * rivals));
         going(now);
