--- a/src/test/java/dockshed/fleet/FleetCosts.java
+++ b/src/test/java/dockshed/fleet/FleetCosts.java
@@ -40,7 +40,11 @@
      * brokers that do not know after half a minute.
      */
     public static double[] probes(int brokers) {
-        FleetWorld w = fleet(brokers);
+        return probes(fleet(brokers));
+    }
+
+    static double[] probes(FleetWorld w) {
+        int brokers = w.nodes.length;
         int box = Mix.of("dead");
         long began = w.now;
         long[] since = new long[brokers];
--- a/src/test/java/dockshed/fleet/MutantsTest.java
+++ b/src/test/java/dockshed/fleet/MutantsTest.java
@@ -96,6 +96,23 @@
         return cuts.stream().allMatch(c -> c > 0 && Math.abs(c - cuts.get(0)) < 0.04 * (1 << Cut.HASH_BITS));
     }
 
+    /** A dead box is tried by a few brokers only, and all know soon. */
+    private static boolean fewFindOut(Consumer<FleetWorld> mutant) {
+        FleetWorld w = new FleetWorld(15, FleetTerms.USUAL, 23);
+        mutant.accept(w);
+        w.startAll();
+        w.run(10 * S);
+        double[] found = FleetCosts.probes(w);
+        return found[0] <= 1.5 && found[1] < 6 && found[2] == 0;
+    }
+
+    /** What is leased is used. */
+    private static boolean theWholeIsUsed(Consumer<FleetWorld> mutant) {
+        FleetWorld w = seven(mutant);
+        w.run(6 * S);
+        return w.sum(Shares.NEWCOMERS) > 0.8;
+    }
+
     private static Consumer<FleetWorld> spoils(int kind, java.util.function.UnaryOperator<Envelope.Item> change) {
         return w -> w.spoil = FleetWorld.items(kind, change);
     }
@@ -126,6 +143,9 @@
         NO_WORD_ON_MEMBERS(MutantsTest::leavesAreHeard, spoils(Envelope.MEMBER, MutantsTest::nothing)),
         SERIALS_STAND_STILL(MutantsTest::nobodyIsAccused, w -> w.spoil = e -> new Envelope(e.sender(), e.incarnation(), 1,
                 e.items())),
+        NO_WORDS_ON_BOXES(MutantsTest::fewFindOut, spoils(Envelope.ROW, i -> i.body()[2] == Row.BOX ? nothing(i) : i)),
+        NO_PROBE_IS_ANSWERED(MutantsTest::nobodyIsAccused, spoils(Envelope.ACK, MutantsTest::nothing)),
+        NO_WITNESS_ANSWERS(MutantsTest::theWholeIsUsed, spoils(Envelope.LOCKED, MutantsTest::nothing)),
         EACH_CUTS_ALONE(MutantsTest::cutsAgree, spoils(Envelope.ROW, MutantsTest::nothing));
 
         private final Predicate<Consumer<FleetWorld>> holds;
