Test that a suspect server is left to the broker whose turn it is

Waiting, a word that it is up, two findings that it is down, and telling what an own trial found, each on loopback sockets.

--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -6,6 +6,8 @@
 import dockshed.Director;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
+import dockshed.core.Finder;
+import dockshed.core.Finder.Verdict;
 import dockshed.core.Stage;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
@@ -20,6 +22,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,6 +37,25 @@
     private LoopClock clock;
     private Broker broker;
     private Edges edges;
+    private final BlockingQueue<String> finding = new LinkedBlockingQueue<>();
+    private volatile Verdict verdict = Verdict.TRY;
+    private final Finder finder = new Finder() {
+        @Override
+        public Verdict ask(long now, String id, Suspicion s) {
+            finding.add("asked " + id);
+            return verdict;
+        }
+
+        @Override
+        public void found(String id, boolean up) {
+            finding.add("found " + id + " " + up);
+        }
+
+        @Override
+        public void suspected(String id, boolean is) {
+            finding.add("suspected " + id + " " + is);
+        }
+    };
     private ServerSocket server;
     private Socket line;
     private BufferedReader reads;
@@ -57,7 +81,7 @@
             }, m -> { }, deadlines);
             clock.onDue(broker::tick);
             edges = new Edges(broker, net, clock, deadlines,
-                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), lines));
+                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), lines), finder);
             stage.onRequest = r -> act.send(r.id(), "a", 0);
             stage.onOutcome = id -> act.fail(id);
             stage.connection = broker.connected(clock.now(), stage, h -> { });
@@ -339,6 +363,56 @@
                 stage.log.stream().filter(l -> l.startsWith("module outcome")).toList());
     }
 
+    private void awaitFinding(String line) throws InterruptedException {
+        for (String l = finding.poll(20, TimeUnit.SECONDS); !line.equals(l); l = finding.poll(20, TimeUnit.SECONDS)) {
+            assertTrue(l != null, "never came: " + line);
+        }
+    }
+
+    private void breakOff() throws IOException {
+        line.setSoLinger(true, 0);
+        line.close();
+    }
+
+    @Test
+    void aSuspectServerIsLeftToTheBrokerWhoseTurnItIs() throws Exception {
+        // A box died and a hundred brokers opened a line each to find out.
+        play("v1");
+        verdict = Verdict.WAIT;
+        breakOff();
+        awaitFinding("suspected a true");
+        awaitFinding("asked a");
+        awaitFinding("asked a");
+        assertEquals(0, net.call(edges::lines));
+        verdict = Verdict.UP;
+        accept();                       // somebody else found it up: news of the session needs a line
+        awaitFinding("suspected a false");
+        assertEquals(1, net.call(broker::standing));
+    }
+
+    @Test
+    void whatOthersFoundDownIsLostWithoutATrialOfOnesOwn() throws Exception {
+        play("v1");
+        server.close();
+        verdict = Verdict.DOWN;
+        breakOff();
+        assertEquals("front over v1 RESET", stage.await("front over v1"));
+        assertEquals(0, net.call(edges::lines));
+        assertTrue(finding.stream().noneMatch(l -> l.startsWith("found")), "it tried itself: " + finding);
+    }
+
+    @Test
+    void whatOneFoundIsToldAndAnOwnTrialThatComesUpEndsTheSuspicion() throws Exception {
+        play("v1");
+        breakOff();
+        awaitFinding("suspected a true");
+        accept();
+        awaitFinding("found a true");
+        server.close();
+        breakOff();
+        awaitFinding("found a false");
+    }
+
     @Test
     void oneRefusedConnectionEndsNoSessions() throws Exception {
         play("v1");
