--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -744,11 +744,14 @@
         if (call.answered) {
             return;
         }
-        if (call.out) {
+        boolean tried = call.out;
+        if (tried) {
             attemptTimedOut(call);
         }
-        if (!call.answered) {       // the module holds it still
-            trail.bad(call.wish.name(), "out of time, unanswered by the module");
+        if (!call.answered) {       // the module holds it still, or has no time left to try again
+            if (!tried) {
+                trail.bad(call.wish.name(), "held by the module until its time was up");
+            }
             fail(call.id);
             director.gone(now, call.id);
         }
