--- a/src/main/java/dockshed/fleet/Gate.java
+++ b/src/main/java/dockshed/fleet/Gate.java
@@ -106,16 +106,21 @@
         return Cut.step(worths.getOrDefault(r.className(), 0), age);
     }
 
+    /** The viewer's hash; one that gives no name is a new one each time. */
+    private static int who(Request r) {
+        return Mix.of(r.viewer() == null || r.viewer().isBlank() ? r.id() : r.viewer());
+    }
+
     private boolean keeps(Request r) {
         long unit = Math.max(1, out.comeBackUnit(r.id()));
-        return Cut.keeps(Mix.of(r.viewer()), now, settings.limits().maxComeBack(), EARLY + unit, LATE + unit);
+        return Cut.keeps(who(r), now, settings.limits().maxComeBack(), EARLY + unit, LATE + unit);
     }
 
     /** Whether a request that came now would be refused under the fleet's cut: alike at every broker of the same view. */
     public boolean underCut(long at, Request r) {
         begin(at);
         View v = view();
-        return v.cut() > 0 && Cut.rank(step(r), Mix.of(r.viewer()), now) < v.cut();
+        return v.cut() > 0 && Cut.rank(step(r), who(r), now) < v.cut();
     }
 
     @Override
@@ -131,7 +136,7 @@
             counts.cut++;
             long unit = Math.max(1, out.comeBackUnit(r.id()));
             long longest = settings.limits().maxComeBack();
-            long back = Cut.appointment(Mix.of(r.viewer()), now, SOONEST, longest);
+            long back = Cut.appointment(who(r), now, SOONEST, longest);
             out.refuse(r.id(), longest < unit ? 0 : Math.max(unit, Math.min(longest, back) / unit * unit));
             return;
         }
--- a/src/test/java/dockshed/fleet/GateTest.java
+++ b/src/test/java/dockshed/fleet/GateTest.java
@@ -131,6 +131,16 @@
         assertTrue(moved > 80);
     }
 
+    @Test
+    void viewersWithoutANameAreNotAllJudgedAsOne() {
+        int under = 0;
+        for (int i = 0; i < 100; i++) {
+            under += broker(10 * S).underCut(10 * S, new Request(Integer.toHexString(i), "safe", "", "t", 3 * S, 0, 0, 3, 4,
+                    false, false, false)) ? 1 : 0;
+        }
+        assertTrue(under > 25 && under < 75, "refused " + under);
+    }
+
     @Test
     void aViewThatIsTooOldIsNone() {
         view = view(10 * S, 0.01, 20 * S, Cut.MOST - 1, Map.of());
