--- a/src/main/java/dockshed/fleet/Gate.java
+++ b/src/main/java/dockshed/fleet/Gate.java
@@ -181,6 +181,7 @@
         if (toldAt > 0) {
             tell.test(new News.Figures(tries, taken, unfit, attempts, Math.max(1, now - toldAt)));
         }
+        forget();
         toldAt = now;
         tries = new int[Cut.STEPS];
         taken = 0;
@@ -254,6 +255,16 @@
         return down;
     }
 
+    /** Of tries and further attempts, what is older than it counts. */
+    private void forget() {
+        while (!further.isEmpty() && further.peekFirst() < now - FURTHER_OVER) {
+            further.removeFirst();
+        }
+        while (!fresh.isEmpty() && fresh.peekFirst() < now - FURTHER_OVER) {
+            fresh.removeFirst();
+        }
+    }
+
     /**
      * Whether one further attempt more is within this broker's share of the fleet's, which is by the fleet's tries as told,
      * and within what its own fresh ones bear: made-up figures of others allow no more than that.
@@ -264,12 +275,7 @@
         if (share < 0) {
             return true;
         }
-        while (!further.isEmpty() && further.peekFirst() < now - FURTHER_OVER) {
-            further.removeFirst();
-        }
-        while (!fresh.isEmpty() && fresh.peekFirst() < now - FURTHER_OVER) {
-            fresh.removeFirst();
-        }
+        forget();
         double whole = FURTHER * Math.max(fresh.size(), v.tries() * FURTHER_OVER / 1e6);
         boolean may = further.size() + 1 <= Math.min(1 + share * whole, 1 + FURTHER_OWN * fresh.size());
         counts.attemptsDenied += may ? 0 : 1;
--- a/src/main/java/dockshed/fleet/Rows.java
+++ b/src/main/java/dockshed/fleet/Rows.java
@@ -40,7 +40,7 @@
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<Integer, Integer> ofOne = new HashMap<>();
     private final Map<Integer, Long> lives = new HashMap<>();       // the latest incarnation known, by owner
-    private final Map<Long, Integer> counters = new HashMap<>();    // of own rows, withdrawn ones too: never used again
+    private int written;    // counts all changes of own rows, so that no counter is used twice, also of one withdrawn
     private final long[] keep = new long[Row.KNOWN + 1];
     int forged;             // times that an owner's own word was behind what a relay had told
     private final Map<Integer, List<Long>> strikes = new HashMap<>();     // of those, when, by relay
@@ -63,9 +63,7 @@
         if (h == null && count(me) >= MOST_OF_ONE) {
             oldestOwn(kind);
         }
-        Row row = new Row(me, kind, key, incarnation, 1, now, value);
-        int counter = counters.merge(row.id(), 1, Integer::sum);
-        set(new Held(new Row(me, kind, key, incarnation, counter, now, value), me));
+        set(new Held(new Row(me, kind, key, incarnation, ++written, now, value), me));
     }
 
     /** Makes room among own rows: the longest unchanged of that kind goes. */
@@ -77,7 +75,6 @@
     /** Own rows go on under a later life: whatever was told of the one before is over. */
     void reborn(long later) {
         incarnation = later;
-        counters.clear();
         for (Held h : List.copyOf(held.values())) {
             if (h.row.owner() == me) {
                 put(h.row.born(), h.row.kind(), h.row.key(), h.row.value());
