Ask in one place what is unwritten, and read the brokers' figures in one place

Read once more: RtspFront asked for a connection's unwritten bytes beside Net, the heart read the living brokers' figures twice, and two accessors of the membership had no caller. No behaviour changes; tests of both packages green.

--- a/src/main/java/dockshed/fleet/Heart.java
+++ b/src/main/java/dockshed/fleet/Heart.java
@@ -197,15 +197,21 @@
             return;
         }
         Cut.Load mine = new Cut.Load(demand.clone(), taken, unfit, proposal);
-        List<Cut.Load> others = new ArrayList<>();
+        proposal = cut.propose(now, mine, loads(false));
+        rows.put(now, Row.LOAD, 0, new Cut.Load(mine.demand(), taken, unfit, proposal).write());
+    }
+
+    /** The figures of the brokers that are there, as told; with the own ones where they are wanted. */
+    private List<Cut.Load> loads(boolean own) {
+        List<Cut.Load> out = new ArrayList<>();
         for (Row r : rows.of(Row.LOAD)) {
-            Cut.Load l = r.owner() == me || !who.member(r.owner()).there() ? null : Cut.Load.read(r.value());
+            boolean counts = (own || r.owner() != me) && who.member(r.owner()).there();
+            Cut.Load l = counts ? Cut.Load.read(r.value()) : null;
             if (l != null) {
-                others.add(l);
+                out.add(l);
             }
         }
-        proposal = cut.propose(now, mine, others);
-        rows.put(now, Row.LOAD, 0, new Cut.Load(mine.demand(), taken, unfit, proposal).write());
+        return out;
     }
 
     // ---- What comes.
@@ -404,12 +410,9 @@
         }
         List<Integer> proposals = new ArrayList<>();
         double tries = 0;
-        for (Row r : rows.of(Row.LOAD)) {
-            Cut.Load l = who.member(r.owner()).there() ? Cut.Load.read(r.value()) : null;
-            if (l != null) {
-                proposals.add(l.proposal());
-                tries += l.all();
-            }
+        for (Cut.Load l : loads(true)) {
+            proposals.add(l.proposal());
+            tries += l.all();
         }
         boolean steady = now >= steadyAt;
         return new View(now, steady, List.copyOf(living), shared(shares.share(now, Shares.NEWCOMERS)),
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -84,10 +84,6 @@
         deadAt = now + RETRY_DEAD;
     }
 
-    int size() {
-        return members.length;
-    }
-
     Member member(int number) {
         return members[number];
     }
@@ -96,10 +92,6 @@
         return incarnation;
     }
 
-    int health() {
-        return health;
-    }
-
     /** Those that are there, itself included, in the order of their numbers. */
     List<Integer> living() {
         List<Integer> out = new ArrayList<>();
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -135,10 +135,13 @@
 
     /** Whether something written to a connection has not been handed to the system yet. */
     public boolean unwritten() {
-        return open.stream().anyMatch(ch -> {
-            ChannelOutboundBuffer out = ch.unsafe().outboundBuffer();
-            return out != null && !out.isEmpty();
-        });
+        return open.stream().anyMatch(Net::unwritten);
+    }
+
+    /** The same of one connection. */
+    public static boolean unwritten(Channel ch) {
+        ChannelOutboundBuffer out = ch.unsafe().outboundBuffer();
+        return out != null && !out.isEmpty();
     }
 
     private ChannelInitializer<Channel> initializer(Supplier<ChannelHandler> handler) {
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -14,7 +14,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
@@ -102,7 +101,7 @@
         long now = clock.now();
         for (Connection c : open) {
             boolean fresh = now - c.usedAt < FRESH;
-            boolean owed = !c.setUps.isEmpty() || c.unwritten() && now - c.usedAt < LINGER;
+            boolean owed = !c.setUps.isEmpty() || Net.unwritten(c.channel) && now - c.usedAt < LINGER;
             if (!c.doomed && !owed && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
                     || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
                 worst = c;
@@ -219,7 +218,7 @@
 
         private void quiet(String why) {
             LOG.debug("viewer's connection closed: remote={} why={}", channel.remoteAddress(), why);
-            if (!ending && unwritten()) {       // a close would throw away what the viewer has not made room for yet
+            if (!ending && Net.unwritten(channel)) {       // a close would throw away what the viewer has not made room for yet
                 end();
                 return;
             }
@@ -227,12 +226,6 @@
             channel.close();
         }
 
-        /** Whether something that it was sent still waits for the viewer to read on. */
-        boolean unwritten() {
-            ChannelOutboundBuffer out = channel.unsafe().outboundBuffer();
-            return out != null && !out.isEmpty();
-        }
-
         /**
          * Takes nothing more, and writes no more once what is open here has its answers: whatever was wrong with a later
          * message, they were taken whole. Each has one by its deadline.
