Try nothing for a viewer that has gone, answer one that half-closes or whose time was up

Need: a viewer that closes or gives up has gone, and nothing must begin for it; one that is still there must have its answer.

Cause, three ways: a set-up was taken as soon as it was read, though its viewer's TEARDOWN or the end of the connection lay behind it in the same read (RtspFront.message -> Broker.request; Netty stops reading at the first read that does not fill its buffer); an end of a viewer's output closed the connection at once and lost what was open on it, also for a viewer that reads on (Netty closes, RtspFront.leave -> Broker.disconnected -> abandon); a late loop read a viewer's TEARDOWN before it came to the answer that was due before it, as a loop's turn reads first and runs what is due after (Broker.abandon: no answer at all).

Change: set-ups are taken once all that has come is read; one whose TEARDOWN came with it, or whose connection has ended, is not. Viewers' connections may be half closed: what is open is answered at once and given up at its server, and the connection closes once that is written, after 5 s at the latest. A broken connection is left before this turn's set-ups go out. What was due to a viewer goes out before its leaving counts, and is written down as ended badly.

Tests: GoneTest (loop held until both have come): without the last read 'GoneTest.java:100 expected: <0> but was: <1>', likewise :114 and :165; BrokerTest.aViewerThatLeavesOnceItsTimeIsUpHasHadItsAnswer: 'but was: <[box a setUp v1 left=2990, box a giveUp v1, module gone]>'.

Ruled out: telling a half close from a close by a 1xx, as it rests on the peer's reset.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -107,10 +107,10 @@
         if (config.peerListen() != null && w.fleet == null) {
             w.peers.listen(w.net, config.peerListen(), (from, message) -> w.broker.told(w.clock.now(), from, message));
         }
-        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom).syncUninterruptibly()
+        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom, true).syncUninterruptibly()
                 .channel().localAddress();
         if (hls != null) {
-            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept, w.edges::makeRoom).syncUninterruptibly()
+            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept, w.edges::makeRoom, false).syncUninterruptibly()
                     .channel().localAddress();
             LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -216,6 +216,27 @@
         });
     }
 
+    /**
+     * A connection brings nothing more, though what is written to it may still be read: what is unanswered on it gets its
+     * answer now, and nothing further is tried for it. It carries no ends from now on.
+     */
+    public void silenced(long at, long connection) {
+        event(at, t -> {
+            for (Call call : calls(c -> c.connection == connection && !c.answered)) {
+                trail.add(t, call.wish.name(), "viewer-closed", null);
+                boolean mayHaveRun = call.out || call.ran;
+                finish(call);
+                counts.gone++;
+                if (mayHaveRun && call.cls.effect() != Effect.SAFE) {
+                    call.front.failed(connection, call.wish.name(), false);
+                } else {
+                    call.front.refused(connection, call.wish.name(), longestComeBack());
+                }
+                director.gone(t, call.id);
+            }
+        });
+    }
+
     /** The viewer has confirmed that it heard of an end. */
     public void heard(long connection, String name) {
         Connection c = connections.get(connection);
@@ -715,11 +736,19 @@
         director.outcome(now, call.id, call.attempts - 1, call.box.id, outcome, true, report);
     }
 
-    /** The viewer left before its answer. */
+    /**
+     * The viewer left before its answer. One whose time was up before is owed it all the same: the loop was late, and read
+     * of its leaving before it came to what was due.
+     */
     private void abandon(Call call) {
         if (call.answered) {
             return;
         }
+        if (now >= call.came + call.wish.patience() - ANSWER_MARGIN) {
+            trail.bad(call.wish.name(), "left unanswered when its time was up");
+            patienceOver(call);
+            return;
+        }
         finish(call);
         counts.gone++;
         director.gone(now, call.id);
--- a/src/main/java/dockshed/net/ByteHandler.java
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.io.IOException;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -23,6 +24,17 @@
 
     protected abstract void closed(ChannelHandlerContext ctx, boolean reset);
 
+    /** All that had come has been given to {@link #bytes}; {@code ended}: nothing more will come. */
+    protected void caughtUp(ChannelHandlerContext ctx, boolean ended) { }
+
+    /** The peer has ended its output, and may have closed the connection; by default it is closed here, too. */
+    protected void inputEnded(ChannelHandlerContext ctx) {
+        ctx.close();
+    }
+
+    /** The connection has just been found broken off; {@link #closed} follows, after what else is waiting to be done. */
+    protected void broke() { }
+
     /** What follows an internal error while the connection itself is whole. */
     protected void failed(ChannelHandlerContext ctx) {
         ctx.close();
@@ -40,6 +52,19 @@
         }
     }
 
+    @Override
+    public final void channelReadComplete(ChannelHandlerContext ctx) {
+        caughtUp(ctx, Net.inputEnded(ctx.channel()));
+    }
+
+    /** Comes only where {@link Net} was asked to leave a connection open whose peer has ended its output. */
+    @Override
+    public final void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        if (event == ChannelInputShutdownEvent.INSTANCE) {
+            inputEnded(ctx);
+        }
+    }
+
     @Override
     public final void channelInactive(ChannelHandlerContext ctx) {
         closed(ctx, broken);
@@ -55,6 +80,7 @@
     public final void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (cause instanceof IOException) {
             broken = true;
+            broke();
             ctx.close();
         } else {
             LOG.error("connection ends after an internal error: remote={}", ctx.channel().remoteAddress(), cause);
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
@@ -37,6 +38,9 @@
     /** Bytes that may wait on a connection before its reader is seen as slow, and may be left for it to catch up. */
     private static final WriteBufferWaterMark BACKLOG = new WriteBufferWaterMark(32 * 1024, 64 * 1024);
 
+    /** Times that one connection is read before the others have their turn: Netty's own figure. */
+    private static final int READS = 16;
+
     /** Milliseconds after which a connection that could not be accepted is tried again. */
     private static final int ACCEPT_AGAIN = 20;
     private static final Logger LOG = LoggerFactory.getLogger(Net.class);
@@ -82,19 +86,35 @@
     }
 
     public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler) {
-        return listen(at, handler, () -> { });
+        return listen(at, handler, () -> { }, false);
     }
 
-    /** {@code full} is run where a connection could not be accepted, for want of a descriptor: it may let one go. */
-    public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler, Runnable full) {
-        return new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
+    /**
+     * {@code full} is run where a connection could not be accepted, for want of a descriptor: it may let one go.
+     * {@code halfClosed}: a peer that has ended its output can still be answered, see {@link ByteHandler#inputEnded}; a
+     * connection is then read until nothing is left, so that an end that has come already is known of what came before it.
+     */
+    public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler, Runnable full,
+                                boolean halfClosed) {
+        ServerBootstrap b = new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
                 .handler(new Accepting(full))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.SO_KEEPALIVE, true)      // a phone that vanished lets its descriptor go
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
-                .childHandler(initializer(handler)).bind(at);
+                .childHandler(initializer(handler));
+        if (halfClosed) {
+            b.childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                    .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
+                            .respectMaybeMoreData(false).maxMessagesPerRead(READS));
+        }
+        return b.bind(at);
+    }
+
+    /** Whether the last read of a connection came to the end of what its peer says. */
+    static boolean inputEnded(Channel ch) {
+        return ch.unsafe().recvBufAllocHandle().lastBytesRead() < 0;
     }
 
     /** Netty would accept nobody for a second after a failure; viewers would wait for as long. */
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -13,6 +13,7 @@
 import dockshed.net.Net;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import java.nio.charset.StandardCharsets;
@@ -127,9 +128,14 @@
         return true;
     }
 
+    /** A set-up as it came. */
+    private record Asked(Wish wish, Headed message) { }
+
     private final class Connection extends ByteHandler {
         private final HeadedDecoder decoder = new HeadedDecoder(MESSAGE_LIMIT);
         private final Set<String> setUps = new HashSet<>();     // open ones
+        /** Read, but not taken before all that has come is read: its viewer may have left behind it. */
+        private final Map<String, Asked> fresh = new LinkedHashMap<>();
         private Channel channel;
         private long handle;
         private boolean ending, asked, viewer, doomed;
@@ -200,6 +206,54 @@
             }
         }
 
+        @Override
+        protected void caughtUp(ChannelHandlerContext ctx, boolean ended) {
+            if (ended) {
+                drop();
+            } else {
+                take();
+            }
+        }
+
+        /** Asks the broker for what has been read. */
+        private void take() {
+            while (!fresh.isEmpty()) {
+                Asked next = fresh.values().iterator().next();
+                fresh.remove(next.wish().name());
+                request(this, next);
+            }
+        }
+
+        /** The viewer has ended its output behind them: they are answered, as it may still read, and not tried. */
+        private void drop() {
+            for (String name : List.copyOf(fresh.keySet())) {
+                fresh.remove(name);
+                setUps.add(name);
+                refused(handle, name, broker.longestComeBack());
+            }
+        }
+
+        /**
+         * The viewer says no more; whether it has left or still reads cannot be told apart. Nothing is tried for it any
+         * more, and what is open has its answer at once, before our end of the connection goes.
+         */
+        @Override
+        protected void inputEnded(ChannelHandlerContext ctx) {
+            LOG.debug("viewer says no more: remote={} open={}", channel.remoteAddress(), setUps);
+            broker.silenced(clock.now(), handle);
+            leave();
+            shut = true;
+            open.add(this);     // until what is written has been read, or for as long as it may linger
+            since = clock.now();
+            channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+
+        /** Told at once: nothing must go out for a viewer that has left, not even what is to be written in this turn. */
+        @Override
+        protected void broke() {
+            leave();
+        }
+
         /** Counts what was wrong in a message that could be read: a viewer's program does not go on like that. */
         private void fault(String why, Headed m) {
             LOG.warn("set-up refused: remote={} why={}", channel.remoteAddress(), why);
@@ -231,6 +285,10 @@
          * message, they were taken whole. Each has one by its deadline.
          */
         private void end() {
+            if (ending) {
+                return;
+            }
+            take();             // they came whole before whatever ends this connection
             if (ending) {
                 return;
             }
@@ -315,8 +373,10 @@
                 LOG.debug("torn down by its viewer: session={} reason={}", m.header("session"), m.header("reason"));
                 String name = m.header("session", "");
                 broker.trail().add(clock.now(), name, "torn-down", m.header("reason"));
-                c.setUps.remove(name);
-                broker.leave(clock.now(), name);
+                if (c.fresh.remove(name) == null) {
+                    broker.leave(clock.now(), name);
+                    c.setUps.remove(name);
+                }
                 reply(ch, 200, "OK", m);
             }
             case "OPTIONS" -> reply(ch, 200, "OK", m);
@@ -334,14 +394,17 @@
             return;
         }
         Wish wish = f.wish();
-        if (c.setUps.contains(wish.name())) {   // no telling any more which of the two an answer would be for
+        boolean untaken = c.fresh.remove(wish.name()) != null;
+        if (untaken || c.setUps.contains(wish.name())) {    // no telling any more which of the two an answer would be for
             LOG.warn("viewer's message malformed: remote={} why=two set-ups under one session", c.channel.remoteAddress());
-            broker.leave(clock.now(), wish.name());
+            if (!untaken) {
+                broker.leave(clock.now(), wish.name());
+            }
             answer(c, wish.name(), 400, "Bad Request", NOTHING, Map.of());
             c.end();
             return;
         }
-        if (c.setUps.size() >= MOST_SET_UPS) {
+        if (c.setUps.size() + c.fresh.size() >= MOST_SET_UPS) {
             answer(c, wish.name(), 503, "Service Unavailable", NOTHING, Map.of());
             return;
         }
@@ -352,12 +415,17 @@
             }
             return;
         }
+        c.fresh.put(wish.name(), new Asked(wish, m));
+    }
+
+    private void request(Connection c, Asked asked) {
+        Wish wish = asked.wish();
         c.setUps.add(wish.name());
         broker.trail().add(clock.now(), wish.name(), "taken", wish.className());
         LOG.debug("set-up taken: session={} remote={}", wish.name(), c.channel.remoteAddress());
         if (!broker.request(clock.now(), c.handle, this, servers, wish)) {
             c.setUps.remove(wish.name());
-            c.fault("session held already, class unknown, or a figure out of range", m);
+            c.fault("session held already, class unknown, or a figure out of range", asked.message());
         }
     }
 
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -176,6 +176,38 @@
         assertEquals(List.of("box a setUp v1 left=2990", "box a giveUp v1", "module gone"), s.log);
     }
 
+    @Test
+    void aViewerThatLeavesOnceItsTimeIsUpHasHadItsAnswer() {
+        // A loop that is late reads of the leaving before it comes to what was due: the answer never went out.
+        s.ask("v1", "paid");
+        s.now += 3 * S - 5 * MS;
+        s.broker.leave(s.now, "v1");
+        s.pass(S);
+        assertEquals(List.of("box a setUp v1 left=2990", "box a giveUp v1", "module outcome 0 a TIMEOUT",
+                "front failed v1 late"), s.log);
+        assertEquals(0, s.broker.unanswered());
+    }
+
+    @Test
+    void aViewerThatSaysNoMoreIsAnsweredAtOnceAndNotTriedAgain() {
+        s.ask("v1", "paid");
+        s.ask("v2", "safe");
+        s.onRequest = r -> { };
+        s.ask("v3", "paid");
+        s.broker.silenced(s.now, s.connection);
+        s.ended("a", "v1", Outcome.FULL);
+        s.ended("a", "v2", Outcome.RESET);
+        s.broker.answered(s.now, "a", "v1", "crossed");
+        s.pass(5 * S);
+        assertEquals(List.of("front failed v1", "front refused v2 2000", "front refused v3 2000"),
+                s.log.stream().filter(l -> l.startsWith("front")).sorted().toList());
+        assertEquals(List.of("box a giveUp v1", "box a giveUp v2"),
+                s.log.stream().filter(l -> l.startsWith("box") && !l.contains("setUp")).toList());
+        assertEquals(2, s.count("box a setUp"));
+        assertEquals(3, s.count("module gone"));
+        assertEquals(0, s.broker.unanswered() + s.broker.standing());
+    }
+
     @Test
     void aLostConnectionGivesUpItsRequestsButNotItsSessions() {
         s.play("v1", "safe");
--- /dev/null
+++ b/src/test/java/dockshed/rtsp/GoneTest.java
@@ -0,0 +1,170 @@
+package dockshed.rtsp;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.core.Deadlines;
+import dockshed.core.Stage;
+import dockshed.net.LoopClock;
+import dockshed.net.Net;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Viewers that leave, on loopback sockets; the loop is held until both their set-up and their leaving have come. */
+class GoneTest {
+    private final Net net = new Net();
+    private final Stage stage = new Stage();
+    private InetSocketAddress at;
+
+    @BeforeEach
+    void start() throws Exception {
+        RtspFront front = net.call(() -> {
+            LoopClock clock = new LoopClock(net.loop());
+            Deadlines deadlines = new Deadlines(clock::wake);
+            clock.onDue(deadlines::run);
+            return new RtspFront(stage.broker, stage, clock, deadlines, 10);
+        });
+        at = (InetSocketAddress) net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept,
+                () -> { }, true).sync().channel().localAddress();
+    }
+
+    @AfterEach
+    void stop() {
+        net.close();
+    }
+
+    /** Holds the loop where it is until the latch is let go. */
+    private CountDownLatch hold() throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
+        net.loop().execute(() -> {
+            held.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        held.await();
+        return go;
+    }
+
+    private Socket viewer() throws Exception {
+        Socket s = new Socket(at.getAddress(), at.getPort());
+        s.setSoTimeout(20_000);
+        return s;
+    }
+
+    private static void say(Socket s, String text) throws Exception {
+        s.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Two tests passed on a connection of their own: all that had come before has been read meanwhile. */
+    private void settled() throws Exception {
+        try (Socket s = viewer()) {
+            for (int i = 0; i < 2; i++) {
+                say(s, "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n");
+                heard(s, "RTSP/1.0 200 OK\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n");
+            }
+        }
+    }
+
+    private static void heard(Socket s, String expected) throws Exception {
+        InputStream in = s.getInputStream();
+        assertEquals(expected, new String(in.readNBytes(expected.length()), StandardCharsets.UTF_8));
+    }
+
+    private long attempts() {
+        return net.call(() -> stage.count("box a setUp"));
+    }
+
+    private int unanswered() {
+        return net.call(stage.broker::unanswered);
+    }
+
+    @Test
+    void whoClosesInTheSameReadAsItsSetUpIsNotTried() throws Exception {
+        try (Socket s = viewer()) {
+            CountDownLatch go = hold();
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
+            s.close();
+            go.countDown();
+            settled();
+            assertEquals(0, attempts());
+            assertEquals(0, unanswered());
+        }
+    }
+
+    @Test
+    void whoClosesBeforeItsConnectionIsAcceptedIsNotTried() throws Exception {
+        CountDownLatch go = hold();
+        try (Socket s = viewer()) {
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
+        }
+        go.countDown();
+        settled();
+        settled();
+        assertEquals(0, attempts());
+        assertEquals(0, unanswered());
+    }
+
+    @Test
+    void whoBreaksOffInTheSameReadLeavesNothingBehind() throws Exception {
+        try (Socket s = viewer()) {
+            CountDownLatch go = hold();
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
+            s.setSoLinger(true, 0);
+            s.close();
+            go.countDown();
+            settled();
+            assertEquals(0, unanswered());
+            assertEquals(attempts(), net.call(() -> stage.count("box a giveUp")));
+        }
+    }
+
+    @Test
+    void whoGivesUpInTheSameReadIsNotTried() throws Exception {
+        try (Socket s = viewer()) {
+            CountDownLatch go = hold();
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
+            say(s, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: " + RtspFrontTest.id(1) + "\r\n\r\n");
+            go.countDown();
+            heard(s, "RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: " + RtspFrontTest.id(1) + "\r\nContent-Length: 0\r\n\r\n");
+            assertEquals(0, attempts());
+            assertEquals(0, unanswered());
+        }
+    }
+
+    @Test
+    void whoOnlyHalfClosesHasOneWholeAnswerToEachAndNoFurtherAttempt() throws Exception {
+        // Nobody can tell it from one that has left; the connection ended without a word, and what it had asked was lost.
+        try (Socket s = viewer()) {
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), "").replace("Class: safe", "Class: paid")
+                    + RtspFrontTest.setUp(RtspFrontTest.id(2), ""));
+            stage.await("box a setUp " + RtspFrontTest.id(2));
+            CountDownLatch go = hold();
+            say(s, RtspFrontTest.setUp(RtspFrontTest.id(3), ""));
+            s.shutdownOutput();
+            go.countDown();
+            List<String> answers = List.of(new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
+                    .split("(?=RTSP/1.0 )"));
+            assertEquals(3, answers.size(), answers.toString());
+            for (int i = 1; i <= 3; i++) {
+                String own = RtspFrontTest.id(i);
+                String answer = answers.stream().filter(a -> a.contains(own)).findFirst().orElse("none");
+                assertTrue(answer.startsWith(i == 1 ? "RTSP/1.0 500 " : "RTSP/1.0 503 "), answer);
+            }
+            settled();
+            assertEquals(2, attempts());
+            assertEquals(2, net.call(() -> stage.count("box a giveUp")));
+            assertEquals(0, unanswered());
+        }
+    }
+}
