Ask no further for an HLS session that nobody waits for any more

Cause: HlsFront.Connection.closed forgot the connection but not the session that it had asked for, so its attempts went on until its time was up. Change: a session whose waiting connections have all closed is given up; a paid one goes on, as a player that comes back must find it rather than pay again. Test: HlsPathTest.whatNobodyWaitsForAnyMoreIsNotTriedAnyMoreAndAPaidOneIsKeptForWhoComesBack, which waits for the module's word without the mend.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -1,5 +1,6 @@
 package dockshed.hls;
 
+import dockshed.Director.Effect;
 import dockshed.Director.Outcome;
 import dockshed.Director.SessionClass;
 import dockshed.Director.Settings;
@@ -211,11 +212,26 @@
             connections--;
             queue.clear();
             closing = true;
+            abandoned(this);
         }
     }
 
     // ---- Requests.
 
+    /**
+     * Sessions that nobody waits for any more, as this connection has closed, are not asked for any further. A paid one goes
+     * on: a player that comes back finds it, instead of paying again.
+     */
+    private void abandoned(Connection gone) {
+        for (Session s : List.copyOf(sessions.values())) {
+            boolean safe = classes.get(s.viewerKey.substring(0, s.viewerKey.indexOf('\n'))).effect() == Effect.SAFE;
+            if (s.list == null && s.waiting.removeIf(x -> x.connection == gone) && s.waiting.isEmpty() && safe) {
+                forget(s);
+                broker.leave(clock.now(), s.name);
+            }
+        }
+    }
+
     private void request(Exchange x, Headed m) {
         try {
             URI target = new URI(m.word(1));
--- a/src/test/java/dockshed/hls/HlsPathTest.java
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -192,6 +192,40 @@
         assertTrue(playlist.text().contains("BANDWIDTH=900\n"), playlist.text());
     }
 
+    /** A viewer that asks, and waits for as long as its connection is open. */
+    private Socket waits(String target) throws Exception {
+        Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort());
+        s.setSoTimeout(20_000);
+        s.getOutputStream().write(("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+        return s;
+    }
+
+    @Test
+    void whatNobodyWaitsForAnyMoreIsNotTriedAnyMoreAndAPaidOneIsKeptForWhoComesBack() throws Exception {
+        module.onRequest = r -> requests.add(r.id());       // it waits
+        Socket safe = waits(lesson("safe", "v"));
+        Socket again = waits(lesson("safe", "v"));
+        String held = requests.take();
+        Socket paid = waits(lesson("paid", "v"));
+        String kept = requests.take();
+        safe.close();
+        again.close();
+        module.await("module gone");
+        paid.close();
+        assertEquals(1, net.call(broker::unanswered));
+        try (Socket back = waits(lesson("paid", "v"))) {
+            net.call(() -> {
+                act.send(held, "a", 0);
+                act.rate(kept, 2);
+                act.send(kept, "a", 0);
+                return null;
+            });
+            keepsTerms(read(back.getInputStream(), new HeadedDecoder(1 << 20)));
+        }
+        assertEquals(1, box.asked.size());
+        assertEquals(0, requests.size());
+    }
+
     @Test
     void aPaidLessonIsSetUpOnceAndPlayedThroughItsSession() throws Exception {
         Headed first = get(lesson("paid", "v"));
