Mend four endings found in review: early idle closes, ids again, tear-downs elsewhere, a move

* Lines were held to be near their idle close 3 s before it: with a customer's 2 s every set-up shook hands anew and lines with sessions were renewed twice a second (Edges.Line.nearIdleClose).
The margin is a quarter of that time at most.
* An id given up at a server and asked for again went there at once, and the first one's answer, on its way, was taken for the second's (Edges.message).
For 5 s it does not go there again.
* A connection of ours that ends after its answers waited for ever for one that was given up on another connection (RtspFront.message took the name off the connection that brought the TEARDOWN).
The broker tells the front where a request ends.
Without it: 'RtspFrontTest:355 expected: <false> but was: <true>'.
* After a SIGHUP the name server that was left could still answer a question about one server with 'no such name', and end it.
Such answers are passed over; the whole list still counts, as it is told once sent.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -751,6 +751,7 @@
         }
         finish(call);
         counts.gone++;
+        call.front.left(call.connection, call.wish.name());
         director.gone(now, call.id);
     }
 
--- a/src/main/java/dockshed/core/Front.java
+++ b/src/main/java/dockshed/core/Front.java
@@ -13,6 +13,9 @@
     /** Ended with an error; {@code late}: because the viewer's time is up. */
     void failed(long connection, String name, boolean late);
 
+    /** A request is over without an answer, as its viewer gave it up, on whichever connection. */
+    default void left(long connection, String name) { }
+
     /** A session that stood is over: OK, or RESET. */
     void over(long connection, String name, Outcome outcome);
 
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -36,8 +36,10 @@
  */
 public final class Edges implements Servers {
     static final int LINE_LIMIT = 16 * 1024;
-    /** A connection is not used for a set-up so shortly before the server may close it as idle. */
+    /** A connection is not used for a set-up so shortly before the server may close it as idle, a quarter of that at most. */
     private static final long IDLE_MARGIN = 3_000_000;
+    /** An id given up at a server does not go there again for so long: what comes of the first could not be told apart. */
+    private static final long GIVEN_UP = 5_000_000;
     /** How often in a row a connection to a server with sessions must fail to come up, and the time between. */
     private static final int LOST_AFTER = 2;
     private static final long RETRY = 300_000;
@@ -69,6 +71,7 @@
         long heardAt, triedAt;      // when it last wrote; when a line was last begun for its sessions' sake
         long suspect = -1;          // since when it is not known whether its process is there; -1: it is
         final ArrayDeque<Message> owed = new ArrayDeque<>();    // releases for when a line is up again
+        final LinkedHashMap<String, Long> givenUp = new LinkedHashMap<>();  // ids, the oldest first, BACKLOG at most
 
         Box(String id) {
             this.id = id;
@@ -185,6 +188,13 @@
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
+        b.givenUp.values().removeIf(at -> clock.now() - at > GIVEN_UP);
+        if (b.givenUp.containsKey(s.name())) {
+            broker.trail().add(clock.now(), s.name(), "held-back", server);
+            LOG.info("set-up held back: server={} why=given up there just now: session={}", server, s.name());
+            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            return;
+        }
         Line line = usable(b);
         if (line == null) {             // no descriptor was to be had, which says nothing of the server
             LOG.warn("set-up held back: server={} why=no descriptor for a line: lines={}", server, all);
@@ -237,6 +247,10 @@
             if (p == null || !l.up || !p.handed) {
                 continue;
             }
+            if (b.givenUp.size() >= BACKLOG) {
+                b.givenUp.remove(b.givenUp.keySet().iterator().next());
+            }
+            b.givenUp.put(name, clock.now());
             if (!p.written) {       // it would still leave whenever the server reads again
                 LOG.warn("line to edge server dropped: id={} why=does not read what was given up", b.id);
                 drop(l);
@@ -550,7 +564,8 @@
         }
 
         boolean nearIdleClose(long now) {
-            return up && open.isEmpty() && now - usedAt > terms.idleClose() - IDLE_MARGIN;
+            return up && open.isEmpty()
+                    && now - usedAt > terms.idleClose() - Math.min(IDLE_MARGIN, terms.idleClose() / 4);
         }
 
         /** Whether nothing has come since the set-up went out, or only part of a message. */
--- a/src/main/java/dockshed/names/Names.java
+++ b/src/main/java/dockshed/names/Names.java
@@ -100,6 +100,7 @@
         LOG.info("name server moved: from={} to={} number={}", server, to, list.serial());
         server = to;
         survey.moved();             // what one server began the other does not finish
+        asked.values().removeIf(q -> q.of() != null);   // one that is being shut down may say that it knows nobody
         if (channel != null && channel.isActive()) {
             query(null);
         }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -375,7 +375,6 @@
                 broker.trail().add(clock.now(), name, "torn-down", m.header("reason"));
                 if (c.fresh.remove(name) == null) {
                     broker.leave(clock.now(), name);
-                    c.setUps.remove(name);
                 }
                 reply(ch, 200, "OK", m);
             }
@@ -464,6 +463,16 @@
                 Map.of());
     }
 
+    /** A connection that only waited for this answer to end has none to wait for. */
+    @Override
+    public void left(long connection, String name) {
+        Connection c = channels.get(connection);
+        if (c != null) {
+            c.setUps.remove(name);
+            c.shutOnceAnswered();
+        }
+    }
+
     @Override
     public void over(long connection, String name, Outcome outcome) {
         request(connection, "TEARDOWN", name, "cause=" + (outcome == Outcome.OK ? 16 : 41));
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -344,6 +344,18 @@
         assertEquals(0, s.broker.counts().served);
     }
 
+    @Test
+    void aConnectionThatEndsAfterItsAnswersEndsWhereTheLastIsGivenUpElsewhere() {
+        // It stayed open until its viewer closed it: what was torn down on another connection was waited for for ever.
+        EmbeddedChannel other = new EmbeddedChannel(front.accept());
+        say(ch, setUp(id(1), ""));
+        say(ch, "GET / HTTP/1.1\r\n\r\n");
+        assertTrue(ch.isOpen());
+        say(other, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: " + id(1) + "\r\n\r\n");
+        assertFalse(ch.isOpen());
+        assertEquals(1, s.count("box a giveUp"));
+    }
+
     @Test
     void aSessionAskedForTwiceInOneReadIsNotTriedAndLeavesAnothersAlone() {
         EmbeddedChannel other = new EmbeddedChannel(front.accept());
