--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -12,10 +12,13 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -27,6 +30,7 @@
     @TempDir
     Path dir;
     private Process process;
+    private int limit;              // of descriptors; 0: as it is here
     private BufferedReader log;
 
     private void start(String config, String... arguments) throws Exception {
@@ -35,6 +39,9 @@
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
                 System.getProperty("java.class.path"), "dockshed.Main"));
         command.addAll(List.of(arguments));
+        if (limit > 0) {
+            command.addAll(0, List.of("sh", "-c", "ulimit -n " + limit + "; exec \"$@\"", "sh"));
+        }
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
         b.environment().put("EDGE_CONFIG", file.toString());
         process = b.start();
@@ -149,6 +156,66 @@
         }
     }
 
+    @Test
+    void idleViewersThatFillTheDescriptorsWhileDiscoveryIsDownLeaveRoomForWhoAsks() throws Exception {
+        try (ServerSocket box = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+             DatagramSocket names = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            int port;
+            int namesPort = names.getLocalPort();
+            names.close();      // out of reach
+            String config = ConfigTest.WHOLE.replace("127.0.0.1:5080", "127.0.0.1:" + box.getLocalPort())
+                    .replace("leaving", "active").replace("1500}", "0}").replace("\"sockets\":512", "\"sockets\":192")
+                    .replace("\"127.0.0.1:9\"", "\"127.0.0.1:" + namesPort + "\"");
+            // The jars of the tests' class path take a few more than the program's one.
+            limit = 192 + 24;
+            start(config, "serve");
+            port = port(line("serving:"));
+            List<Socket> idle = new ArrayList<>();
+            try {
+                for (int i = 0; i < 300; i++) {
+                    Socket s = new Socket("127.0.0.1", port);
+                    idle.add(s);
+                    if (i % 2 == 0) {
+                        s.getOutputStream().write(TEST.getBytes(StandardCharsets.UTF_8));
+                    }
+                }
+                // Whoever is turned away in the rush comes again, as clients do.
+                Socket viewer = null;
+                for (Headed passed = null; passed == null; ) {
+                    viewer = new Socket("127.0.0.1", port);
+                    idle.add(viewer);
+                    try {
+                        passed = ask(viewer, TEST);
+                    } catch (SocketException e) {
+                        passed = null;
+                    }
+                }
+                String id = "0123456789abcdef";
+                viewer.getOutputStream().write(("SETUP rtsp://media/t RTSP/1.0\r\nSession: " + id
+                        + "\r\nPriority-Class: paid\r\nExpires-Ms: 4000\r\nP-Trunk-Info: home:2;copies:3;top:1\r\n"
+                        + "Content-Length: 5\r\n\r\nv=0\r\n").getBytes(StandardCharsets.UTF_8));
+                box.setSoTimeout(20_000);
+                try (Socket line = box.accept()) {
+                    line.setSoTimeout(20_000);
+                    String asked = new BufferedReader(new InputStreamReader(line.getInputStream())).readLine();
+                    assertTrue(asked.contains(id), asked);
+                    line.getOutputStream().write(("{\"type\":\"answer\",\"id\":\"" + id
+                            + "\",\"fields\":{},\"sdp\":\"v=1\\r\\n\"}\n").getBytes(StandardCharsets.UTF_8));
+                    assertEquals(200, ask(viewer, "").status());
+                }
+                try (DatagramSocket again = new DatagramSocket(namesPort, InetAddress.getLoopbackAddress())) {
+                    asked(again);
+                }
+                hangUp();
+                line("configuration read again");
+            } finally {
+                for (Socket s : idle) {
+                    s.close();
+                }
+            }
+        }
+    }
+
     private void hangUp() throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
