--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -163,8 +163,7 @@
             int port;
             int namesPort = names.getLocalPort();
             names.close();      // out of reach
-            String config = ConfigTest.WHOLE.replace("127.0.0.1:5080", "127.0.0.1:" + box.getLocalPort())
-                    .replace("leaving", "active").replace("1500}", "0}").replace("\"sockets\":512", "\"sockets\":192")
+            String config = served(box).replace("\"sockets\":512", "\"sockets\":192")
                     .replace("\"127.0.0.1:9\"", "\"127.0.0.1:" + namesPort + "\"");
             // The jars of the tests' class path take a few more than the program's one.
             limit = 192 + 24;
@@ -191,16 +190,13 @@
                     }
                 }
                 String id = "0123456789abcdef";
-                viewer.getOutputStream().write(("SETUP rtsp://media/t RTSP/1.0\r\nSession: " + id
-                        + "\r\nPriority-Class: paid\r\nExpires-Ms: 4000\r\nP-Trunk-Info: home:2;copies:3;top:1\r\n"
-                        + "Content-Length: 5\r\n\r\nv=0\r\n").getBytes(StandardCharsets.UTF_8));
+                viewer.getOutputStream().write(setUp(id).getBytes(StandardCharsets.UTF_8));
                 box.setSoTimeout(20_000);
                 try (Socket line = box.accept()) {
                     line.setSoTimeout(20_000);
                     String asked = new BufferedReader(new InputStreamReader(line.getInputStream())).readLine();
                     assertTrue(asked.contains(id), asked);
-                    line.getOutputStream().write(("{\"type\":\"answer\",\"id\":\"" + id
-                            + "\",\"fields\":{},\"sdp\":\"v=1\\r\\n\"}\n").getBytes(StandardCharsets.UTF_8));
+                    answer(line, id);
                     assertEquals(200, ask(viewer, "").status());
                 }
                 try (DatagramSocket again = new DatagramSocket(namesPort, InetAddress.getLoopbackAddress())) {
@@ -216,6 +212,58 @@
         }
     }
 
+    private static String setUp(String id) {
+        return "SETUP rtsp://media/t RTSP/1.0\r\nSession: " + id + "\r\nPriority-Class: paid\r\nExpires-Ms: 4000\r\n"
+                + "P-Trunk-Info: home:2;copies:3;top:1\r\nContent-Length: 5\r\n\r\nv=0\r\n";
+    }
+
+    private static void answer(Socket line, String id) throws Exception {
+        line.getOutputStream().write(("{\"type\":\"answer\",\"id\":\"" + id
+                + "\",\"fields\":{},\"sdp\":\"v=1\\r\\n\"}\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** A configuration with one server, there. */
+    private static String served(ServerSocket box) {
+        return ConfigTest.WHOLE.replace("127.0.0.1:5080", "127.0.0.1:" + box.getLocalPort())
+                .replace("leaving", "active").replace("1500}", "0}");
+    }
+
+    @Test
+    void whatIsOutHalfReadOrNotAcceptedAtSigtermIsAnsweredAndItsSessionsEndIsTold() throws Exception {
+        try (ServerSocket box = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            box.setSoTimeout(20_000);
+            start(served(box), "serve");
+            int port = port(line("serving:"));
+            String out = "00000000000000a1", half = "00000000000000a2", late = "00000000000000a3";
+            try (Socket one = new Socket("127.0.0.1", port); Socket two = new Socket("127.0.0.1", port)) {
+                one.getOutputStream().write(setUp(out).getBytes(StandardCharsets.UTF_8));
+                Socket line = box.accept();
+                line.setSoTimeout(20_000);
+                assertTrue(new BufferedReader(new InputStreamReader(line.getInputStream())).readLine().contains(out));
+                two.getOutputStream().write(setUp(half).substring(0, 60).getBytes(StandardCharsets.UTF_8));
+                process.toHandle().destroy();
+                try (Socket three = new Socket("127.0.0.1", port)) {    // accepted by the system, as the end begins
+                    three.getOutputStream().write(setUp(late).getBytes(StandardCharsets.UTF_8));
+                    two.getOutputStream().write(setUp(half).substring(60).getBytes(StandardCharsets.UTF_8));
+                    answer(line, out);
+                    assertEquals(200, ask(one, "").status());
+                    // The module may send the others on or refuse them: either way each has its one answer.
+                    for (Socket s : List.of(two, three)) {
+                        Headed answer = ask(s, "");
+                        assertTrue(answer.status() >= 400 && answer.status() <= 504, answer.first());   // the box answers only the first
+                        assertEquals(s == two ? half : late, answer.header("session"));
+                    }
+                    Headed end = ask(one, "");
+                    assertEquals("TEARDOWN", end.word(0));
+                    assertEquals(out, end.header("session"));
+                }
+                assertTrue(process.waitFor(20, TimeUnit.SECONDS));
+                assertEquals(0, process.exitValue());
+                line.close();
+            }
+        }
+    }
+
     private void hangUp() throws Exception {
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
