--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -49,6 +49,9 @@
     /** Notes on a set-up that are kept until its answer comes. */
     private static final int EARLY = 8;
 
+    /** Lines a second on viewers that left unanswered: enough to find one request, too few to hurt in a flood. */
+    private static final int LEFT_LINES = 5;
+
     private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
 
     /** A request, then the session that it became. */
@@ -122,6 +125,8 @@
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private boolean busy, ending;
     private long now;
+    private long leftSecond;        // the second in which lines on leaving viewers are counted
+    private int leftLines;
     private int unanswered;
     private final Counts counts = new Counts();
     private final Trail trail = new Trail();
@@ -223,7 +228,7 @@
     public void silenced(long at, long connection) {
         event(at, t -> {
             for (Call call : calls(c -> c.connection == connection && !c.answered)) {
-                trail.add(t, call.wish.name(), "viewer-closed", null);
+                left(call, "half-closed");
                 boolean mayHaveRun = call.out || call.ran;
                 finish(call);
                 counts.gone++;
@@ -749,12 +754,25 @@
             patienceOver(call);
             return;
         }
+        left(call, "gave up or closed");
         finish(call);
         counts.gone++;
         call.front.left(call.connection, call.wish.name());
         director.gone(now, call.id);
     }
 
+    /** Writes down who left unanswered: a request that nobody heard the end of can be told from one that was given up. */
+    private void left(Call call, String how) {
+        if (now / 1_000_000 != leftSecond) {
+            leftSecond = now / 1_000_000;
+            leftLines = 0;
+        }
+        if (leftLines++ < LEFT_LINES) {
+            LOG.info("viewer left unanswered: session={} how={} ms={} of={} attempts={} out={}", call.wish.name(), how,
+                    (now - call.came) / 1000, call.wish.patience() / 1000, call.attempts, call.out);
+        }
+    }
+
     private void attemptTimedOut(Call call) {
         if (call.out) {
             call.via.giveUp(call.box.id, call.wish.name());
