Start with a class that earns nothing, and name the key of settings that contradict

Need: other customers' settings: a class without worth, a missing optional, figures that contradict. Cause: SessionClass refused points of 0, so a class that earns nothing ended the start; 'me' over the number of brokers, a class named twice and a highest rung beyond the ladder went through (the last made HLS refuse all of the class); messages named our words, not the settings' keys.

Change: a class without points is worth a millionth of the least other: served where room costs nothing, and it sets no price (Choice: with it the going price was capped at nothing for all). Messages name the keys.

ChoiceTest.aClassThatEarnsNothingIsServedWhereThereIsRoomAndSetsNoPrice.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -29,6 +29,7 @@
     static final double PRIOR_STAY_S = 25, PRIOR_ENDS = 3; // seconds of stay before any was seen; its weight
     static final double PRIOR_FILL = 0.7;       // fullness of a link never heard of, and of all when none was
     static final double GROWTH_MAX = 3;         // sessions to come over those now, as the price heeds it
+    static final double NOTHING = 1e-3;         // of the highest worth: a class that earns less sets no price
     static final double PRICE_CAP = 0.98;       // of what a kB earns at best in the class that earns least
     static final double RIVALS = 2;             // wariness of other directors' newcomers at the same server
     static final double JUMP = 1.7;             // between two readings of a link: more is the link's doing
@@ -153,7 +154,9 @@
         rate = settings.ladder().rates().stream().mapToDouble(Double::doubleValue).toArray();
         worth = settings.ladder().worths().stream().mapToDouble(Double::doubleValue).toArray();
         switchS = settings.ladder().switchCost() / (double) SECOND;
-        leastWorth = settings.classes().stream().mapToDouble(SessionClass::worth).min().orElse(1);
+        double most = settings.classes().stream().mapToDouble(SessionClass::worth).max().orElse(1);
+        leastWorth = settings.classes().stream().mapToDouble(SessionClass::worth)
+                .filter(w -> w > NOTHING * most).min().orElse(1);
         for (SessionClass c : settings.classes()) classOf.put(c.name(), classOf.size());
         count = new double[settings.classes().size()];
         racks = new Rack[settings.ladder().racks()];
@@ -452,6 +455,7 @@
         double low = 0;
         double high = Double.MAX_VALUE;     // a newcomer of any class is welcome where there is room
         for (SessionClass c : set.classes()) {
+            if (c.worth() < leastWorth) continue;       // comes in where room costs nothing
             int r = modest(c);
             high = Math.min(high, PRICE_CAP * c.worth() * worth[r] / kb(c, r));
         }
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -38,18 +38,18 @@
     record SessionClass(String name, Effect effect, long goalTime, long deadline, double worth, double scale,
                         int floor, int top, int seats) {
         public SessionClass {
-            require(worth > 0, "worth of class " + name);
-            require(scale > 0, "scale of class " + name);
-            require(goalTime > 0 && deadline > 0, "times of class " + name);
-            require(floor >= 0 && floor <= top, "floor of class " + name);
-            require(seats >= 0, "seats of class " + name);
+            require(worth > 0, "points, the worth of class " + name);
+            require(scale > 0, "class_scale of class " + name);
+            require(goalTime > 0 && deadline > 0, "goal_time or deadline of class " + name);
+            require(floor >= 0 && floor <= top, "lowest_rung, the floor of class " + name);
+            require(seats >= 0, "class_seats of class " + name);
         }
     }
 
     /** A kind of server and the streams that it runs at most. */
     record Kind(String name, int streams) {
         public Kind {
-            require(streams > 0, "streams of kind " + name);
+            require(streams > 0, "kind_slots of kind " + name);
         }
     }
 
@@ -59,16 +59,16 @@
         public Ladder {
             rates = List.copyOf(rates);
             worths = List.copyOf(worths);
-            require(!rates.isEmpty(), "rungs");
-            require(rates.size() == worths.size(), "worths of the rungs");
+            require(!rates.isEmpty(), "rates_kb: rungs");
+            require(rates.size() == worths.size(), "level_worth: worths of the rungs");
             for (int i = 0; i < rates.size(); i++) {
-                require(rates.get(i) > (i == 0 ? 0 : rates.get(i - 1)), "rate of rung " + i);
-                require(worths.get(i) >= (i == 0 ? 0 : worths.get(i - 1)), "worth of rung " + i);
+                require(rates.get(i) > (i == 0 ? 0 : rates.get(i - 1)), "rates_kb: rate of rung " + i);
+                require(worths.get(i) >= (i == 0 ? 0 : worths.get(i - 1)), "level_worth: worth of rung " + i);
             }
-            require(linksKb >= 0 && weightKb >= 0 && uplinkKb >= 0, "link rates");
-            require(racks > 0, "racks");
+            require(linksKb >= 0 && weightKb >= 0 && uplinkKb >= 0, "links_kb, weight_kb or uplink_kb");
+            require(racks > 0, "cabinets");
             require(cells > 0, "cells");
-            require(guard >= 0 && stall >= 0 && switchCost >= 0, "guard, stall or switch cost");
+            require(guard >= 0 && stall >= 0 && switchCost >= 0, "guard, stall or switch_cost_s");
         }
     }
 
@@ -76,8 +76,8 @@
     record Limits(int attempts, boolean probing, boolean peers, long connectTimeout, long maxComeBack, long see,
                   long tell) {
         public Limits {
-            require(attempts > 0, "limit of attempts");
-            require(connectTimeout >= 0 && maxComeBack >= 0 && see >= 0 && tell >= 0, "times of the limits");
+            require(attempts > 0, "try_limit");
+            require(connectTimeout >= 0 && maxComeBack >= 0 && see >= 0 && tell >= 0, "connect_timeout, max_retry_after, see or reports_every");
         }
     }
 
@@ -85,9 +85,9 @@
     record Rules(long drainGrace, double coldFrom, long warmUp, double tipMultiple, long fall, int spareAttempts,
                  double extraRatio, long countedOver) {
         public Rules {
-            require(drainGrace >= 0 && warmUp >= 0 && fall >= 0 && countedOver >= 0, "times of the rules");
-            require(coldFrom >= 0 && coldFrom <= 1, "cold share");
-            require(tipMultiple >= 0 && spareAttempts >= 0 && extraRatio >= 0, "multiples of the rules");
+            require(drainGrace >= 0 && warmUp >= 0 && fall >= 0 && countedOver >= 0, "drain_grace, warm_up, fall or counted_over");
+            require(coldFrom >= 0 && coldFrom <= 1, "cold_from");
+            require(tipMultiple >= 0 && spareAttempts >= 0 && extraRatio >= 0, "tip_multiple, spare_attempts or extra_ratio");
         }
 
         /** The part of its rate that a server gives which started then; 1 once it must be warm. */
@@ -128,10 +128,10 @@
             classes = List.copyOf(classes);
             kinds = List.copyOf(kinds);
             reportFields = List.copyOf(reportFields);
-            require(balancers > 0 && me >= 0, "balancers");
+            require(balancers > 0 && me >= 0 && me < balancers, "me or balancers");
             require(!classes.isEmpty(), "classes");
             for (SessionClass c : classes) {
-                require(c.floor() < ladder.rates().size(), "floor of class " + c.name());
+                require(c.floor() < ladder.rates().size(), "lowest_rung of class " + c.name());
             }
         }
 
--- a/src/main/java/dockshed/config/SettingsReader.java
+++ b/src/main/java/dockshed/config/SettingsReader.java
@@ -10,7 +10,9 @@
 import dockshed.Director.SessionClass;
 import dockshed.Director.Settings;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /** The wire's settings as the module's. */
 public final class SettingsReader {
@@ -49,8 +51,25 @@
         return told == 0 ? NO_UPLINK : told;
     }
 
+    /** What a class without points is worth, of the least that another is: it is served last, and served. */
+    private static final double UNPAID = 1e-6;
+
     private static List<SessionClass> classes(Fields options, Fields family) {
         List<SessionClass> out = new ArrayList<>();
+        Set<String> names = new HashSet<>();
+        List<Double> points = new ArrayList<>();
+        for (Object each : options.list("classes")) {
+            Fields c = new Fields(options.owner() + ".classes", each);
+            points.add(c.number("points", 0));
+            if (points.get(points.size() - 1) < 0) {
+                throw new Fields.Malformed(c.owner() + ": member 'points' is under 0");
+            }
+            if (!names.add(c.text("name"))) {
+                throw new Fields.Malformed(c.owner() + ": member 'name' is there twice: " + c.text("name"));
+            }
+        }
+        double unpaid = UNPAID * points.stream().filter(p -> p > 0).min(Double::compare).orElse(1 / UNPAID);
+        int rungs = family.numbers("rates_kb").size();
         List<Double> scale = family.numbers("class_scale");
         List<Double> floor = family.numbers("lowest_rung");
         List<Double> top = family.numbers("top_by_class");
@@ -59,8 +78,9 @@
             Fields c = new Fields(options.owner() + ".classes", each);
             int i = out.size();
             out.add(new SessionClass(c.text("name"), effect(c), c.micros("goal_time"),
-                    c.micros("deadline"), c.number("points"), at(family, scale, i, "class_scale"),
-                    (int) at(family, floor, i, "lowest_rung"), (int) at(family, top, i, "top_by_class"),
+                    c.micros("deadline"), points.get(i) > 0 ? points.get(i) : unpaid,
+                    at(family, scale, i, "class_scale"), (int) at(family, floor, i, "lowest_rung"),
+                    Math.min(rungs - 1, (int) at(family, top, i, "top_by_class")),
                     (int) at(family, seats, i, "class_seats")));
         }
         return out;
--- a/src/test/java/dockshed/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -165,6 +165,29 @@
                 0, 0)).getMessage().contains("worth of class film"));
     }
 
+    @Test
+    void aClassThatEarnsNothingIsServedWhereThereIsRoomAndSetsNoPrice() {
+        Bench b = new Bench();
+        b.classes = List.of(new SessionClass("film", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0),
+                new SessionClass("free", Effect.SAFE, S, 4 * S, 1e-6, 1, 0, 4, 0));
+        b.start(Bench.server("a", 0), Bench.server("b", 1), Bench.server("c", 2));
+        b.play("f", "free");
+        assertEquals(1, b.count("send f "));
+        // Where more is asked than there is the others push it out, at a price that it does not hold down.
+        for (int i = 0; i < 200; i++) {
+            b.play("r" + i, "film");
+            b.now += S / 20;
+            if (i % 10 == 9) {
+                b.d.timer(b.now, "sweep");
+            }
+        }
+        long before = b.count("refuse g");
+        for (int i = 0; i < 20; i++) {
+            b.play("g" + i, "free");
+        }
+        assertTrue(b.count("refuse g") - before > 10, "refused " + (b.count("refuse g") - before));
+    }
+
     @Test
     void sameEventsGiveTheSameActions() {
         assertEquals(busyDay().log, busyDay().log);
