Heed drains in a cut list that is shown again elsewhere under the same number

Cause: Survey kept 'settled' in a field that a reply by name set, also after a cut list, and that a new list did not take back; a reply about a server that the list does not show did not set it. Once set, whatever came under the same number was passed over, drains in it too, and a new cut list counted as known at once ('CHANGES []' told before its questions were answered).

Change: what is settled is derived from the questions, in one place, and a number is passed over only once an answer that is not cut has told all of it. Tests: SurveyTest.aCutAnswerOfTheSameNumberThatShowsOthersStillTellsTheirDrains ('SurveyTest:121 expected: <true> but was: <false>' without it), and NamesTest.aNameServerThatWasLeftEndsNobodyByAQuestionThatWasOut for the mend of names that moved ('but was: <CHANGES [b GONE] [a]>' without that).

--- a/src/main/java/dockshed/names/Survey.java
+++ b/src/main/java/dockshed/names/Survey.java
@@ -48,7 +48,7 @@
     private final Set<Question> needed = new LinkedHashSet<>(), refreshed = new LinkedHashSet<>();
     private final Map<Question, Long> out = new HashMap<>();
     private long number = -1;
-    private boolean settled;
+    private boolean complete;
     private int budget;
 
     Survey(FleetList list, String service) {
@@ -67,12 +67,13 @@
             told = Math.max(number, list.serial());     // what was cut off may be the serial
         }
         budget = REFRESHED;
-        if (told < list.serial() || told == number && settled) {
+        if (told < list.serial() || told == number && complete && settled()) {
             return told < list.serial() ? null : List.of();
         }
         boolean news = told != number;
         if (news) {
             number = told;
+            complete = false;       // until one that is not cut has told all of it
             needed.clear();
             refreshed.clear();
         }
@@ -113,7 +114,7 @@
             return list.part(told, listings);
         }
         targets.keySet().retainAll(named);
-        settled = needed.isEmpty() && refreshed.isEmpty() && out.isEmpty();
+        complete = true;
         return list.whole(told, listings);
     }
 
@@ -154,7 +155,6 @@
             t.text = r != null ? r : new Record(q.target(), Dns.TXT, 0, 0, 0, null, null, List.of(), 0);
         }
         Listing l = listing(t);
-        settled = needed.isEmpty() && refreshed.isEmpty() && out.isEmpty();
         return l == null ? List.of() : list.part(number, List.of(l));
     }
 
@@ -184,9 +184,9 @@
         return q;
     }
 
-    /** Whether all of the last list is known. */
+    /** Whether nothing of the last list, as far as it was shown, is still to be asked for or answered. */
     boolean settled() {
-        return settled;
+        return number >= 0 && needed.isEmpty() && refreshed.isEmpty() && out.isEmpty();
     }
 
     /** Another server is asked from now on: what was out is put to it as its list wants. */
@@ -195,7 +195,7 @@
         needed.clear();
         refreshed.clear();
         number = -1;
-        settled = false;
+        complete = false;
     }
 
     /** What is known of the target as a server of the list; null while it lacks what it can't do without. */
--- a/src/test/java/dockshed/names/NamesTest.java
+++ b/src/test/java/dockshed/names/NamesTest.java
@@ -138,4 +138,28 @@
         answer(list(query(), 8, "a", "b").bytes());
         assertEquals("CHANGES [b UP] [a, b]", news());
     }
+
+    @Test
+    void aNameServerThatWasLeftEndsNobodyByAQuestionThatWasOut() throws Exception {
+        answer(list(query(), 1, "a", "b").bytes());
+        assertEquals("CHANGES [a UP, b UP] [a, b]", news());
+        answer(list(query(), 2, "a").cut(8000));        // b is left out: its address is asked for
+        int out = query();
+        while (last.getData()[last.getLength() - 3] != Dns.A) {
+            out = query();
+        }
+        DatagramPacket asked = last;
+        DatagramSocket old = server;
+        server = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server.setSoTimeout(20_000);
+        net.call(() -> {
+            names.moveTo(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
+            return null;
+        });
+        byte[] none = new Packet(out, "b.east.hosts", Dns.A).code(Dns.NO_SUCH_NAME).bytes();
+        old.send(new DatagramPacket(none, none.length, asked.getSocketAddress()));
+        old.close();
+        answer(list(query(), 3, "a", "b", "c").bytes());
+        assertEquals("CHANGES [c UP] [a, b, c]", news());
+    }
 }
--- a/src/test/java/dockshed/names/SurveyTest.java
+++ b/src/test/java/dockshed/names/SurveyTest.java
@@ -107,6 +107,21 @@
         assertEquals(299, list.all().size());
     }
 
+    @Test
+    void aCutAnswerOfTheSameNumberThatShowsOthersStillTellsTheirDrains() throws Exception {
+        // Once all questions were answered, whatever came under that number was passed over.
+        known(300);
+        survey.whole(Dns.read(services(0, 100, 6, -1).cut(LIMIT)));
+        for (List<Survey.Question> put = questions(); !put.isEmpty(); put = questions()) {
+            for (Survey.Question q : put) {
+                reply(q, "kind=std", "cell=" + Integer.parseInt(q.target().substring(2, 10), 16) % 7, "started=0");
+            }
+            survey.whole(Dns.read(services(0, 100, 6, -1).cut(LIMIT)));
+        }
+        assertTrue(survey.settled());
+        assertEquals("[s-00000078 DRAINING]", told(survey.whole(Dns.read(services(100, 200, 6, 120).cut(LIMIT)))));
+    }
+
     @Test
     void aCutAnswerWithoutItsSerialTakesNoDrainBack() throws Exception {
         known(3);
