Pace cold servers where the settings name no fall, and begin at once in the storm part, too

* SimHostTest.aCallIsAnsweredInItsBatch...: settings without 'fall' and 'tip_multiple' made the budget 0, and a server cold for lack of news was sent next to nothing.
A real fault with a missing optional: where no fall is named, the former distance holds.

--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -891,8 +891,9 @@
         double budget = set.rules().tipMultiple() * takes * set.rules().fall();
         int all = set.balancers();
         double each = Math.max(1, Math.floor(takes * set.rules().fall() / all));
-        if (all <= budget) return (now - n.lastSentAt) * each >= set.rules().fall();
-        if ((now - n.lastSentAt) * takes <= 2) return false;    // its own rush
+        if (budget > 0 && all <= budget) return (now - n.lastSentAt) * each >= set.rules().fall();
+        if ((now - n.lastSentAt) * takes <= Math.min(2, all)) return false;     // its own rush
+        if (budget <= 0) return true;       // the settings name no fall
         n.chances.removeIf(c -> c.at() <= now - set.rules().fall());
         double left = Rules.borne(budget) / all - n.chances.stream().mapToDouble(Change::by).sum();
         double open = Math.min(1, left / Math.max(1e-9, chance));
--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -116,7 +116,9 @@
         b.since = since;
         b.maybe = false;
         b.hearsay = false;
-        b.tokens = 0;
+        // As many brokers as a window of the fall bears may each begin with one at once, as the module alone lets them.
+        double budget = settings.rules().tipMultiple() * settings.rules().fall() / 1e6 * takes(now, b);
+        b.tokens = settings.balancers() <= budget ? 1 : 0;
         b.countedAt = now;
         b.sent = new Window(100_000, Math.max(100_000, settings.rules().fall()));
         b.peers.clear();
