--- a/src/test/java/dockshed/names/NamesTest.java
+++ b/src/test/java/dockshed/names/NamesTest.java
@@ -75,6 +75,18 @@
         return p;
     }
 
+    /** The name server has another address from now on; returns what was its socket. */
+    private DatagramSocket move() throws Exception {
+        DatagramSocket old = server;
+        server = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        server.setSoTimeout(20_000);
+        net.call(() -> {
+            names.moveTo(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
+            return null;
+        });
+        return old;
+    }
+
     @Test
     void lostAnswersAreAskedForAgainAndOnesToNoQueryPassedOver() throws Exception {
         query();                                        // lost
@@ -126,13 +138,7 @@
     void aNameServerThatMovedIsAskedAtItsNewAddressAndTheNumbersGoOn() throws Exception {
         answer(list(query(), 7, "a").bytes());
         assertEquals("CHANGES [a UP] [a]", news());
-        DatagramSocket old = server;
-        server = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        server.setSoTimeout(20_000);
-        net.call(() -> {
-            names.moveTo(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
-            return null;
-        });
+        DatagramSocket old = move();
         old.close();
         answer(list(query(), 6, "old").bytes());        // older than what is known
         answer(list(query(), 8, "a", "b").bytes());
@@ -149,13 +155,7 @@
             out = query();
         }
         DatagramPacket asked = last;
-        DatagramSocket old = server;
-        server = new DatagramSocket(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-        server.setSoTimeout(20_000);
-        net.call(() -> {
-            names.moveTo(new InetSocketAddress("127.0.0.1", server.getLocalPort()));
-            return null;
-        });
+        DatagramSocket old = move();
         byte[] none = new Packet(out, "b.east.hosts", Dns.A).code(Dns.NO_SUCH_NAME).bytes();
         old.send(new DatagramPacket(none, none.length, asked.getSocketAddress()));
         old.close();
--- a/src/test/java/dockshed/rig/EndingsTest.java
+++ b/src/test/java/dockshed/rig/EndingsTest.java
@@ -10,6 +10,7 @@
 import dockshed.edge.Edges;
 import dockshed.net.Headed;
 import dockshed.net.HeadedDecoder;
+import dockshed.net.HeldLoop;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import dockshed.rtsp.RtspFront;
@@ -192,21 +193,6 @@
         viewer.close();
     }
 
-    /** Holds the loop where it is until the latch is let go. */
-    private CountDownLatch hold() throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
-        net.loop().execute(() -> {
-            held.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
-        return go;
-    }
-
     private void empty() {
         assertEquals(0, net.call(() -> broker.unanswered() + broker.standing()));
     }
@@ -241,7 +227,7 @@
             try (Viewer leaves = new Viewer(at)) {
                 leaves.setUp(id, cls);
                 assertEquals("setup " + id, a.setUp());
-                CountDownLatch go = hold();
+                CountDownLatch go = HeldLoop.hold(net);
                 a.release(id, 34);      // it never ran: another attempt would be in order
                 leaves.close();
                 go.countDown();
@@ -262,7 +248,7 @@
     @Test
     void anAnswerThatCrossesItsGivingUpIsNeitherHeardNorLeftStanding() throws Exception {
         out(ID, "paid");
-        CountDownLatch go = hold();
+        CountDownLatch go = HeldLoop.hold(net);
         a.answer(ID);
         viewer.tearDown(ID);
         go.countDown();
@@ -281,7 +267,7 @@
         a.release(ID, 34);
         b.accept();
         assertEquals("setup " + ID, b.read());
-        CountDownLatch go = hold();
+        CountDownLatch go = HeldLoop.hold(net);
         b.answer(ID);
         b.answer(ID);
         a.answer(ID);
--- a/src/test/java/dockshed/rtsp/GoneTest.java
+++ b/src/test/java/dockshed/rtsp/GoneTest.java
@@ -5,6 +5,7 @@
 
 import dockshed.core.Deadlines;
 import dockshed.core.Stage;
+import dockshed.net.HeldLoop;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import java.io.InputStream;
@@ -41,21 +42,6 @@
         net.close();
     }
 
-    /** Holds the loop where it is until the latch is let go. */
-    private CountDownLatch hold() throws InterruptedException {
-        CountDownLatch held = new CountDownLatch(1), go = new CountDownLatch(1);
-        net.loop().execute(() -> {
-            held.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        held.await();
-        return go;
-    }
-
     private Socket viewer() throws Exception {
         Socket s = new Socket(at.getAddress(), at.getPort());
         s.setSoTimeout(20_000);
@@ -94,7 +80,7 @@
     @Test
     void whoClosesInTheSameReadAsItsSetUpIsNotTried() throws Exception {
         try (Socket s = viewer()) {
-            CountDownLatch go = hold();
+            CountDownLatch go = HeldLoop.hold(net);
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
             s.close();
             go.countDown();
@@ -106,7 +92,7 @@
 
     @Test
     void whoClosesBeforeItsConnectionIsAcceptedIsNotTried() throws Exception {
-        CountDownLatch go = hold();
+        CountDownLatch go = HeldLoop.hold(net);
         try (Socket s = viewer()) {
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
         }
@@ -120,7 +106,7 @@
     @Test
     void whoBreaksOffInTheSameReadLeavesNothingBehind() throws Exception {
         try (Socket s = viewer()) {
-            CountDownLatch go = hold();
+            CountDownLatch go = HeldLoop.hold(net);
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
             s.setSoLinger(true, 0);
             s.close();
@@ -134,7 +120,7 @@
     @Test
     void whoGivesUpInTheSameReadIsNotTried() throws Exception {
         try (Socket s = viewer()) {
-            CountDownLatch go = hold();
+            CountDownLatch go = HeldLoop.hold(net);
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), ""));
             say(s, "TEARDOWN rtsp://media/x RTSP/1.0\r\nCSeq: 2\r\nSession: " + RtspFrontTest.id(1) + "\r\n\r\n");
             go.countDown();
@@ -151,7 +137,7 @@
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), "").replace("Class: safe", "Class: paid")
                     + RtspFrontTest.setUp(RtspFrontTest.id(2), ""));
             stage.await("box a setUp " + RtspFrontTest.id(2));
-            CountDownLatch go = hold();
+            CountDownLatch go = HeldLoop.hold(net);
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(3), ""));
             s.shutdownOutput();
             go.countDown();
