Say once when an answer is due, what is moot, and an HLS session's class

Read once more. The latest time of an answer was worked out in four places of the broker, a set-up that never left was reported in the same words in six of Edges, an HLS session's class was looked up from its key in two; the chance borne by cold servers took its logarithm in each of forty steps; set-ups dropped with their viewer were put on a list that their answer takes them off at once.

--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -95,12 +95,12 @@
             return now - since >= warmUp ? 1 : coldFrom + (1 - coldFrom) * Math.max(0, now - since) / (double) warmUp;
         }
 
-        /** The chance at most with which a cold server's window may hold more than it bears. */
-        private static final double BREAK = 1e-5;
+        /** Of the chance at most with which a cold server's window may hold more than it bears, the logarithm. */
+        private static final double LOG_BREAK = Math.log(1e-5);
 
         /**
          * The mean of set-ups in a window of a cold server's fall, of many senders who decide for themselves, that exceeds a
-         * budget by over 2 x its root + 2 with the chance {@link #BREAK} at most; by Chernoff's bound, so for any of them.
+         * budget by over 2 x its root + 2 with the chance 1e-5 at most; by Chernoff's bound, so for any of them.
          */
         static double borne(double budget) {
             double over = Math.floor(budget + 2 * Math.sqrt(budget) + 2) + 1;
@@ -108,7 +108,7 @@
             double high = over;
             for (int i = 0; i < 40; i++) {
                 double mean = (low + high) / 2;
-                if (over - mean + over * Math.log(mean / over) <= Math.log(BREAK)) {
+                if (over - mean + over * Math.log(mean / over) <= LOG_BREAK) {
                     low = mean;
                 } else {
                     high = mean;
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -268,8 +268,7 @@
         counts.requests++;
         asks(at, connection, false);
         event(at, t -> {
-            long ends = call.came + Math.max(0, wish.patience() - ANSWER_MARGIN);
-            call.patienceEnds = deadlines.at(ends, due -> event(due, x -> patienceOver(call)));
+            call.patienceEnds = deadlines.at(answerDue(call), due -> event(due, x -> patienceOver(call)));
             director.request(t, wish.request(call.id));
         });
         return true;
@@ -559,7 +558,7 @@
                 : !takes(now, server) ? "server drains or is gone"
                 : call.ran && call.cls.effect() != Effect.SAFE ? "may have run already"
                 : call.attempts > settings.limits().attempts() ? "too many attempts" : null;
-        long left = Math.max(0, call.came + call.wish.patience() - ANSWER_MARGIN - now);
+        long left = Math.max(0, answerDue(call) - now);
         if (why != null || left == 0) {
             if (why != null) {
                 breach("send", request, why);
@@ -601,7 +600,7 @@
         if (call == null || call.answered) {
             return;                 // the module also fails what has ended by itself
         }
-        boolean late = now >= call.came + call.wish.patience() - ANSWER_MARGIN;
+        boolean late = now >= answerDue(call);
         finish(call);
         counts.failed++;
         call.front.failed(call.connection, call.wish.name(), late);
@@ -684,6 +683,11 @@
         return out;
     }
 
+    /** When the viewer must have its answer at the latest, so that it still arrives in its time. */
+    private static long answerDue(Call call) {
+        return call.came + Math.max(0, call.wish.patience() - ANSWER_MARGIN);
+    }
+
     private Call call(String id) {
         return calls.get(Long.parseUnsignedLong(id, 16));
     }
@@ -749,7 +753,7 @@
         if (call.answered) {
             return;
         }
-        if (now >= call.came + call.wish.patience() - ANSWER_MARGIN) {
+        if (now >= answerDue(call)) {
             trail.bad(call.wish.name(), "left unanswered when its time was up");
             patienceOver(call);
             return;
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -173,7 +173,7 @@
     public void setUp(String server, SetUp s) {
         Box b = boxes.get(server);
         if (b == null || b.at == null) {
-            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            moot(server, s.name());
             return;
         }
         Map<String, String> fields = new LinkedHashMap<>();
@@ -185,26 +185,26 @@
                 .getBytes(StandardCharsets.UTF_8);
         if (text.length > LINE_LIMIT) {
             LOG.warn("set-up held back: server={} bytes={} why=no server reads so long a line", server, text.length);
-            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            moot(server, s.name());
             return;
         }
         b.givenUp.values().removeIf(at -> clock.now() - at > GIVEN_UP);
         if (b.givenUp.containsKey(s.name())) {
             broker.trail().add(clock.now(), s.name(), "held-back", server);
             LOG.info("set-up held back: server={} why=given up there just now: session={}", server, s.name());
-            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            moot(server, s.name());
             return;
         }
         Line line = usable(b);
         if (line == null) {             // no descriptor was to be had, which says nothing of the server
             LOG.warn("set-up held back: server={} why=no descriptor for a line: lines={}", server, all);
-            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            moot(server, s.name());
             return;
         }
         if (line.open.size() >= BACKLOG || line.up && Net.unwritten(line.channel)) {
             broker.trail().add(clock.now(), s.name(), "held-back", server);
             LOG.warn("set-up held back: server={} open={} why=server does not read", server, line.open.size());
-            broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
+            moot(server, s.name());
             return;
         }
         LOG.debug("set-up out: session={} server={} left={} line={}", s.name(), server, s.left(),
@@ -217,6 +217,11 @@
         }
     }
 
+    /** A set-up has come to nothing, and provably never left. */
+    private void moot(String server, String name) {
+        broker.ended(clock.now(), server, name, Outcome.MOOT, LoadReport.NONE);
+    }
+
     /**
      * Set-ups leave at the end of the loop's turn, once all that had come has been read: a viewer's going, or the news of a
      * drain, that lay unread beside what caused them takes them back.
@@ -617,7 +622,7 @@
                 if (!broker.takes(clock.now(), box.id)) {
                     open.remove(e.getKey());
                     broker.trail().add(clock.now(), e.getKey(), "held-back", "drain");
-                    broker.ended(clock.now(), box.id, e.getKey(), Outcome.MOOT, LoadReport.NONE);
+                    moot(box.id, e.getKey());
                 } else if (Net.unwritten(channel)) {
                     return;                 // goes on once that is written
                 } else {
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -224,8 +224,8 @@
      */
     private void abandoned(Connection gone) {
         for (Session s : List.copyOf(sessions.values())) {
-            boolean safe = classes.get(s.viewerKey.substring(0, s.viewerKey.indexOf('\n'))).effect() == Effect.SAFE;
-            if (s.list == null && s.waiting.removeIf(x -> x.connection == gone) && s.waiting.isEmpty() && safe) {
+            if (s.list == null && s.waiting.removeIf(x -> x.connection == gone) && s.waiting.isEmpty()
+                    && cls(s).effect() == Effect.SAFE) {
                 forget(s);
                 broker.leave(clock.now(), s.name);
             }
@@ -418,7 +418,7 @@
                 x.error(502, "Bad Gateway");
             }
         });
-        long patience = classes.get(s.viewerKey.substring(0, s.viewerKey.indexOf('\n'))).deadline();
+        long patience = cls(s).deadline();
         late[0] = deadlines.at(clock.now() + patience, t -> {
             f.cancel();
             x.error(504, "Gateway Timeout");
@@ -536,6 +536,10 @@
         });
     }
 
+    private SessionClass cls(Session s) {
+        return classes.get(s.viewerKey.substring(0, s.viewerKey.indexOf('\n')));
+    }
+
     private void forget(Session s) {
         sessions.remove(s.name);
         byViewer.remove(s.viewerKey, s);
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -226,11 +226,8 @@
 
         /** The viewer has ended its output behind them: they are answered, as it may still read, and not tried. */
         private void drop() {
-            for (String name : List.copyOf(fresh.keySet())) {
-                fresh.remove(name);
-                setUps.add(name);
-                refused(handle, name, broker.longestComeBack());
-            }
+            fresh.keySet().forEach(name -> refused(handle, name, broker.longestComeBack()));
+            fresh.clear();
         }
 
         /**
