--- a/src/main/java/dockshed/Choice.java
+++ b/src/main/java/dockshed/Choice.java
@@ -11,38 +11,38 @@
 public final class Choice implements Director {
     // ---- Constants: unit, and why.
     static final long SECOND = 1_000_000;
-    static final double FILL = 0.89;            // share of a link planned for: true rates wander
-    static final double WARY = 0.1;             // less of one whose level is not trusted at all
-    static final double FULL = 1.06;            // share asked at which relief begins: less wanders back
-    static final double RACK_FULL = 1.08;       // the same for an uplink, which is known less well
-    static final double RELIEVED = 1.0;         // share asked that relief aims at: what wanders needs no more
-    static final int ALPHA = 2;                 // sessions sub-rated for one newcomer (the paper's alpha)
-    static final long SWEEP = SECOND / 2;       // between looks at playing sessions
+    static final double FILL = 0.89; // share of a link planned for: true rates wander
+    static final double WARY = 0.1; // less of one whose level is not trusted at all
+    static final double FULL = 1.06; // share asked at which relief begins: less wanders back
+    static final double RACK_FULL = 1.08; // the same for an uplink, which is known less well
+    static final double RELIEVED = 1.0; // share asked that relief aims at: what wanders needs no more
+    static final int ALPHA = 2; // sessions sub-rated for one newcomer (the paper's alpha)
+    static final long SWEEP = SECOND / 2; // between looks at playing sessions
     static final long QUOTA_PERIOD = 5 * SECOND; // between recomputes of Method II
-    static final double PRIOR_TRIES = 2;        // the usual rate weighs as much
-    static final double HELD = 10;              // tries that tell how often a title is held by a server
-    static final int EACH_SLOT = 64;            // slots up to which each pair of quotas is tried
-    static final int STEPS = 32;                // of that many parts above
-    static final int FEW = 12;                  // arrivals under which every slot stays in the pool
-    static final long UP_GAP = 8 * SECOND;      // from a step of a session to its next step up: steadiness
-    static final double REPAY = 4;              // a step up must earn its switch cost so many times over
+    static final double PRIOR_TRIES = 2; // the usual rate weighs as much
+    static final double HELD = 10; // tries that tell how often a title is held by a server
+    static final int EACH_SLOT = 64; // slots up to which each pair of quotas is tried
+    static final int STEPS = 32; // of that many parts above
+    static final int FEW = 12; // arrivals under which every slot stays in the pool
+    static final long UP_GAP = 8 * SECOND; // from a step of a session to its next step up: steadiness
+    static final double REPAY = 4; // a step up must earn its switch cost so many times over
     static final double PRIOR_STAY_S = 25, PRIOR_ENDS = 3; // seconds of stay before any was seen; its weight
-    static final double PRIOR_FILL = 0.7;       // fullness of a link never heard of, and of all when none was
-    static final double GROWTH_MAX = 3;         // sessions to come over those now, as the price heeds it
-    static final double NOTHING = 1e-3;         // of the highest worth: a class that earns less sets no price
-    static final double PRICE_CAP = 0.98;       // of what a kB earns at best in the class that earns least
-    static final double RIVALS = 2;             // wariness of other directors' newcomers at the same server
-    static final double JUMP = 1.7;             // between two readings of a link: more is the link's doing
-    static final double UNKNOWN = 0.3;          // trust under which a link counts as not heard of
-    static final double OVERFULL = 1.5;         // fullness over which one link tells no more of the others
-    static final double PRIOR_HEARD = 2;        // links that the assumed fullness weighs as much as
-    static final double UPLINK_HOPE = 1.2;      // told uplink is tried so far up where only shortage can tell
-    static final int MANY_DIRECTORS = 6;        // so many would try it at once and learn too late: none does
-    static final double UPLINK_RISE = 0.03;     // of the told uplink that a lowered estimate regains a second
-    static final long PAUSE = 3 * SECOND;       // after failures at a server
-    static final int STRIKES = 3;               // attempts in a row without an answer that make it failing
-    static final long LINE_KEPT = 15 * SECOND;  // a line without sessions is there for so long at least
-    static final double TRY_SHARE = 0.5;        // share of the goal time for an attempt if another can follow
+    static final double PRIOR_FILL = 0.7; // fullness of a link never heard of, and of all when none was
+    static final double GROWTH_MAX = 3; // sessions to come over those now, as the price heeds it
+    static final double NOTHING = 1e-3; // of the highest worth: a class that earns less sets no price
+    static final double PRICE_CAP = 0.98; // of what a kB earns at best in the class that earns least
+    static final double RIVALS = 2; // wariness of other directors' newcomers at the same server
+    static final double JUMP = 1.7; // between two readings of a link: more is the link's doing
+    static final double UNKNOWN = 0.3; // trust under which a link counts as not heard of
+    static final double OVERFULL = 1.5; // fullness over which one link tells no more of the others
+    static final double PRIOR_HEARD = 2; // links that the assumed fullness weighs as much as
+    static final double UPLINK_HOPE = 1.2; // told uplink is tried so far up where only shortage can tell
+    static final int MANY_DIRECTORS = 6; // so many would try it at once and learn too late: none does
+    static final double UPLINK_RISE = 0.03; // of the told uplink that a lowered estimate regains a second
+    static final long PAUSE = 3 * SECOND; // after failures at a server
+    static final int STRIKES = 3; // attempts in a row without an answer that make it failing
+    static final long LINE_KEPT = 15 * SECOND; // a line without sessions is there for so long at least
+    static final double TRY_SHARE = 0.5; // share of the goal time for an attempt if another can follow
 
     // ---- State.
     /** A request, then its attempt, then the session that plays. */
@@ -52,10 +52,10 @@
         final int top;
         final long deadline;
         final List<Node> tried = new ArrayList<>();
-        Node node;                  // where an attempt is out or the session plays
+        Node node; // where an attempt is out or the session plays
         int attempts, errors;
         boolean playing, ran, noted, settles, degraded;
-        int rung, asked;            // in force; before sub-rating
+        int rung, asked; // in force; before sub-rating
         long sentAt, startAt, steppedAt;
 
         Session(Request req, SessionClass c, long now) {
@@ -67,13 +67,13 @@
         }
     }
 
-    private record Change(long at, double by) { }
+    private record Change(long at, double by) {}
 
     /** A server's link or a rack's uplink: what was read of it, and what this director has there. */
     private static class Link {
-        double told;                // kB a second that it carries, as told (a server: when warm)
-        double level;               // kB asked there at sampledAt
-        double trust;               // in that level: 1 when read, falls as sessions come and go
+        double told; // kB a second that it carries, as told (a server: when warm)
+        double level; // kB asked there at sampledAt
+        double trust; // in that level: 1 when read, falls as sessions come and go
         double own, pending, changed; // kB: own sessions; set up now; since the reading
         long sampledAt = Long.MIN_VALUE, relievedAt, shortAt = -SECOND;
         final ArrayDeque<Change> changes = new ArrayDeque<>();
@@ -88,7 +88,10 @@
         }
 
         double changedBy(long at) {
-            return changes.stream().filter(c -> c.at() <= at).mapToDouble(Change::by).sum();
+            return changes.stream()
+                    .filter(c -> c.at() <= at)
+                    .mapToDouble(Change::by)
+                    .sum();
         }
 
         /** Books a playing session's change of rate, or a set-up's begin and end. */
@@ -103,27 +106,27 @@
     private static final class Node extends Link {
         Server info;
         Rack rack;
-        boolean listed, gone;       // is up; has left the list: forgotten once nothing of it is left here
-        double gives = 1;           // share of its link that it gives, as learnt from jumps
+        boolean listed, gone; // is up; has left the list: forgotten once nothing of it is left here
+        double gives = 1; // share of its link that it gives, as learnt from jumps
         int streams = 1;
-        double dice = 1;            // one throw a reading: spends a whole rung for its part of the room
+        double dice = 1; // one throw a reading: spends a whole rung for its part of the room
         final LinkedHashMap<String, Session> mine = new LinkedHashMap<>();
-        int strikes;                // attempts in a row that came to nothing
+        int strikes; // attempts in a row that came to nothing
         long pausedUntil, coldSince = Long.MIN_VALUE, lastSentAt = -60 * SECOND;
-        boolean maybe;              // cold only for lack of news
-        double holds = -1;          // of the latest tries: the part whose title it holds; -1: none was
-        final ArrayDeque<Change> chances = new ArrayDeque<>();  // set-ups expected of this director
-        int quotaHigh, quotaLow;    // Method II's reserves in slots of the asked rung
+        boolean maybe; // cold only for lack of news
+        double holds = -1; // of the latest tries: the part whose title it holds; -1: none was
+        final ArrayDeque<Change> chances = new ArrayDeque<>(); // set-ups expected of this director
+        int quotaHigh, quotaLow; // Method II's reserves in slots of the asked rung
     }
 
     private static final class Rack extends Link {
-        double uplink;              // as learnt
+        double uplink; // as learnt
         long confirmedAt = -SECOND;
         final List<Node> nodes = new ArrayList<>();
     }
 
     /** One rung change that would free room. */
-    private record Drop(Session s, int rung, double freed, double cost) { }
+    private record Drop(Session s, int rung, double freed, double cost) {}
 
     private final Settings set;
     private final Actions act;
@@ -136,27 +139,37 @@
     private final Rack[] racks;
     private final ArrayDeque<Long> extraAttempts = new ArrayDeque<>(), taken = new ArrayDeque<>();
     private final ArrayDeque<Long> tries = new ArrayDeque<>(), sends = new ArrayDeque<>(); // the latest
-    private final double[] count;           // requests since the start, by class
-    private double tried;                   // attempts since the start, refused ones too
-    private int listed;                     // servers that are up, by the list
+    private final double[] count; // requests since the start, by class
+    private double tried; // attempts since the start, refused ones too
+    private int listed; // servers that are up, by the list
     private double playedS = PRIOR_STAY_S * PRIOR_ENDS, ends = PRIOR_ENDS;
-    private double price;                   // worth that a kB must earn, see going()
+    private double price; // worth that a kB must earn, see going()
     private long bootAt = Long.MIN_VALUE, quotasAt;
-    private double newcomerPart;            // of the headroom that rival newcomers leave
-    private double priorFill = PRIOR_FILL, rackFill = PRIOR_FILL;   // mean fullness of what was heard of
-    private double ownKb, openKb, links;    // own sessions; handed over at the start; all links as told
+    private double newcomerPart; // of the headroom that rival newcomers leave
+    private double priorFill = PRIOR_FILL, rackFill = PRIOR_FILL; // mean fullness of what was heard of
+    private double ownKb, openKb, links; // own sessions; handed over at the start; all links as told
     private final boolean tellsUplink;
 
     public Choice(Settings settings, long seed, Actions actions) {
         set = settings;
         act = actions;
         random = new Random(seed);
-        rate = settings.ladder().rates().stream().mapToDouble(Double::doubleValue).toArray();
-        worth = settings.ladder().worths().stream().mapToDouble(Double::doubleValue).toArray();
+        rate = settings.ladder().rates().stream()
+                .mapToDouble(Double::doubleValue)
+                .toArray();
+        worth = settings.ladder().worths().stream()
+                .mapToDouble(Double::doubleValue)
+                .toArray();
         switchS = settings.ladder().switchCost() / (double) SECOND;
-        double most = settings.classes().stream().mapToDouble(SessionClass::worth).max().orElse(1);
-        leastWorth = settings.classes().stream().mapToDouble(SessionClass::worth)
-                .filter(w -> w > NOTHING * most).min().orElse(1);
+        double most = settings.classes().stream()
+                .mapToDouble(SessionClass::worth)
+                .max()
+                .orElse(1);
+        leastWorth = settings.classes().stream()
+                .mapToDouble(SessionClass::worth)
+                .filter(w -> w > NOTHING * most)
+                .min()
+                .orElse(1);
         for (SessionClass c : settings.classes()) classOf.put(c.name(), classOf.size());
         count = new double[settings.classes().size()];
         racks = new Rack[settings.ladder().racks()];
@@ -255,7 +268,7 @@
         double least = Double.MAX_VALUE;
         for (Drop a : all) {
             if (a.cost() >= least) continue;
-            for (Drop b : all) {            // b == a: that one alone
+            for (Drop b : all) { // b == a: that one alone
                 if (b != a && (ALPHA < 2 || b.s() == a.s())) continue;
                 double freed = a.freed() + (b == a ? 0 : b.freed());
                 double cost = a.cost() + (b == a ? 0 : b.cost());
@@ -269,15 +282,21 @@
 
     private void drops(long now, Session s, List<Drop> into) {
         for (int r = s.c.floor(); r < s.rung; r++) {
-            into.add(new Drop(s, r, kb(s, s.rung) - kb(s, r),
+            into.add(new Drop(
+                    s,
+                    r,
+                    kb(s, s.rung) - kb(s, r),
                     s.c.worth() * ((worth[s.rung] - worth[r]) * stay(now, s) + 2 * switchS)));
         }
     }
 
     private boolean seatFree(Session s) {
         if (s.c.seats() == 0) return true;
-        return s.c.seats() > sessions.values().stream().filter(o -> o.node != null && o.c == s.c
-                && o.req.title().equals(s.req.title())).count();
+        return s.c.seats()
+                > sessions.values().stream()
+                        .filter(o ->
+                                o.node != null && o.c == s.c && o.req.title().equals(s.req.title()))
+                        .count();
     }
 
     /** The final answer, at once, for a request that is not served. Rule 2: refuse only if none ran. */
@@ -302,7 +321,7 @@
         }
         List<Node> clear = new ArrayList<>(out);
         clear.removeIf(n -> act.shunned(n.info.id()));
-        if (!clear.isEmpty()) out = clear;  // else the request itself finds out
+        if (!clear.isEmpty()) out = clear; // else the request itself finds out
         double picked = cold.isEmpty() ? 1 : picked(now, s, out);
         for (Node n : cold) if (!thawed(now, n, picked * n.holds)) out.remove(n);
         return out;
@@ -402,14 +421,16 @@
     /** Room for a class, by a part or, at 0, evenly: what Method II reserves for others is not there. */
     private double room(long now, Node n, Session s, double part) {
         Rack r = n.rack;
-        double room = Math.min(planned(now, n, part > 0 ? part : evenly(load(n))),
-                planned(now, r, part > 0 ? part : evenly(load(r))));
+        double room = Math.min(
+                planned(now, n, part > 0 ? part : evenly(load(n))), planned(now, r, part > 0 ? part : evenly(load(r))));
         // Against a fresh director that refuses all: one modest set-up at a time finds out an unknown link.
         if (n.trust < UNKNOWN && n.mine.isEmpty()) room = Math.max(room, kb(s, modest(s.c)));
         boolean over = load(n) > capacity(now, n) || tellsUplink && load(r) > r.uplink;
         if (over || n.mine.size() >= n.streams) room = Math.min(room, 0);
         boolean high = s.c.worth() > leastWorth;
-        long used = n.mine.values().stream().filter(o -> o.c.worth() > leastWorth != high).count();
+        long used = n.mine.values().stream()
+                .filter(o -> o.c.worth() > leastWorth != high)
+                .count();
         double kept = Math.max(0, (double) (high ? n.quotaLow : n.quotaHigh) / set.balancers() - used);
         return room - kept * slotKb();
     }
@@ -450,12 +471,11 @@
             }
             budget += Math.min(all, r.own + planned(now, r, part));
         }
-        double growth = Math.max(1, Math.min(GROWTH_MAX, trying(now) * playedS / ends
-                / Math.max(1, sessions.size())));
+        double growth = Math.max(1, Math.min(GROWTH_MAX, trying(now) * playedS / ends / Math.max(1, sessions.size())));
         double low = 0;
-        double high = Double.MAX_VALUE;     // a newcomer of any class is welcome where there is room
+        double high = Double.MAX_VALUE; // a newcomer of any class is welcome where there is room
         for (SessionClass c : set.classes()) {
-            if (c.worth() < leastWorth) continue;       // comes in where room costs nothing
+            if (c.worth() < leastWorth) continue; // comes in where room costs nothing
             int r = modest(c);
             high = Math.min(high, PRICE_CAP * c.worth() * worth[r] / kb(c, r));
         }
@@ -499,7 +519,7 @@
         Rules rules = set.rules();
         if (s.attempts >= set.limits().attempts() || now >= s.deadline) return false;
         if (s.ran && s.c.effect() != Effect.SAFE) return false;
-        if (!act.mayTryAgain()) return false;       // the budget that all requests share
+        if (!act.mayTryAgain()) return false; // the budget that all requests share
         if (rules.countedOver() == 0) return true;
         extraAttempts.removeIf(at -> at < now - rules.countedOver());
         taken.removeIf(at -> at < now - rules.countedOver() + SECOND / 100);
@@ -518,8 +538,8 @@
     }
 
     @Override
-    public void outcome(long now, String request, int attempt, String server, Outcome outcome, boolean last,
-                        LoadReport report) {
+    public void outcome(
+            long now, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report) {
         Node n = nodes.get(server);
         if (n != null) read(now, n, report);
         Session s = sessions.get(request);
@@ -527,7 +547,7 @@
         boolean played = s.playing;
         leave(now, s);
         boolean gone = outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET && played;
-        if (gone) n.coldSince = now;        // its process may be gone, and start anew (rule 4)
+        if (gone) n.coldSince = now; // its process may be gone, and start anew (rule 4)
         // One lost or late answer tells of its connection or of this director's hurry, not of the server.
         if (!played && (gone || outcome == Outcome.TIMEOUT || outcome == Outcome.RESET)) n.strikes++;
         if (gone || outcome == Outcome.FULL || n.strikes >= STRIKES) n.pausedUntil = now + PAUSE;
@@ -583,7 +603,7 @@
         n.mine.put(request.id(), s);
         book(now, n, kb(s, s.rung), 0);
         openKb += kb(s, s.rung);
-        for (Node o : nodes.values()) {             // all has been running for long
+        for (Node o : nodes.values()) { // all has been running for long
             o.coldSince = Long.MIN_VALUE;
             o.maybe = false;
         }
@@ -611,7 +631,7 @@
                 sample(n, value * capacity(now, n), at);
                 relieve(now, n);
                 // A set-up's own reading is of now and tells nobody else: the newcomer takes its rung by it.
-                if (setUp && tellsUplink) s.settles = true;     // once its uplink is told too
+                if (setUp && tellsUplink) s.settles = true; // once its uplink is told too
                 else if (setUp) raise(now, s, s.top, 1);
             }
             case UPLINK -> {
@@ -643,7 +663,9 @@
     /** Load reports are later and noisier than notes: used only where no note has come for long. */
     private void read(long now, Node n, LoadReport report) {
         int i = set.reportFields().indexOf(Field.LINK);
-        if (i >= 0 && i < report.values().size() && now - n.sampledAt > 2 * set.limits().tell()) {
+        if (i >= 0
+                && i < report.values().size()
+                && now - n.sampledAt > 2 * set.limits().tell()) {
             sample(n, report.values().get(i) * capacity(now, n), now - SECOND / 2);
         }
     }
@@ -663,12 +685,17 @@
             if (!tellsUplink && now - r.shortAt > since) {
                 r.shortAt = now;
                 // Set against what was asked then, not against what is left since some was shed.
-                double asked = r.nodes.stream().mapToDouble(o -> base(o)
-                        + o.trust * o.changedBy(now - set.limits().see())).sum();
+                double asked = r.nodes.stream()
+                        .mapToDouble(o -> base(o)
+                                + o.trust * o.changedBy(now - set.limits().see()))
+                        .sum();
                 r.uplink = Math.min(r.uplink, Math.max(0.15 * r.told, asked * delivered));
             }
         } else if (now - n.relievedAt > since) {
-            sample(n, Math.max(base(n), capacity(now, n) / delivered), now - set.limits().see());
+            sample(
+                    n,
+                    Math.max(base(n), capacity(now, n) / delivered),
+                    now - set.limits().see());
         }
         relieve(now, n);
     }
@@ -676,15 +703,16 @@
     /** Sub-rating for what is asked beyond a link or uplink: the same drops, as often as needed. */
     private void relieve(long now, Node n) {
         Rack r = n.rack;
-        long since = set.limits().see() + SECOND / 2;   // not again for readings from before the others shed
+        long since = set.limits().see() + SECOND / 2; // not again for readings from before the others shed
         if (load(n) > FULL * capacity(now, n) && now - n.relievedAt > since) {
             n.relievedAt = now;
             shed(now, n.mine.values(), -part(n, RELIEVED * capacity(now, n), 1));
         }
-        double full = now - r.confirmedAt < SECOND ? RELIEVED : RACK_FULL;   // servers deliver short too
+        double full = now - r.confirmedAt < SECOND ? RELIEVED : RACK_FULL; // servers deliver short too
         if (load(r) > full * r.uplink && now - r.relievedAt > since) {
             r.relievedAt = now;
-            List<Session> all = r.nodes.stream().flatMap(o -> o.mine.values().stream()).toList();
+            List<Session> all =
+                    r.nodes.stream().flatMap(o -> o.mine.values().stream()).toList();
             shed(now, all, -part(r, RELIEVED * r.uplink, 1));
         }
     }
@@ -732,8 +760,7 @@
         int best = s.rung;
         for (int r = s.rung + 1; r <= top; r++) {
             double more = kb(s, r) - kb(s, s.rung);
-            if ((more <= room || more <= whole && more * s.node.dice < room)
-                    && net(s.c, r) > net(s.c, best)) best = r;
+            if ((more <= room || more <= whole && more * s.node.dice < room) && net(s.c, r) > net(s.c, best)) best = r;
         }
         if (best > s.rung && repays(now, s, best)) {
             s.degraded = false;
@@ -757,8 +784,11 @@
         rackFill = fullness(Arrays.asList(racks), PRIOR_FILL);
         ownKb = 0;
         for (Rack r : racks) ownKb += r.own;
-        double rivals = sending(now) * (set.balancers() - 1) / Math.max(1, nodes.size())
-                * set.limits().tell() / SECOND;
+        double rivals = sending(now)
+                * (set.balancers() - 1)
+                / Math.max(1, nodes.size())
+                * set.limits().tell()
+                / SECOND;
         // A share that is surely its own; more where few others come to a server between two readings.
         double least = Math.max(1.0 / set.balancers(), act.newcomers());
         newcomerPart = Math.max(least, 1 / (1 + RIVALS * rivals));
@@ -798,9 +828,9 @@
         if (scope == Scope.ERROR) return;
         for (Node n : nodes.values()) {
             n.listed &= scope == Scope.CHANGES;
-            n.gone |= scope != Scope.CHANGES;   // unless it is named below
+            n.gone |= scope != Scope.CHANGES; // unless it is named below
             if (scope != Scope.DISK && n.maybe) {
-                n.maybe = false;            // fresh news names all that changed since the list was kept
+                n.maybe = false; // fresh news names all that changed since the list was kept
                 n.coldSince = n.info.upSince() > 0 ? n.info.upSince() : Long.MIN_VALUE;
             }
         }
@@ -812,7 +842,7 @@
             n.listed = info.state() == State.UP;
             n.gone = info.state() == State.GONE;
             if (scope == Scope.DISK) {
-                n.coldSince = now;          // may have restarted since the list was kept
+                n.coldSince = now; // may have restarted since the list was kept
                 n.maybe = true;
             } else if (isNew || restarted) {
                 n.coldSince = info.upSince() > 0 ? info.upSince() : Long.MIN_VALUE;
@@ -836,10 +866,14 @@
     /** Links as told: by weight, or by streams where all weights are alike. */
     private void measure() {
         double streams = 0;
-        boolean alike = nodes.values().stream().mapToDouble(n -> n.info.weight()).distinct().count() < 2;
+        boolean alike = nodes.values().stream()
+                        .mapToDouble(n -> n.info.weight())
+                        .distinct()
+                        .count()
+                < 2;
         int least = set.kinds().stream().mapToInt(Kind::streams).min().orElse(1);
         for (Node n : nodes.values()) {
-            n.streams = least;              // a kind not told of runs what every kind does
+            n.streams = least; // a kind not told of runs what every kind does
             for (Kind k : set.kinds()) n.streams = k.name().equals(n.info.kind()) ? k.streams() : n.streams;
             streams += n.streams;
         }
@@ -853,7 +887,7 @@
             links += n.told;
         }
         for (Rack r : racks) {
-            if (r.told > 0 || r.nodes.isEmpty()) continue;   // stays as it is when servers come and go
+            if (r.told > 0 || r.nodes.isEmpty()) continue; // stays as it is when servers come and go
             double part = r.nodes.stream().mapToDouble(n -> n.told).sum() / links;
             boolean hope = !tellsUplink && set.balancers() < MANY_DIRECTORS;
             r.told = set.ladder().uplinkKb() * racks.length * part * (hope ? UPLINK_HOPE : 1);
@@ -868,16 +902,18 @@
     }
 
     @Override
-    public void probed(long now, String server, boolean healthy, LoadReport report) { }     // none is sent
+    public void probed(long now, String server, boolean healthy, LoadReport report) {} // none is sent
 
     @Override
-    public void told(long now, int from, byte[] message) { }    // nothing is asked of the other directors
+    public void told(long now, int from, byte[] message) {} // nothing is asked of the other directors
 
     // ---- Cold pace (rule 4).
     private double warmth(long now, Node n) {
         if (n.coldSince == Long.MIN_VALUE || now - n.coldSince >= set.rules().warmUp()) return 1;
-        return set.rules().coldFrom() + (1 - set.rules().coldFrom())
-                * Math.max(0, now - n.coldSince) / (double) set.rules().warmUp();
+        return set.rules().coldFrom()
+                + (1 - set.rules().coldFrom())
+                        * Math.max(0, now - n.coldSince)
+                        / (double) set.rules().warmUp();
     }
 
     /**
@@ -891,11 +927,13 @@
         double budget = set.rules().tipMultiple() * takes * set.rules().fall();
         int all = set.balancers();
         double each = Math.max(1, Math.floor(takes * set.rules().fall() / all));
-        if (budget > 0 && all <= budget) return (now - n.lastSentAt) * each >= set.rules().fall();
-        if ((now - n.lastSentAt) * takes <= Math.min(2, all)) return false;     // its own rush
-        if (budget <= 0) return true;       // the settings name no fall
+        if (budget > 0 && all <= budget)
+            return (now - n.lastSentAt) * each >= set.rules().fall();
+        if ((now - n.lastSentAt) * takes <= Math.min(2, all)) return false; // its own rush
+        if (budget <= 0) return true; // the settings name no fall
         n.chances.removeIf(c -> c.at() <= now - set.rules().fall());
-        double left = Rules.borne(budget) / all - n.chances.stream().mapToDouble(Change::by).sum();
+        double left = Rules.borne(budget) / all
+                - n.chances.stream().mapToDouble(Change::by).sum();
         double open = Math.min(1, left / Math.max(1e-9, chance));
         if (open < 1e-6) return false;
         n.chances.add(new Change(now, open * chance));
@@ -936,11 +974,17 @@
                 continue;
             }
             int slots = (int) Math.min(n.streams, n.told / slotKb());
-            if (slots > EACH_SLOT) slots -= slots % (slots / STEPS);    // a few sizes stand for all
+            if (slots > EACH_SLOT) slots -= slots % (slots / STEPS); // a few sizes stand for all
             double perServer = set.balancers() / (span * listed);
-            int[] best = known.computeIfAbsent(slots, k -> bestQuotas(k,
-                    rates[1] * perServer, rates[0] * perServer, ends / playedS,
-                    worths[1] / rates[1], worths[0] / rates[0]));
+            int[] best = known.computeIfAbsent(
+                    slots,
+                    k -> bestQuotas(
+                            k,
+                            rates[1] * perServer,
+                            rates[0] * perServer,
+                            ends / playedS,
+                            worths[1] / rates[1],
+                            worths[0] / rates[0]));
             n.quotaHigh = best[0];
             n.quotaLow = best[1];
         }
@@ -955,14 +999,14 @@
         double[] most = {Double.NEGATIVE_INFINITY};
         Erlang high = new Erlang(lambdaH / mu, slots);
         Erlang low = new Erlang(lambdaL / mu, slots);
-        Erlang[] inPool = new Erlang[slots + 1];    // by the high reserve: what it leaves to the pool
-        Erlang[] rest = new Erlang[slots + 1];      // by the low reserve
+        Erlang[] inPool = new Erlang[slots + 1]; // by the high reserve: what it leaves to the pool
+        Erlang[] rest = new Erlang[slots + 1]; // by the low reserve
         IntBinaryOperator look = (h, l) -> {
             if (h < 0 || l < 0 || h + l > slots) return 0;
             if (inPool[h] == null) inPool[h] = new Erlang(lambdaH * high.loss[h] / mu, slots);
             if (rest[l] == null) rest[l] = new Erlang(lambdaL * low.loss[l] / mu, slots);
-            double payoff = mu * (vH * high.mean[h] + vL * low.mean[l]
-                    + pool(slots - h - l, inPool[h], rest[l], vH, vL));
+            double payoff =
+                    mu * (vH * high.mean[h] + vL * low.mean[l] + pool(slots - h - l, inPool[h], rest[l], vH, vL));
             if (payoff > most[0] + 1e-9) {
                 most[0] = payoff;
                 best[0] = h;
@@ -983,8 +1027,7 @@
     }
 
     /** (2) + (3) + (7) + (11) - (9); the inner sum of (7) runs over j. */
-    static double payoff(int h, int l, int pool, double lambdaH, double lambdaL, double mu, double vH,
-                         double vL) {
+    static double payoff(int h, int l, int pool, double lambdaH, double lambdaL, double mu, double vH, double vL) {
         Erlang high = new Erlang(lambdaH / mu, h);
         Erlang low = new Erlang(lambdaL / mu, l);
         Erlang inPool = new Erlang(lambdaH * high.loss[h] / mu, pool);
@@ -1017,7 +1060,7 @@
             sum = new double[n + 1];
             mean = new double[n + 1];
             loss = new double[n + 1];
-            double next = 1e-290, all = 0, weighted = 0;   // only their ratios count: room for large loads
+            double next = 1e-290, all = 0, weighted = 0; // only their ratios count: room for large loads
             for (int i = 0; i <= n; i++) {
                 term[i] = next;
                 sum[i] = all += next;
--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -17,26 +17,65 @@
 public interface Director {
 
     /** What a repeated set-up does. */
-    enum Effect { SAFE, KEYED, AT_MOST_ONCE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        AT_MOST_ONCE
+    }
 
     /** How an attempt ended; FULL, CONNECT_FAILED and MOOT prove that it never ran. */
-    enum Outcome { OK, ERROR, FULL, TIMEOUT, CONNECT_FAILED, RESET, CANCELLED, MOOT }
+    enum Outcome {
+        OK,
+        ERROR,
+        FULL,
+        TIMEOUT,
+        CONNECT_FAILED,
+        RESET,
+        CANCELLED,
+        MOOT
+    }
 
     /** DELIVERED: share of the rate that arrives; RUNG: in force; LINK, UPLINK: what is asked over what it gives. */
-    enum Topic { DELIVERED, RUNG, LINK, UPLINK }
+    enum Topic {
+        DELIVERED,
+        RUNG,
+        LINK,
+        UPLINK
+    }
 
     /** What a list of servers is: only what changed, all there is, or all as it was last known before a restart. */
-    enum Scope { CHANGES, SNAPSHOT, DISK, ERROR }
+    enum Scope {
+        CHANGES,
+        SNAPSHOT,
+        DISK,
+        ERROR
+    }
 
     /** What is known of a fresh server's pace beside the module: nothing, that a set-up more is within it, or over. */
-    enum Pace { UNKNOWN, WITHIN, OVER }
+    enum Pace {
+        UNKNOWN,
+        WITHIN,
+        OVER
+    }
 
     /** State of a server in the list. */
-    enum State { UP, DRAINING, GONE }
+    enum State {
+        UP,
+        DRAINING,
+        GONE
+    }
 
     /** A class of sessions. {@code floor} and {@code top} are rungs; {@code seats} 0 means no limit. */
-    record SessionClass(String name, Effect effect, long goalTime, long deadline, double worth, double scale,
-                        int floor, int top, int seats) {
+    record SessionClass(
+            String name,
+            Effect effect,
+            long goalTime,
+            long deadline,
+            double worth,
+            double scale,
+            int floor,
+            int top,
+            int seats) {
         public SessionClass {
             require(worth > 0, "points, the worth of class " + name);
             require(scale > 0, "class_scale of class " + name);
@@ -54,8 +93,17 @@
     }
 
     /** The ladder of rates and what they earn, and the links that carry them. {@code guard} 0: servers never refuse. */
-    record Ladder(List<Double> rates, List<Double> worths, double linksKb, double weightKb, double uplinkKb,
-                  int racks, int cells, double guard, double stall, long switchCost) {
+    record Ladder(
+            List<Double> rates,
+            List<Double> worths,
+            double linksKb,
+            double weightKb,
+            double uplinkKb,
+            int racks,
+            int cells,
+            double guard,
+            double stall,
+            long switchCost) {
         public Ladder {
             rates = List.copyOf(rates);
             worths = List.copyOf(worths);
@@ -73,21 +121,34 @@
     }
 
     /** What the caller can do and how long things take. {@code tell} 0: no notes of topics LINK and UPLINK. */
-    record Limits(int attempts, boolean probing, boolean peers, long connectTimeout, long maxComeBack, long see,
-                  long tell) {
+    record Limits(
+            int attempts, boolean probing, boolean peers, long connectTimeout, long maxComeBack, long see, long tell) {
         public Limits {
             require(attempts > 0, "try_limit");
-            require(connectTimeout >= 0 && maxComeBack >= 0 && see >= 0 && tell >= 0, "connect_timeout, max_retry_after, see or reports_every");
+            require(
+                    connectTimeout >= 0 && maxComeBack >= 0 && see >= 0 && tell >= 0,
+                    "connect_timeout, max_retry_after, see or reports_every");
         }
     }
 
     /** The figures of the rules. {@code countedOver} 0: attempts are not rationed. */
-    record Rules(long drainGrace, double coldFrom, long warmUp, double tipMultiple, long fall, int spareAttempts,
-                 double extraRatio, long countedOver) {
+    record Rules(
+            long drainGrace,
+            double coldFrom,
+            long warmUp,
+            double tipMultiple,
+            long fall,
+            int spareAttempts,
+            double extraRatio,
+            long countedOver) {
         public Rules {
-            require(drainGrace >= 0 && warmUp >= 0 && fall >= 0 && countedOver >= 0, "drain_grace, warm_up, fall or counted_over");
+            require(
+                    drainGrace >= 0 && warmUp >= 0 && fall >= 0 && countedOver >= 0,
+                    "drain_grace, warm_up, fall or counted_over");
             require(coldFrom >= 0 && coldFrom <= 1, "cold_from");
-            require(tipMultiple >= 0 && spareAttempts >= 0 && extraRatio >= 0, "tip_multiple, spare_attempts or extra_ratio");
+            require(
+                    tipMultiple >= 0 && spareAttempts >= 0 && extraRatio >= 0,
+                    "tip_multiple, spare_attempts or extra_ratio");
         }
 
         /** The part of its rate that a server gives which started then; 1 once it must be warm. */
@@ -119,11 +180,20 @@
     }
 
     /** Points taken off the result: for sessions that cross zones, for moves, probes and handshakes with servers. */
-    record Prices(double crossZone, double move, double probe, double handshake) { }
+    record Prices(double crossZone, double move, double probe, double handshake) {}
 
     /** All that a director is handed at its start. {@code reportFields} names the values of a load report in order. */
-    record Settings(int me, int balancers, String zone, List<SessionClass> classes, List<Kind> kinds, Ladder ladder,
-                    Limits limits, Rules rules, Prices prices, List<Field> reportFields) {
+    record Settings(
+            int me,
+            int balancers,
+            String zone,
+            List<SessionClass> classes,
+            List<Kind> kinds,
+            Ladder ladder,
+            Limits limits,
+            Rules rules,
+            Prices prices,
+            List<Field> reportFields) {
         public Settings {
             classes = List.copyOf(classes);
             kinds = List.copyOf(kinds);
@@ -138,22 +208,42 @@
         /** The streams that a server of the kind runs; one that is not told of runs what every kind does. */
         public int streams(String kind) {
             int least = kinds.stream().mapToInt(Kind::streams).min().orElse(1);
-            return kinds.stream().filter(k -> k.name().equals(kind)).mapToInt(Kind::streams).findFirst().orElse(least);
+            return kinds.stream()
+                    .filter(k -> k.name().equals(kind))
+                    .mapToInt(Kind::streams)
+                    .findFirst()
+                    .orElse(least);
         }
     }
 
     /** A value of a load report; OTHER is one that the module has no use for. */
-    enum Field { STREAMS, LINK, UPLINK, OTHER }
+    enum Field {
+        STREAMS,
+        LINK,
+        UPLINK,
+        OTHER
+    }
 
     /** An entry of the list. {@code upSince} 0: long ago. {@code cell} tells the titles held and, mod racks, the rack. */
-    record Server(String id, String zone, String kind, int cell, State state, double weight, long upSince) { }
+    record Server(String id, String zone, String kind, int cell, State state, double weight, long upSince) {}
 
     /**
      * A viewer's wish for a session. {@code patience}: how long the viewer waits; {@code length}: guess of the stay, 0
      * unknown; the title is held by {@code copies} cells in a row from {@code home}; {@code top}: the best rung.
      */
-    record Request(String id, String className, String viewer, String title, long patience, long length, int home,
-                   int copies, int top, boolean retry, boolean moved, boolean back) { }
+    record Request(
+            String id,
+            String className,
+            String viewer,
+            String title,
+            long patience,
+            long length,
+            int home,
+            int copies,
+            int top,
+            boolean retry,
+            boolean moved,
+            boolean back) {}
 
     /** Values of a server's load report in the order of {@link Settings#reportFields}; empty when none came. */
     record LoadReport(List<Double> values) {
@@ -174,8 +264,8 @@
     void first(long now, String request, int attempt, String server);
 
     /** An attempt or session is over; {@code last}: nothing more is owed to the viewer. */
-    void outcome(long now, String request, int attempt, String server, Outcome outcome, boolean last,
-                 LoadReport report);
+    void outcome(
+            long now, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report);
 
     /** A figure about a playing session and its server. */
     void note(long now, String request, String server, Topic topic, double value);
@@ -196,7 +286,7 @@
     void timer(long now, String key);
 
     /** A viewer's connection has come up. */
-    default void connected(long now) { }
+    default void connected(long now) {}
 
     /** What the module may do; each takes effect at once, in the order called. */
     interface Actions {
--- a/src/main/java/dockshed/Layer.java
+++ b/src/main/java/dockshed/Layer.java
@@ -106,8 +106,8 @@
     }
 
     @Override
-    public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
-                        LoadReport report) {
+    public void outcome(
+            long at, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report) {
         begin(at);
         module.outcome(at, request, attempt, server, outcome, last, report);
     }
--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -13,7 +13,7 @@
 
 /** Command line: the broker, the module alone behind the simulator's wire, or a rehearsal for the build. */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     public static void main(String[] args) {
         String mode = args.length == 0 ? "" : args[0];
@@ -26,27 +26,30 @@
                 System.exit(0);
             } catch (Exception e) {
                 System.err.println("dockshed: not rehearsed: " + e);
-                Runtime.getRuntime().halt(1);       // a planned end would end it with 0
+                Runtime.getRuntime().halt(1); // a planned end would end it with 0
             }
         }
         Map<String, String> files = new HashMap<>();
         for (int i = 1; i + 1 < args.length; i += 2) {
             files.put(args[i], args[i + 1]);
         }
-        if (!mode.equals("serve") || args.length != 1 + 2 * files.size()
+        if (!mode.equals("serve")
+                || args.length != 1 + 2 * files.size()
                 || !Set.of("--hls", "--conf").containsAll(files.keySet())) {
-            System.err.println("usage: java -jar dockshed.jar serve [--hls FILE] [--conf FILE] | simhost | rehearse FILE");
+            System.err.println(
+                    "usage: java -jar dockshed.jar serve [--hls FILE] [--conf FILE] | simhost | rehearse FILE");
             System.exit(2);
         }
         Signals.expectHangUps();
         try {
-            Wiring.start(Config.load(System.getenv()),
+            Wiring.start(
+                    Config.load(System.getenv()),
                     files.containsKey("--hls") ? HlsConfig.load(files.get("--hls")) : null,
                     files.containsKey("--conf") ? OperatorConfig.load(files.get("--conf")) : OperatorConfig.NONE);
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
-        } catch (Exception e) {         // a failed bind comes as a checked exception that nothing declares
+        } catch (Exception e) { // a failed bind comes as a checked exception that nothing declares
             System.err.println("dockshed: cannot serve: " + e);
             System.exit(1);
         }
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -49,7 +49,7 @@
     private final LoopClock clock;
     private final Deadlines deadlines;
     private final UdpPeers peers;
-    private final FleetHost fleet;      // null: off
+    private final FleetHost fleet; // null: off
     private final Broker broker;
     private final Edges edges;
     private final RtspFront rtsp;
@@ -68,21 +68,41 @@
         deadlines = new Deadlines(clock::wake);
         peers = new UdpPeers(config.peers(), config.peersAll());
         Director.Settings s = config.settings();
-        fleet = operator.fleet() == null || !config.fleet() ? null
+        fleet = operator.fleet() == null || !config.fleet()
+                ? null
                 : new FleetHost(operator.fleet(), s.me(), config.peers(), clock, config.seed() ^ FLEET_SEED);
         // From the broker inwards: the fleet's gate, the storm part, the module.
         Function<Director.Actions, Director> module = actions -> new Choice(s, config.seed(), actions);
-        Function<Director.Actions, Director> damped = operator.storm() == null ? module
+        Function<Director.Actions, Director> damped = operator.storm() == null
+                ? module
                 : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module);
         Gate[] gate = new Gate[1];
-        broker = new Broker(s, fleet == null ? damped : actions -> {
-            gate[0] = Gate.before(s, fleet::view, fleet::news, damped).apply(actions);
-            return gate[0];
-        }, fleet == null ? peers : fleet, deadlines);
+        broker = new Broker(
+                s,
+                fleet == null
+                        ? damped
+                        : actions -> {
+                            gate[0] = Gate.before(s, fleet::view, fleet::news, damped)
+                                    .apply(actions);
+                            return gate[0];
+                        },
+                fleet == null ? peers : fleet,
+                deadlines);
         clock.onDue(broker::tick);
-        edges = new Edges(broker, net, clock, deadlines, new Edges.Terms(s.limits().connectTimeout(),
-                config.idleClose(), s.limits().tell(), s.limits().see(), config.reportFields(), config.lines()),
-                fleet == null || !operator.fleet().probes() ? Finder.ALONE
+        edges = new Edges(
+                broker,
+                net,
+                clock,
+                deadlines,
+                new Edges.Terms(
+                        s.limits().connectTimeout(),
+                        config.idleClose(),
+                        s.limits().tell(),
+                        s.limits().see(),
+                        config.reportFields(),
+                        config.lines()),
+                fleet == null || !operator.fleet().probes()
+                        ? Finder.ALONE
                         : new FleetFinder(s.me(), fleet::view, fleet::news, gate[0]::shun));
         rtsp = new RtspFront(broker, edges, clock, deadlines, config.viewers());
     }
@@ -90,43 +110,62 @@
     /** Begins to serve; returns where viewers can connect. Throws IllegalStateException where it cannot. */
     static SocketAddress start(Config config, HlsConfig hls, OperatorConfig operator) {
         Net net = new Net();
-        Wiring w = net.call(() -> {     // all state belongs to the loop's thread from its first moment
-            Wiring made = new Wiring(config, operator, net);
-            made.lists();
-            if (hls != null) {
-                made.hls(hls);
-            }
-            return made;
-        });
+        Wiring w = net.call(
+                () -> { // all state belongs to the loop's thread from its first moment
+                    Wiring made = new Wiring(config, operator, net);
+                    made.lists();
+                    if (hls != null) {
+                        made.hls(hls);
+                    }
+                    return made;
+                });
         if (w.fleet != null) {
             w.fleet.start(config.peerListen());
-            LOG.info("fleet part on: me={} of={} {}", config.settings().me(), config.peers().size(), operator.fleet());
+            LOG.info(
+                    "fleet part on: me={} of={} {}",
+                    config.settings().me(),
+                    config.peers().size(),
+                    operator.fleet());
         } else if (operator.fleet() != null) {
             LOG.warn("fleet part off: the settings allow no talk among brokers, or name no peers");
         }
         if (config.peerListen() != null && w.fleet == null) {
             w.peers.listen(w.net, config.peerListen(), (from, message) -> w.broker.told(w.clock.now(), from, message));
         }
-        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom, true).syncUninterruptibly()
-                .channel().localAddress();
+        SocketAddress rtspAt = w.net.listen(config.listen(), w.rtsp::accept, w.edges::makeRoom, true)
+                .syncUninterruptibly()
+                .channel()
+                .localAddress();
         if (hls != null) {
-            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept, w.edges::makeRoom, false).syncUninterruptibly()
-                    .channel().localAddress();
-            LOG.info("serving HLS: listen={} servers={} eureka={}", at, hls.servers().size(),
+            SocketAddress at = w.net.listen(hls.listen(), w.hlsFront::accept, w.edges::makeRoom, false)
+                    .syncUninterruptibly()
+                    .channel()
+                    .localAddress();
+            LOG.info(
+                    "serving HLS: listen={} servers={} eureka={}",
+                    at,
+                    hls.servers().size(),
                     hls.eureka() == null ? "none" : hls.eureka().at());
         }
         if (operator.storm() != null) {
             LOG.info("storm part on: {}", operator.storm());
         }
         Signals.onHangUp(w::reload);
-        long longest = config.settings().classes().stream().mapToLong(Director.SessionClass::deadline).max().orElse(0);
+        long longest = config.settings().classes().stream()
+                .mapToLong(Director.SessionClass::deadline)
+                .max()
+                .orElse(0);
         new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch(() -> {
             if (w.fleet != null) {
                 w.fleet.news(new News.Leaving());
             }
         });
-        LOG.info("serving: name={} listen={} servers={} peers={}", config.name(), rtspAt,
-                w.upSince.size(), config.peers().size());
+        LOG.info(
+                "serving: name={} listen={} servers={} peers={}",
+                config.name(),
+                rtspAt,
+                w.upSince.size(),
+                config.peers().size());
         return rtspAt;
     }
 
@@ -157,7 +196,7 @@
                 names.moveTo(to);
                 LOG.info("configuration read again: names={}", to);
             });
-        } catch (RuntimeException e) {  // whatever is wrong with the file, what is in force stays
+        } catch (RuntimeException e) { // whatever is wrong with the file, what is in force stays
             LOG.error("configuration not taken, the old one stands: why={}", e.getMessage());
         }
     }
@@ -166,9 +205,10 @@
         Director.Settings s = config.settings();
         hls.doubts(s).forEach(doubt -> LOG.warn("doubtful setting, taken as it is: {}", doubt));
         loads = new LoadTeller(broker, deadlines, s);
-        origins = new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)), loads);
-        hlsFront = new HlsFront(broker, origins, clock, deadlines, s, hls.idle(), config.sockets() / 6,
-                config.seed() ^ 0x5eed);
+        origins =
+                new Origins(broker, net, clock, Math.max(100, (int) (s.limits().connectTimeout() / 1000)), loads);
+        hlsFront = new HlsFront(
+                broker, origins, clock, deadlines, s, hls.idle(), config.sockets() / 6, config.seed() ^ 0x5eed);
         if (!hls.servers().isEmpty()) {
             boxes(Scope.DISK, hls.servers());
         }
@@ -196,7 +236,11 @@
         before.forEach((id, was) -> {
             Listing is = now.get(id);
             if (is == null || is.server().upSince() > was.server().upSince()) {
-                broker.lost(clock.now(), origins, id, is == null ? clock.now() : is.server().upSince());
+                broker.lost(
+                        clock.now(),
+                        origins,
+                        id,
+                        is == null ? clock.now() : is.server().upSince());
             }
         });
     }
--- a/src/main/java/dockshed/config/ConfFile.java
+++ b/src/main/java/dockshed/config/ConfFile.java
@@ -24,12 +24,13 @@
     static final int MOST_BYTES = 1 << 20;
     /** Sections in sections. */
     static final int MOST_DEPTH = 8;
+
     private static final int MOST_FAULTS = 100;
     private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,12}(?:\\.[0-9]{1,9})?)([a-z/%]*)");
     private static final Map<String, Double> MICROS = Map.of("us", 1.0, "ms", 1e3, "s", 1e6, "m", 60e6, "h", 3600e6);
 
     /** A directive with what follows it, or a section. */
-    private record Entry(int line, List<String> values, Section section) { }
+    private record Entry(int line, List<String> values, Section section) {}
 
     /** The directives between two braces, or of the whole file; each is asked for by name, and what is left is a fault. */
     final class Section {
@@ -64,15 +65,20 @@
                 return null;
             }
             if (e.section() != null || e.values().size() != 1) {
-                fault(e.line(), key, expected, e.section() != null ? "a section" : e.values().isEmpty() ? "nothing"
-                        : String.join(" ", e.values()));
+                fault(
+                        e.line(),
+                        key,
+                        expected,
+                        e.section() != null
+                                ? "a section"
+                                : e.values().isEmpty() ? "nothing" : String.join(" ", e.values()));
                 return null;
             }
             return e.values().get(0);
         }
 
-        private double quantity(String key, double absent, double least, double most, Map<String, Double> units,
-                                String expected) {
+        private double quantity(
+                String key, double absent, double least, double most, Map<String, Double> units, String expected) {
             String text = value(key, expected);
             if (text == null) {
                 return absent;
@@ -89,28 +95,44 @@
 
         /** Microseconds. */
         long duration(String key, long absent, long least, long most) {
-            return Math.round(quantity(key, absent, least, most, MICROS,
-                    "a time from " + time(least) + " to " + time(most)));
+            return Math.round(
+                    quantity(key, absent, least, most, MICROS, "a time from " + time(least) + " to " + time(most)));
         }
 
         /** A share of 1, written in percent. */
         double share(String key, double absent, double least, double most) {
-            return quantity(key, absent, least, most, Map.of("%", 0.01), String.format(Locale.ROOT,
-                    "a share from %.0f%% to %.0f%%", least * 100, most * 100));
+            return quantity(
+                    key,
+                    absent,
+                    least,
+                    most,
+                    Map.of("%", 0.01),
+                    String.format(Locale.ROOT, "a share from %.0f%% to %.0f%%", least * 100, most * 100));
         }
 
         double perSecond(String key, double absent, double least, double most) {
-            return quantity(key, absent, least, most, Map.of("/s", 1.0, "/m", 1 / 60.0), String.format(Locale.ROOT,
-                    "a rate from %s/s to %s/s", figure(least), figure(most)));
+            return quantity(
+                    key,
+                    absent,
+                    least,
+                    most,
+                    Map.of("/s", 1.0, "/m", 1 / 60.0),
+                    String.format(Locale.ROOT, "a rate from %s/s to %s/s", figure(least), figure(most)));
         }
 
         double multiple(String key, double absent, double least, double most) {
-            return quantity(key, absent, least, most, Map.of("", 1.0), "a number from " + figure(least) + " to "
-                    + figure(most));
+            return quantity(
+                    key,
+                    absent,
+                    least,
+                    most,
+                    Map.of("", 1.0),
+                    "a number from " + figure(least) + " to " + figure(most));
         }
 
         int count(String key, int absent, int least, int most) {
-            double read = quantity(key, absent, least, most, Map.of("", 1.0), "a whole number from " + least + " to " + most);
+            double read =
+                    quantity(key, absent, least, most, Map.of("", 1.0), "a whole number from " + least + " to " + most);
             if (read != Math.rint(read)) {
                 fault(entries.get(key).line(), key, "a whole number", figure(read));
                 return absent;
@@ -127,7 +149,9 @@
         }
 
         <E extends Enum<E>> E word(String key, E absent, Class<E> of) {
-            List<String> words = Arrays.stream(of.getEnumConstants()).map(e -> e.name().toLowerCase(Locale.ROOT)).toList();
+            List<String> words = Arrays.stream(of.getEnumConstants())
+                    .map(e -> e.name().toLowerCase(Locale.ROOT))
+                    .toList();
             String text = value(key, "one of " + String.join(", ", words));
             if (text == null) {
                 return absent;
@@ -149,7 +173,10 @@
         void end() {
             entries.forEach((key, e) -> {
                 if (!asked.contains(key)) {
-                    fault(e.line(), key, "one of " + String.join(", ", asked) + (name.isEmpty() ? "" : " in section " + name),
+                    fault(
+                            e.line(),
+                            key,
+                            "one of " + String.join(", ", asked) + (name.isEmpty() ? "" : " in section " + name),
                             "an unknown directive");
                 }
             });
@@ -170,7 +197,10 @@
             if (Files.size(path) > MOST_BYTES) {
                 throw new Fields.Malformed(path + ": longer than " + MOST_BYTES + " bytes");
             }
-            f.parse(StandardCharsets.UTF_8.newDecoder().decode(java.nio.ByteBuffer.wrap(Files.readAllBytes(path))).toString());
+            f.parse(StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(java.nio.ByteBuffer.wrap(Files.readAllBytes(path)))
+                    .toString());
         } catch (CharacterCodingException e) {
             throw new Fields.Malformed(path + ": not UTF-8, perhaps cut off");
         } catch (IOException e) {
@@ -225,7 +255,10 @@
             boolean section = words.get(words.size() - 1).equals("{");
             Section inner = section ? new Section(key, line) : null;
             if (section && (words.size() != 2 || open.size() > MOST_DEPTH)) {
-                fault(line, key, words.size() != 2 ? "a name and a brace" : "at most " + MOST_DEPTH + " sections in sections",
+                fault(
+                        line,
+                        key,
+                        words.size() != 2 ? "a name and a brace" : "at most " + MOST_DEPTH + " sections in sections",
                         lines[i].strip());
             }
             Entry was = in.entries.putIfAbsent(key, new Entry(line, words.subList(1, words.size()), inner));
@@ -277,7 +310,9 @@
     }
 
     private static String time(long micros) {
-        return micros % 1_000_000 == 0 ? micros / 1_000_000 + "s" : micros % 1000 == 0 ? micros / 1000 + "ms" : micros + "us";
+        return micros % 1_000_000 == 0
+                ? micros / 1_000_000 + "s"
+                : micros % 1000 == 0 ? micros / 1000 + "ms" : micros + "us";
     }
 
     private static String figure(double d) {
--- a/src/main/java/dockshed/config/Config.java
+++ b/src/main/java/dockshed/config/Config.java
@@ -21,10 +21,21 @@
  * All that the program is told from outside: environment and configuration file, checked, with defaults put in. A
  * complaint is an {@link Fields.Malformed} that names the key at fault. Times are microseconds.
  */
-public record Config(String name, InetSocketAddress listen, long seed, int sockets, InetSocketAddress peerListen,
-                     List<InetSocketAddress> peers, InetSocketAddress peersAll, InetSocketAddress names,
-                     List<Notice> known, Settings settings, long idleClose, List<String> reportFields) {
-    private static final Gson GSON = new GsonBuilder().setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
+public record Config(
+        String name,
+        InetSocketAddress listen,
+        long seed,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        InetSocketAddress names,
+        List<Notice> known,
+        Settings settings,
+        long idleClose,
+        List<String> reportFields) {
+    private static final Gson GSON = new GsonBuilder()
+            .setObjectToNumberStrategy(ToNumberPolicy.LONG_OR_DOUBLE)
             .create();
     private static final int DEFAULT_SOCKETS = 1024;
     private static final long DEFAULT_IDLE = 30_000_000;
@@ -32,7 +43,7 @@
     static final int OWN = 32;
 
     /** An event of the list that was known before the start. */
-    public record Notice(long number, boolean complete, List<Listing> members) { }
+    public record Notice(long number, boolean complete, List<Listing> members) {}
 
     /** Whether brokers may talk to one another: allowed by the settings, with an address for each and one to listen on. */
     public boolean fleet() {
@@ -92,12 +103,20 @@
         } catch (IllegalArgumentException e) {
             throw new Fields.Malformed(settings.owner() + ": " + e.getMessage());
         }
-        return new Config(environment.getOrDefault("EDGE_NAME", c.text("name", "dockshed")),
-                environment.containsKey("EDGE_LISTEN") ? address(environment.get("EDGE_LISTEN"),
-                        "environment: EDGE_LISTEN") : address(c, "listen"),
-                seed(c), sockets(c), c.has("peer_listen") ? address(c, "peer_listen") : null, peers,
-                c.has("peers_all") ? address(c, "peers_all") : null, c.has("names") ? address(c, "names") : null,
-                known(c), read, limits.micros("idle_close", DEFAULT_IDLE),
+        return new Config(
+                environment.getOrDefault("EDGE_NAME", c.text("name", "dockshed")),
+                environment.containsKey("EDGE_LISTEN")
+                        ? address(environment.get("EDGE_LISTEN"), "environment: EDGE_LISTEN")
+                        : address(c, "listen"),
+                seed(c),
+                sockets(c),
+                c.has("peer_listen") ? address(c, "peer_listen") : null,
+                peers,
+                c.has("peers_all") ? address(c, "peers_all") : null,
+                c.has("names") ? address(c, "names") : null,
+                known(c),
+                read,
+                limits.micros("idle_close", DEFAULT_IDLE),
                 settings.has("report") ? settings.object("report").texts("fields") : List.of());
     }
 
@@ -160,14 +179,23 @@
     }
 
     static Listing listing(Fields m) {
-        State state = switch (m.text("phase", "active")) {
-            case "active" -> State.UP;
-            case "leaving" -> State.DRAINING;
-            case "left" -> State.GONE;
-            default -> throw new Fields.Malformed(m.owner() + ": member 'phase' is unknown: " + m.text("phase"));
-        };
-        return new Listing(new Server(m.text("id"), m.text("locality", ""), m.text("flavor", ""),
-                m.integer("cell", 0), state, m.number("size", 1), m.micros("up_since_ms", 0)),
+        State state =
+                switch (m.text("phase", "active")) {
+                    case "active" -> State.UP;
+                    case "leaving" -> State.DRAINING;
+                    case "left" -> State.GONE;
+                    default ->
+                        throw new Fields.Malformed(m.owner() + ": member 'phase' is unknown: " + m.text("phase"));
+                };
+        return new Listing(
+                new Server(
+                        m.text("id"),
+                        m.text("locality", ""),
+                        m.text("flavor", ""),
+                        m.integer("cell", 0),
+                        state,
+                        m.number("size", 1),
+                        m.micros("up_since_ms", 0)),
                 address(m, "host_port"));
     }
 }
--- a/src/main/java/dockshed/config/HlsConfig.java
+++ b/src/main/java/dockshed/config/HlsConfig.java
@@ -17,7 +17,7 @@
     private static final long DEFAULT_POLL = 5_000_000;
 
     /** The registry and the name under which the lesson boxes are registered there. */
-    public record Eureka(InetSocketAddress at, String path, String app, long poll) { }
+    public record Eureka(InetSocketAddress at, String path, String app, long poll) {}
 
     public static HlsConfig load(String file) {
         return read(Config.object(Path.of(file), "hls"));
@@ -33,7 +33,10 @@
         Eureka eureka = null;
         if (c.has("eureka")) {
             Fields e = c.object("eureka");
-            eureka = new Eureka(Config.address(e, "at"), e.text("path", "/eureka"), e.text("app"),
+            eureka = new Eureka(
+                    Config.address(e, "at"),
+                    e.text("path", "/eureka"),
+                    e.text("app"),
                     period(e, "poll_ms", DEFAULT_POLL));
         }
         if (eureka == null && servers.isEmpty()) {
@@ -48,14 +51,15 @@
         List<String> kinds = settings.kinds().stream().map(Director.Kind::name).toList();
         for (Listing l : servers) {
             if (!kinds.contains(l.server().kind())) {
-                out.add("server " + l.server().id() + " has flavor '" + l.server().kind() + "', the settings know " + kinds
-                        + ": it is held for the least of these");
+                out.add("server " + l.server().id() + " has flavor '"
+                        + l.server().kind() + "', the settings know " + kinds + ": it is held for the least of these");
             }
         }
         double link = settings.ladder().weightKb();
         if (settings.ladder().uplinkKb() < link) {
-            out.add("family_info.uplink_kb " + settings.ladder().uplinkKb() + " is less than one server's link, weight_kb "
-                    + link + ": a rack carries no more; 0 means no uplink");
+            out.add("family_info.uplink_kb " + settings.ladder().uplinkKb()
+                    + " is less than one server's link, weight_kb " + link
+                    + ": a rack carries no more; 0 means no uplink");
         }
         return out;
     }
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -32,15 +32,19 @@
 
     private static FleetTerms fleet(ConfFile.Section s) {
         FleetTerms u = FleetTerms.USUAL;
-        return new FleetTerms(s.multiple("bytes_a_second", u.bytes(), 100, 100_000),
+        return new FleetTerms(
+                s.multiple("bytes_a_second", u.bytes(), 100, 100_000),
                 s.multiple("bytes_a_session", u.perSession(), 0, 100_000),
-                s.share("floor", u.floor(), 0, 1), s.flag("shares", u.shares()), s.flag("cut", u.cut()),
+                s.share("floor", u.floor(), 0, 1),
+                s.flag("shares", u.shares()),
+                s.flag("cut", u.cut()),
                 s.flag("probes", u.probes()));
     }
 
     private static Terms storm(ConfFile.Section s) {
         Terms u = Terms.USUAL;
-        Terms t = new Terms(s.word("returns", u.returns(), Terms.Returns.class),
+        Terms t = new Terms(
+                s.word("returns", u.returns(), Terms.Returns.class),
                 s.duration("soonest", u.soonest(), 10 * MS, 60 * S),
                 s.duration("longest", u.longest(), 100 * MS, 600 * S),
                 s.duration("slot", u.slot(), 50 * MS, 5 * S),
--- a/src/main/java/dockshed/config/SettingsReader.java
+++ b/src/main/java/dockshed/config/SettingsReader.java
@@ -19,28 +19,52 @@
     /** kB a second that no rack asks for. */
     static final double NO_UPLINK = 1e12;
 
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     public static Settings read(Fields options) {
         Fields family = options.object("family_info");
         Fields limits = options.object("limits");
         Fields rules = options.object("invariants");
         Fields prices = options.object("prices");
-        Ladder ladder = new Ladder(family.numbers("rates_kb"), family.numbers("level_worth"),
-                family.number("links_kb"), family.number("weight_kb", 0), uplink(family),
-                family.integer("cabinets"), family.integer("cells"), family.number("guard", 0),
-                family.number("stall", 0), Math.round(family.number("switch_cost_s", 0) * 1e6));
-        return new Settings(options.integer("me"), options.integer("balancers"), options.text("zone", ""),
-                classes(options, family), kinds(options, family), ladder,
-                new Limits(limits.integer("try_limit"), limits.flag("probing"), limits.flag("peers"),
-                        limits.micros("connect_timeout", 0), limits.flag("retry_after")
-                        ? limits.micros("max_retry_after", 0) : 0, family.micros("see", 0),
+        Ladder ladder = new Ladder(
+                family.numbers("rates_kb"),
+                family.numbers("level_worth"),
+                family.number("links_kb"),
+                family.number("weight_kb", 0),
+                uplink(family),
+                family.integer("cabinets"),
+                family.integer("cells"),
+                family.number("guard", 0),
+                family.number("stall", 0),
+                Math.round(family.number("switch_cost_s", 0) * 1e6));
+        return new Settings(
+                options.integer("me"),
+                options.integer("balancers"),
+                options.text("zone", ""),
+                classes(options, family),
+                kinds(options, family),
+                ladder,
+                new Limits(
+                        limits.integer("try_limit"),
+                        limits.flag("probing"),
+                        limits.flag("peers"),
+                        limits.micros("connect_timeout", 0),
+                        limits.flag("retry_after") ? limits.micros("max_retry_after", 0) : 0,
+                        family.micros("see", 0),
                         family.micros("reports_every", 0)),
-                new Rules(rules.micros("drain_grace", 0), rules.number("cold_from", 1), rules.micros("warm_up", 0),
-                        rules.number("tip_multiple", 0), rules.micros("fall", 0),
-                        rules.integer("spare_attempts", 0), rules.number("extra_ratio", 0),
+                new Rules(
+                        rules.micros("drain_grace", 0),
+                        rules.number("cold_from", 1),
+                        rules.micros("warm_up", 0),
+                        rules.number("tip_multiple", 0),
+                        rules.micros("fall", 0),
+                        rules.integer("spare_attempts", 0),
+                        rules.number("extra_ratio", 0),
                         rules.micros("counted_over", 0)),
-                new Prices(prices.number("cross_zone", 0), prices.number("moves", 0), prices.number("probe", 0),
+                new Prices(
+                        prices.number("cross_zone", 0),
+                        prices.number("moves", 0),
+                        prices.number("probe", 0),
                         prices.number("handshake", 0)),
                 fields(options));
     }
@@ -68,7 +92,8 @@
                 throw new Fields.Malformed(c.owner() + ": member 'name' is there twice: " + c.text("name"));
             }
         }
-        double unpaid = UNPAID * points.stream().filter(p -> p > 0).min(Double::compare).orElse(1 / UNPAID);
+        double unpaid =
+                UNPAID * points.stream().filter(p -> p > 0).min(Double::compare).orElse(1 / UNPAID);
         int rungs = family.numbers("rates_kb").size();
         List<Double> scale = family.numbers("class_scale");
         List<Double> floor = family.numbers("lowest_rung");
@@ -77,9 +102,14 @@
         for (Object each : options.list("classes")) {
             Fields c = new Fields(options.owner() + ".classes", each);
             int i = out.size();
-            out.add(new SessionClass(c.text("name"), effect(c), c.micros("goal_time"),
-                    c.micros("deadline"), points.get(i) > 0 ? points.get(i) : unpaid,
-                    at(family, scale, i, "class_scale"), (int) at(family, floor, i, "lowest_rung"),
+            out.add(new SessionClass(
+                    c.text("name"),
+                    effect(c),
+                    c.micros("goal_time"),
+                    c.micros("deadline"),
+                    points.get(i) > 0 ? points.get(i) : unpaid,
+                    at(family, scale, i, "class_scale"),
+                    (int) at(family, floor, i, "lowest_rung"),
                     Math.min(rungs - 1, (int) at(family, top, i, "top_by_class")),
                     (int) at(family, seats, i, "class_seats")));
         }
@@ -116,12 +146,13 @@
         List<Field> out = new ArrayList<>();
         if (options.has("report")) {
             for (String name : options.object("report").texts("fields")) {
-                out.add(switch (name) {
-                    case "busy_reqs" -> Field.STREAMS;
-                    case "cpu_share", "x0" -> Field.LINK;
-                    case "x1" -> Field.UPLINK;
-                    default -> Field.OTHER;
-                });
+                out.add(
+                        switch (name) {
+                            case "busy_reqs" -> Field.STREAMS;
+                            case "cpu_share", "x0" -> Field.LINK;
+                            case "x1" -> Field.UPLINK;
+                            default -> Field.OTHER;
+                        });
             }
         }
         return out;
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -64,13 +64,13 @@
         final SessionClass cls;
         final long came;
         long connection;
-        Box box;                    // where an attempt is out or the session stands
+        Box box; // where an attempt is out or the session stands
         int attempts;
         boolean out, stands, ran, answered;
         int rung, rungSent;
         long stoodSince;
         Deadline attemptEnds, patienceEnds;
-        final List<LongConsumer> early = new ArrayList<>(1);    // notes that came before the answer
+        final List<LongConsumer> early = new ArrayList<>(1); // notes that came before the answer
 
         Call(Wish wish, Front front, Servers via, SessionClass cls, long connection, long now) {
             this.wish = wish;
@@ -97,15 +97,15 @@
     }
 
     /** An end of a session that its viewer has still to hear of. */
-    private record Owed(Front front, String name, Outcome outcome, long until) { }
+    private record Owed(Front front, String name, Outcome outcome, long until) {}
 
-    private record Told(Owed owed, long at) { }
+    private record Told(Owed owed, long at) {}
 
     private static final class Connection {
         final Front front;
         final ArrayDeque<Told> told = new ArrayDeque<>();
-        long askedAt = -1;          // when it last brought a set-up; -1: never
-        boolean proved;             // it carried a session, or confirmed an end: a viewer reads it
+        long askedAt = -1; // when it last brought a set-up; -1: never
+        boolean proved; // it carried a session, or confirmed an end: a viewer reads it
 
         Connection(Front front) {
             this.front = front;
@@ -125,7 +125,7 @@
     private final ArrayDeque<LongConsumer> events = new ArrayDeque<>();
     private boolean busy, ending;
     private long now;
-    private long leftSecond;        // the second in which lines on leaving viewers are counted
+    private long leftSecond; // the second in which lines on leaving viewers are counted
     private int leftLines;
     private int unanswered;
     private final Counts counts = new Counts();
@@ -165,7 +165,7 @@
             for (LongConsumer next = events.poll(); next != null; next = events.poll()) {
                 try {
                     next.accept(now);
-                } catch (RuntimeException e) {  // one request's trouble must not become every viewer's
+                } catch (RuntimeException e) { // one request's trouble must not become every viewer's
                     LOG.error("internal error, gone on after it", e);
                 }
             }
@@ -253,8 +253,11 @@
     /** A viewer's request; false where a session or request of that name is held already, or a figure is no good. */
     public boolean request(long at, long connection, Front front, Servers via, Wish wish) {
         SessionClass cls = classes.get(wish.className());
-        if (cls == null || byName.containsKey(wish.name()) || !inRange(wish)
-                || wish.patience() <= 0 || wish.patience() > PATIENCE * cls.deadline()) {
+        if (cls == null
+                || byName.containsKey(wish.name())
+                || !inRange(wish)
+                || wish.patience() <= 0
+                || wish.patience() > PATIENCE * cls.deadline()) {
             return false;
         }
         if (ending) {
@@ -276,9 +279,12 @@
 
     /** Whether the figures are ones that the site has: what can't be so, a server would take all the same. */
     private boolean inRange(Wish w) {
-        return w.home() >= 0 && w.home() < settings.ladder().cells()
-                && w.copies() >= 0 && w.copies() <= settings.ladder().cells()
-                && w.top() >= 0 && w.top() < settings.ladder().rates().size();
+        return w.home() >= 0
+                && w.home() < settings.ladder().cells()
+                && w.copies() >= 0
+                && w.copies() <= settings.ladder().cells()
+                && w.top() >= 0
+                && w.top() < settings.ladder().rates().size();
     }
 
     /**
@@ -345,7 +351,7 @@
         event(at, t -> {
             Call call = byName.get(name);
             if (call == null || !call.out || !call.box.id.equals(server)) {
-                return;             // given up before
+                return; // given up before
             }
             call.out = false;
             deadlines.cancel(call.attemptEnds);
@@ -357,10 +363,10 @@
                 own.proved = true;
             }
             stand(call, t);
-            call.front.served(call.connection, name,
-                    new Front.Granted(server, description, call.cls.floor(), call.rung));
+            call.front.served(
+                    call.connection, name, new Front.Granted(server, description, call.cls.floor(), call.rung));
             if (call.rung != call.rungSent) {
-                setRung(call);      // set while the answer was on its way
+                setRung(call); // set while the answer was on its way
             }
             director.first(t, call.id, call.attempts - 1, server);
             call.early.forEach(told -> told.accept(t));
@@ -392,7 +398,7 @@
         event(at, t -> {
             Call call = byName.get(name);
             if (call != null && call.out && call.box.id.equals(server)) {
-                if (call.early.size() < EARLY) {        // the server's word on a set-up may come before its answer
+                if (call.early.size() < EARLY) { // the server's word on a set-up may come before its answer
                     call.early.add(later -> note(later, server, name, topic, value));
                 }
             } else if (call != null && call.stands && call.box.id.equals(server)) {
@@ -400,7 +406,7 @@
                     return;
                 }
                 if (topic == Topic.RUNG) {
-                    call.rung = (int) value;    // in force when the server wrote it
+                    call.rung = (int) value; // in force when the server wrote it
                 }
                 director.note(t, call.id, server, topic, value);
             }
@@ -410,8 +416,8 @@
     /** The server's process is gone, and its sessions of this adapter that began before {@code since} with it. */
     public void lost(long at, Servers via, String server, long since) {
         event(at, t -> {
-            List<Call> broken = calls(call -> call.stands && call.via == via && call.box.id.equals(server)
-                    && call.stoodSince < since);
+            List<Call> broken = calls(
+                    call -> call.stands && call.via == via && call.box.id.equals(server) && call.stoodSince < since);
             if (!broken.isEmpty()) {
                 LOG.warn("server lost: id={} sessions={}", server, broken.size());
             }
@@ -442,20 +448,25 @@
                 b.listings.put(source, s);
                 merged.add(merge(t, b));
             }
-            boolean alone = boxes.values().stream().allMatch(b -> b.listings.keySet().stream()
-                    .allMatch(source::equals));
+            boolean alone = boxes.values().stream()
+                    .allMatch(b -> b.listings.keySet().stream().allMatch(source::equals));
             Scope told = scope == Scope.SNAPSHOT && !alone ? Scope.CHANGES : scope;
             director.members(t, told, merged);
-            boxes.values().removeIf(b -> b.closedSince < t - FORGET && b.info.state() == State.GONE
-                    && b.standing.values().stream().allMatch(n -> n == 0));
+            boxes.values()
+                    .removeIf(b -> b.closedSince < t - FORGET
+                            && b.info.state() == State.GONE
+                            && b.standing.values().stream().allMatch(n -> n == 0));
         });
     }
 
     private Server merge(long t, Box b) {
         Server worst = null;
         for (Server s : b.listings.values()) {
-            worst = worst == null || s.state().compareTo(worst.state()) > 0 && s.state() != State.GONE
-                    || worst.state() == State.GONE ? s : worst;
+            worst = worst == null
+                            || s.state().compareTo(worst.state()) > 0 && s.state() != State.GONE
+                            || worst.state() == State.GONE
+                    ? s
+                    : worst;
         }
         if (worst == null) {
             Server was = b.info;
@@ -483,8 +494,10 @@
     /** Whether something new may still go to the server. */
     public boolean takes(long at, String server) {
         Box b = boxes.get(server);
-        return b != null && b.info != null
-                && (b.closedSince == Deadlines.NEVER || at - b.closedSince < settings.rules().drainGrace() - DRAIN_MARGIN);
+        return b != null
+                && b.info != null
+                && (b.closedSince == Deadlines.NEVER
+                        || at - b.closedSince < settings.rules().drainGrace() - DRAIN_MARGIN);
     }
 
     /** The longest time that a viewer may be told to stay away; 0: none may be told. */
@@ -554,17 +567,20 @@
         }
         call.attempts++;
         int attempt = call.attempts - 1;
-        String why = box == null ? "unknown server"
-                : !takes(now, server) ? "server drains or is gone"
-                : call.ran && call.cls.effect() != Effect.SAFE ? "may have run already"
-                : call.attempts > settings.limits().attempts() ? "too many attempts" : null;
+        String why = box == null
+                ? "unknown server"
+                : !takes(now, server)
+                        ? "server drains or is gone"
+                        : call.ran && call.cls.effect() != Effect.SAFE
+                                ? "may have run already"
+                                : call.attempts > settings.limits().attempts() ? "too many attempts" : null;
         long left = Math.max(0, answerDue(call) - now);
         if (why != null || left == 0) {
             if (why != null) {
                 breach("send", request, why);
             }
-            events.add(t -> director.outcome(t, call.id, attempt, server, Outcome.MOOT, call.answered,
-                    LoadReport.NONE));
+            events.add(
+                    t -> director.outcome(t, call.id, attempt, server, Outcome.MOOT, call.answered, LoadReport.NONE));
             return;
         }
         long wait = allow > 0 ? Math.min(allow, left) : left;
@@ -573,8 +589,16 @@
         call.box = box;
         call.rungSent = call.rung;
         call.attemptEnds = deadlines.at(now + wait, due -> event(due, t -> attemptTimedOut(call)));
-        call.via.setUp(server, new Servers.SetUp(call.wish.name(), call.wish.className(), call.wish.title(), wait,
-                call.cls.floor(), call.rung, call.wish.description()));
+        call.via.setUp(
+                server,
+                new Servers.SetUp(
+                        call.wish.name(),
+                        call.wish.className(),
+                        call.wish.title(),
+                        wait,
+                        call.cls.floor(),
+                        call.rung,
+                        call.wish.description()));
     }
 
     @Override
@@ -598,7 +622,7 @@
     public void fail(String request) {
         Call call = call(request);
         if (call == null || call.answered) {
-            return;                 // the module also fails what has ended by itself
+            return; // the module also fails what has ended by itself
         }
         boolean late = now >= answerDue(call);
         finish(call);
@@ -772,8 +796,14 @@
             leftLines = 0;
         }
         if (leftLines++ < LEFT_LINES) {
-            LOG.info("viewer left unanswered: session={} how={} ms={} of={} attempts={} out={}", call.wish.name(), how,
-                    (now - call.came) / 1000, call.wish.patience() / 1000, call.attempts, call.out);
+            LOG.info(
+                    "viewer left unanswered: session={} how={} ms={} of={} attempts={} out={}",
+                    call.wish.name(),
+                    how,
+                    (now - call.came) / 1000,
+                    call.wish.patience() / 1000,
+                    call.attempts,
+                    call.out);
         }
     }
 
@@ -800,7 +830,7 @@
         if (tried) {
             attemptTimedOut(call);
         }
-        if (!call.answered) {       // the module holds it still, or has no time left to try again
+        if (!call.answered) { // the module holds it still, or has no time left to try again
             if (!tried) {
                 trail.bad(call.wish.name(), "held by the module until its time was up");
             }
@@ -845,8 +875,9 @@
         long[] found = {0};
         Connection[] best = {null};
         connections.eachHandle((handle, c) -> {
-            if (c.front == front && c.askedAt >= 0 && (best[0] == null
-                    || (c.proved == best[0].proved ? c.askedAt >= best[0].askedAt : c.proved))) {
+            if (c.front == front
+                    && c.askedAt >= 0
+                    && (best[0] == null || (c.proved == best[0].proved ? c.askedAt >= best[0].askedAt : c.proved))) {
                 found[0] = handle;
                 best[0] = c;
             }
--- a/src/main/java/dockshed/core/Finder.java
+++ b/src/main/java/dockshed/core/Finder.java
@@ -3,7 +3,12 @@
 /** Who finds out about a server that is suspect, mute or coming back: this broker now, another one, or nobody any more. */
 public interface Finder {
     /** TRY: this broker, now. WAIT: another's word is on its way. UP, DOWN: as others found lately. */
-    enum Verdict { TRY, WAIT, UP, DOWN }
+    enum Verdict {
+        TRY,
+        WAIT,
+        UP,
+        DOWN
+    }
 
     /** This broker alone finds out about all. */
     Finder ALONE = new Finder() {
@@ -13,10 +18,10 @@
         }
 
         @Override
-        public void found(String server, boolean up) { }
+        public void found(String server, boolean up) {}
 
         @Override
-        public void suspected(String server, boolean is) { }
+        public void suspected(String server, boolean is) {}
     };
 
     /**
@@ -27,7 +32,7 @@
      * @param triedAt  when this broker last tried it
      * @param failures own trials in a row that did not come up
      */
-    record Suspicion(long since, long signOf, long triedAt, int failures) { }
+    record Suspicion(long since, long signOf, long triedAt, int failures) {}
 
     Verdict ask(long now, String server, Suspicion s);
 
--- a/src/main/java/dockshed/core/Front.java
+++ b/src/main/java/dockshed/core/Front.java
@@ -14,7 +14,7 @@
     void failed(long connection, String name, boolean late);
 
     /** A request is over without an answer, as its viewer gave it up, on whichever connection. */
-    default void left(long connection, String name) { }
+    default void left(long connection, String name) {}
 
     /** A session that stood is over: OK, or RESET. */
     void over(long connection, String name, Outcome outcome);
@@ -23,7 +23,7 @@
     void moved(long connection, String name);
 
     /** The rung of a session that stands has been set. */
-    default void rung(String name, int rung) { }
+    default void rung(String name, int rung) {}
 
     /** Whether the end of a session can be told only on a connection; one that polls hears of it when it asks. */
     default boolean needsConnection() {
@@ -36,5 +36,5 @@
     }
 
     /** What a viewer is given. */
-    record Granted(String server, String description, int floor, int rung) { }
+    record Granted(String server, String description, int floor, int rung) {}
 }
--- a/src/main/java/dockshed/core/Servers.java
+++ b/src/main/java/dockshed/core/Servers.java
@@ -6,7 +6,7 @@
      * A set-up as it goes out; {@code left}: microseconds for which its answer is waited for; from {@code floor} to
      * {@code rung}: the rungs that the session may be given.
      */
-    record SetUp(String name, String className, String title, long left, int floor, int rung, String description) { }
+    record SetUp(String name, String className, String title, long left, int floor, int rung, String description) {}
 
     void setUp(String server, SetUp setUp);
 
@@ -19,7 +19,7 @@
     void rate(String server, String name, int rung);
 
     /** A session that stood is over, however it ended. */
-    default void over(String server, String name) { }
+    default void over(String server, String name) {}
 
     /** Whether sessions stand at the server, of which news may come at any time. */
     void hold(String server, boolean sessions);
--- a/src/main/java/dockshed/edge/Edges.java
+++ b/src/main/java/dockshed/edge/Edges.java
@@ -42,24 +42,28 @@
     private static final long GIVEN_UP = 5_000_000;
     /** How often in a row a connection to a server with sessions must fail to come up, and the time between. */
     private static final int LOST_AFTER = 2;
+
     private static final long RETRY = 300_000;
     /** Lines to one server at most: set-ups out at the same time are fewer, and descriptors are scarce. */
     static final int MOST_LINES = 4;
     /** A message that is not whole by then will not be; a set-up unanswered for so long on a mute line casts doubt. */
     private static final long STUCK = 200_000;
+
     private static final long LOOK = 500_000;
     /** From so many servers with sessions on, all falling silent at once means that reports stay out, not that all died. */
     private static final int MANY = 4;
+
     private static final int BACKLOG = 1000;
     /** Lines a look that change hands where there are fewer than servers with sessions. */
     private static final int TURNS = 4;
     /** No figure of a note or report is higher: a server runs fewer streams, and asks less of its link. */
     private static final double MOST = 100_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(Edges.class);
 
     /** The figures of the settings that bear on the connections; times in microseconds, {@code lines} at most in all. */
-    public record Terms(long connectTimeout, long idleClose, long tell, long see, List<String> reportFields,
-                        int lines) { }
+    public record Terms(
+            long connectTimeout, long idleClose, long tell, long see, List<String> reportFields, int lines) {}
 
     /** A server and the lines to it, the longest in use first. */
     private final class Box {
@@ -67,11 +71,11 @@
         InetSocketAddress at;
         final List<Line> lines = new ArrayList<>();
         boolean hold;
-        int failures;               // connections in a row that did not come up
-        long heardAt, triedAt;      // when it last wrote; when a line was last begun for its sessions' sake
-        long suspect = -1;          // since when it is not known whether its process is there; -1: it is
-        final ArrayDeque<Message> owed = new ArrayDeque<>();    // releases for when a line is up again
-        final LinkedHashMap<String, Long> givenUp = new LinkedHashMap<>();  // ids, the oldest first, BACKLOG at most
+        int failures; // connections in a row that did not come up
+        long heardAt, triedAt; // when it last wrote; when a line was last begun for its sessions' sake
+        long suspect = -1; // since when it is not known whether its process is there; -1: it is
+        final ArrayDeque<Message> owed = new ArrayDeque<>(); // releases for when a line is up again
+        final LinkedHashMap<String, Long> givenUp = new LinkedHashMap<>(); // ids, the oldest first, BACKLOG at most
 
         Box(String id) {
             this.id = id;
@@ -80,9 +84,9 @@
 
     private static final class Pending {
         final byte[] text;
-        boolean handed;             // given to the connection, which may still hold it
-        boolean written;            // all of it has left
-        long at = Long.MAX_VALUE;   // when it was handed over
+        boolean handed; // given to the connection, which may still hold it
+        boolean written; // all of it has left
+        long at = Long.MAX_VALUE; // when it was handed over
 
         Pending(byte[] text) {
             this.text = text;
@@ -96,13 +100,13 @@
     private final Terms terms;
     private final Finder finder;
     private final Map<String, Box> boxes = new HashMap<>();
-    private final Set<Line> toWrite = new LinkedHashSet<>();    // at the end of this turn of the loop
+    private final Set<Line> toWrite = new LinkedHashSet<>(); // at the end of this turn of the loop
     private int mostLines = 1;
-    private int all;                // lines to all servers, those not up yet too
-    private boolean oddReport;      // told once
-    private long notedAt;           // when a server last wrote a note
-    private long unreachedAt = -Deadlines.NEVER / 2;    // when a server with sessions last did not come up
-    private long testedAt = -Deadlines.NEVER / 2;       // when one was last tried in the silence of all
+    private int all; // lines to all servers, those not up yet too
+    private boolean oddReport; // told once
+    private long notedAt; // when a server last wrote a note
+    private long unreachedAt = -Deadlines.NEVER / 2; // when a server with sessions last did not come up
+    private long testedAt = -Deadlines.NEVER / 2; // when one was last tried in the silence of all
 
     public Edges(Broker broker, Net net, Clock clock, Deadlines deadlines, Terms terms) {
         this(broker, net, clock, deadlines, terms, Finder.ALONE);
@@ -181,7 +185,8 @@
         fields.put("key", s.title());
         fields.put("left", Long.toString(Math.max(1, s.left() / 1000)));
         fields.put("rung", Integer.toString(s.rung()));
-        byte[] text = new Message("setup", s.name(), fields, -1, s.description()).write()
+        byte[] text = new Message("setup", s.name(), fields, -1, s.description())
+                .write()
                 .getBytes(StandardCharsets.UTF_8);
         if (text.length > LINE_LIMIT) {
             LOG.warn("set-up held back: server={} bytes={} why=no server reads so long a line", server, text.length);
@@ -196,7 +201,7 @@
             return;
         }
         Line line = usable(b);
-        if (line == null) {             // no descriptor was to be had, which says nothing of the server
+        if (line == null) { // no descriptor was to be had, which says nothing of the server
             LOG.warn("set-up held back: server={} why=no descriptor for a line: lines={}", server, all);
             moot(server, s.name());
             return;
@@ -207,8 +212,8 @@
             moot(server, s.name());
             return;
         }
-        LOG.debug("set-up out: session={} server={} left={} line={}", s.name(), server, s.left(),
-                line.up ? "up" : "new");
+        LOG.debug(
+                "set-up out: session={} server={} left={} line={}", s.name(), server, s.left(), line.up ? "up" : "new");
         broker.trail().add(clock.now(), s.name(), line.up ? "out" : "out-on-new-line", server);
         Pending p = new Pending(text);
         line.open.put(s.name(), p);
@@ -256,7 +261,7 @@
                 b.givenUp.remove(b.givenUp.keySet().iterator().next());
             }
             b.givenUp.put(name, clock.now());
-            if (!p.written) {       // it would still leave whenever the server reads again
+            if (!p.written) { // it would still leave whenever the server reads again
                 LOG.warn("line to edge server dropped: id={} why=does not read what was given up", b.id);
                 drop(l);
                 keep(b);
@@ -279,7 +284,10 @@
 
     /** Sends at once, or once a line is up. */
     private void tell(Box b, Message m) {
-        Line up = b.lines.stream().filter(l -> l.up && !l.dead()).max(Comparator.comparing((Line l) -> !l.doubted)).orElse(null);
+        Line up = b.lines.stream()
+                .filter(l -> l.up && !l.dead())
+                .max(Comparator.comparing((Line l) -> !l.doubted))
+                .orElse(null);
         if (up != null) {
             up.send(m);
         } else if (b.owed.size() < BACKLOG) {
@@ -323,13 +331,14 @@
                 drop(l);
             } else if (l.retired || l.doubted || l.dead()) {
                 continue;
-            } else if (best == null || l.open.size() < best.open.size() || l.up && !best.up
-                    && l.open.size() == best.open.size()) {
+            } else if (best == null
+                    || l.open.size() < best.open.size()
+                    || l.up && !best.up && l.open.size() == best.open.size()) {
                 best = l;
             }
         }
         if (best == null && b.lines.size() > mostLines) {
-            Line newest = b.lines.get(b.lines.size() - 1);      // none is above doubt
+            Line newest = b.lines.get(b.lines.size() - 1); // none is above doubt
             best = newest.dead() ? null : newest;
         }
         return best == null || !best.open.isEmpty() && b.lines.size() < mostLines ? begin(b) : best;
@@ -366,9 +375,12 @@
         Line least = null;
         for (Box b : boxes.values()) {
             for (Line l : b.lines) {
-                if (l.up && l.open.isEmpty() && !(kept && l.sort() == 2)
-                        && (least == null || l.sort() < least.sort()
-                        || l.sort() == least.sort() && l.usedAt < least.usedAt)) {
+                if (l.up
+                        && l.open.isEmpty()
+                        && !(kept && l.sort() == 2)
+                        && (least == null
+                                || l.sort() < least.sort()
+                                || l.sort() == least.sort() && l.usedAt < least.usedAt)) {
                     least = l;
                 }
             }
@@ -388,8 +400,11 @@
         if (all < terms.lines()) {
             return;
         }
-        List<Box> without = boxes.values().stream().filter(b -> b.hold && b.at != null && b.lines.isEmpty())
-                .sorted(Comparator.comparingLong(b -> b.triedAt)).limit(TURNS).toList();
+        List<Box> without = boxes.values().stream()
+                .filter(b -> b.hold && b.at != null && b.lines.isEmpty())
+                .sorted(Comparator.comparingLong(b -> b.triedAt))
+                .limit(TURNS)
+                .toList();
         for (Box b : without) {
             if (spare(false)) {
                 b.triedAt = clock.now();
@@ -455,7 +470,10 @@
 
     private void again(Box b) {
         deadlines.at(clock.now() + RETRY, t -> {
-            if (b.hold && boxes.get(b.id) == b && b.at != null && b.lines.stream().allMatch(l -> l.doubted)) {
+            if (b.hold
+                    && boxes.get(b.id) == b
+                    && b.at != null
+                    && b.lines.stream().allMatch(l -> l.doubted)) {
                 if (mayTry(b)) {
                     b.triedAt = clock.now();
                     begin(b);
@@ -508,9 +526,12 @@
         }
         long limit = terms.tell() + terms.see() + 500_000;
         List<Box> held = boxes.values().stream().filter(b -> b.hold).toList();
-        List<Box> silent = held.stream().filter(b -> now - b.heardAt > limit && !b.lines.isEmpty()
-                && b.lines.stream().allMatch(l -> l.up && l.open.isEmpty()))
-                .sorted(Comparator.comparingLong(b -> b.heardAt)).toList();
+        List<Box> silent = held.stream()
+                .filter(b -> now - b.heardAt > limit
+                        && !b.lines.isEmpty()
+                        && b.lines.stream().allMatch(l -> l.up && l.open.isEmpty()))
+                .sorted(Comparator.comparingLong(b -> b.heardAt))
+                .toList();
         if (silent.isEmpty()) {
             return;
         }
@@ -531,7 +552,7 @@
             b.heardAt = now;
             b.triedAt = now;
             if (b.lines.size() > mostLines) {
-                drop(b.lines.get(0));       // silent through two of these
+                drop(b.lines.get(0)); // silent through two of these
             }
             // The others stay: what a server is just writing on one would be lost with it, an end of a session too.
             b.lines.forEach(l -> l.doubted = true);
@@ -544,8 +565,8 @@
         final Map<String, Pending> open = new LinkedHashMap<>();
         private final LineDecoder decoder = new LineDecoder(LINE_LIMIT);
         Channel channel;
-        boolean up, over, retired;      // retired: mute after a set-up, not used for another
-        boolean doubted;                // silent for long, and a newer line was begun: not used until it speaks
+        boolean up, over, retired; // retired: mute after a set-up, not used for another
+        boolean doubted; // silent for long, and a newer line was begun: not used until it speaks
         final long begunAt = clock.now();
         long usedAt = begunAt;
         private long heardAt = begunAt;
@@ -569,7 +590,8 @@
         }
 
         boolean nearIdleClose(long now) {
-            return up && open.isEmpty()
+            return up
+                    && open.isEmpty()
                     && now - usedAt > terms.idleClose() - Math.min(IDLE_MARGIN, terms.idleClose() / 4);
         }
 
@@ -613,7 +635,7 @@
         void writeWaiting() {
             for (Map.Entry<String, Pending> e : List.copyOf(open.entrySet())) {
                 if (!up || dead()) {
-                    return;                 // its end is told, or will be, with all that is open
+                    return; // its end is told, or will be, with all that is open
                 }
                 Pending p = e.getValue();
                 if (p.handed || open.get(e.getKey()) != p) {
@@ -624,7 +646,7 @@
                     broker.trail().add(clock.now(), e.getKey(), "held-back", "drain");
                     moot(box.id, e.getKey());
                 } else if (Net.unwritten(channel)) {
-                    return;                 // goes on once that is written
+                    return; // goes on once that is written
                 } else {
                     write(p);
                 }
@@ -632,7 +654,7 @@
         }
 
         private void failed(Throwable why) {
-            if (why instanceof ChannelException) {      // no socket could be opened: nothing was tried
+            if (why instanceof ChannelException) { // no socket could be opened: nothing was tried
                 LOG.warn("no socket for a line: id={} lines={} why={}", box.id, all, why.toString());
                 box.lines.remove(this);
                 end(Outcome.MOOT);
@@ -647,7 +669,7 @@
             end(Outcome.CONNECT_FAILED);
             finder.found(box.id, false);
             if (!box.hold || !box.lines.stream().allMatch(l -> l.doubted)) {
-                return;             // another line is up or on its way, and tells more
+                return; // another line is up or on its way, and tells more
             }
             unreachedAt = clock.now();
             suspect(box);
@@ -663,7 +685,7 @@
             all -= over ? 0 : 1;
             over = true;
             up = false;
-            if (channel != null && channel.isRegistered()) {    // else it never had a socket
+            if (channel != null && channel.isRegistered()) { // else it never had a socket
                 channel.close();
             }
             Map<String, Pending> left = new LinkedHashMap<>(open);
@@ -713,7 +735,7 @@
                 }
             } catch (LineDecoder.Unreadable | Message.Malformed e) {
                 LOG.warn("edge server's message malformed: id={} open={} why={}", box.id, open.size(), e.getMessage());
-                drop(this);             // at once: nothing that follows can be told apart
+                drop(this); // at once: nothing that follows can be told apart
                 keep(box);
             }
         }
@@ -723,7 +745,11 @@
             if (over) {
                 return;
             }
-            LOG.info("line to edge server closed: id={} reset={} open={} sessions={}", box.id, reset, open.size(),
+            LOG.info(
+                    "line to edge server closed: id={} reset={} open={} sessions={}",
+                    box.id,
+                    reset,
+                    open.size(),
                     box.hold);
             if (reset && box.hold && box.lines.stream().allMatch(l -> l == this || l.dead())) {
                 suspect(box);
@@ -734,7 +760,7 @@
 
         /** Writing has no bearing on reading here: what the server tells is what frees it. */
         @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) { }
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {}
     }
 
     // ---- From the servers.
@@ -748,7 +774,7 @@
         }
         switch (m.type()) {
             case "answer" -> {
-                if (line.open.containsKey(m.id())) {    // else a second copy, or what nobody has asked for
+                if (line.open.containsKey(m.id())) { // else a second copy, or what nobody has asked for
                     if (m.sdp() == null) {
                         throw new Message.Malformed("answer without a description");
                     }
@@ -758,7 +784,11 @@
             }
             case "release" -> {
                 boolean first = line.open.remove(m.id()) != null;
-                broker.ended(now, server, m.id(), first ? beforeAnswer(m.cause()) : afterAnswer(m.cause()),
+                broker.ended(
+                        now,
+                        server,
+                        m.id(),
+                        first ? beforeAnswer(m.cause()) : afterAnswer(m.cause()),
                         report(m.fields().get("load")));
             }
             case "note" -> {
@@ -766,7 +796,7 @@
                 note(now, server, m);
             }
             case "ping" -> line.send(new Message("pong", m.id(), Map.of(), 1, null));
-            default -> { }          // progress and what is free mean nothing
+            default -> {} // progress and what is free mean nothing
         }
     }
 
@@ -788,13 +818,14 @@
     }
 
     private void note(long now, String server, Message m) {
-        Topic topic = switch (m.fields().getOrDefault("note", "")) {
-            case "fill" -> Topic.DELIVERED;
-            case "grade" -> Topic.RUNG;
-            case "local" -> Topic.LINK;
-            case "upstream" -> Topic.UPLINK;
-            default -> null;
-        };
+        Topic topic =
+                switch (m.fields().getOrDefault("note", "")) {
+                    case "fill" -> Topic.DELIVERED;
+                    case "grade" -> Topic.RUNG;
+                    case "local" -> Topic.LINK;
+                    case "upstream" -> Topic.UPLINK;
+                    default -> null;
+                };
         try {
             double value = Double.parseDouble(m.fields().getOrDefault("value", ""));
             if (topic != null && value >= 0 && value <= MOST) {
@@ -816,7 +847,7 @@
             try {
                 if (colon > 0) {
                     double value = Double.parseDouble(pair.substring(colon + 1).strip());
-                    if (!(value > -1 && value <= MOST)) {       // a noisy figure may lie a little under nothing
+                    if (!(value > -1 && value <= MOST)) { // a noisy figure may lie a little under nothing
                         return LoadReport.NONE;
                     }
                     values.put(pair.substring(0, colon).strip(), Math.max(0, value));
--- a/src/main/java/dockshed/edge/LineDecoder.java
+++ b/src/main/java/dockshed/edge/LineDecoder.java
@@ -30,7 +30,8 @@
         if (to + bytes.length > held.length) {
             byte[] kept = Arrays.copyOfRange(held, from, to);
             held = kept.length + bytes.length > held.length
-                    ? new byte[Math.max(held.length * 2, kept.length + bytes.length)] : held;
+                    ? new byte[Math.max(held.length * 2, kept.length + bytes.length)]
+                    : held;
             System.arraycopy(kept, 0, held, 0, kept.length);
             scanned -= from;
             from = 0;
@@ -52,7 +53,7 @@
             return null;
         }
         int end = scanned > from && held[scanned - 1] == '\r' ? scanned - 1 : scanned;
-        try {               // bytes put in the place of others would go to a viewer as if the server had sent them
+        try { // bytes put in the place of others would go to a viewer as if the server had sent them
             String line = text.decode(ByteBuffer.wrap(held, from, end - from)).toString();
             from = ++scanned;
             return line;
--- a/src/main/java/dockshed/edge/Message.java
+++ b/src/main/java/dockshed/edge/Message.java
@@ -85,13 +85,14 @@
                     case "id" -> text[1] = string();
                     case "sdp" -> text[2] = peek() == '"' ? string() : skip(null);
                     case "cause" -> cause[0] = whole(scalar());
-                    case "fields" -> object(name -> {
-                        if (peek() == '{' || peek() == '[') {
-                            skip(null);
-                        } else {
-                            fields.put(name, scalar());
-                        }
-                    });
+                    case "fields" ->
+                        object(name -> {
+                            if (peek() == '{' || peek() == '[') {
+                                skip(null);
+                            } else {
+                                fields.put(name, scalar());
+                            }
+                        });
                     default -> skip(null);
                 }
             });
--- a/src/main/java/dockshed/eureka/EurekaClient.java
+++ b/src/main/java/dockshed/eureka/EurekaClient.java
@@ -29,8 +29,8 @@
     private boolean whole, reached = true;
 
     /** {@code listener} hears the whole list whenever it may have changed. */
-    public EurekaClient(HlsConfig.Eureka config, Net net, Clock clock, Deadlines deadlines,
-                        Consumer<List<Listing>> listener) {
+    public EurekaClient(
+            HlsConfig.Eureka config, Net net, Clock clock, Deadlines deadlines, Consumer<List<Listing>> listener) {
         this.config = config;
         this.net = net;
         this.clock = clock;
@@ -45,20 +45,26 @@
     private void ask(long due) {
         boolean delta = whole;
         Deadlines.Deadline[] late = {null};
-        HttpFetch f = HttpFetch.get(net, config.at(), config.path() + (delta ? "/apps/delta" : "/apps"),
-                Map.of("Accept", "application/json"), CONNECT_MILLIS, LIMIT, new HttpFetch.Listener() {
-            @Override
-            public void answered(Headed answer) {
-                deadlines.cancel(late[0]);
-                took(delta, answer);
-            }
+        HttpFetch f = HttpFetch.get(
+                net,
+                config.at(),
+                config.path() + (delta ? "/apps/delta" : "/apps"),
+                Map.of("Accept", "application/json"),
+                CONNECT_MILLIS,
+                LIMIT,
+                new HttpFetch.Listener() {
+                    @Override
+                    public void answered(Headed answer) {
+                        deadlines.cancel(late[0]);
+                        took(delta, answer);
+                    }
 
-            @Override
-            public void broken(boolean ran, String why) {
-                deadlines.cancel(late[0]);
-                missed(why);
-            }
-        });
+                    @Override
+                    public void broken(boolean ran, String why) {
+                        deadlines.cancel(late[0]);
+                        missed(why);
+                    }
+                });
         late[0] = deadlines.at(clock.now() + PATIENCE, t -> {
             f.cancel();
             missed("no answer in time");
@@ -86,7 +92,7 @@
             LOG.warn("Eureka's answer does not fit: delta={} why={}", delta, e.getMessage());
             whole = false;
             if (delta) {
-                ask(clock.now());       // all of it, at once
+                ask(clock.now()); // all of it, at once
             } else {
                 later();
             }
--- a/src/main/java/dockshed/eureka/Registry.java
+++ b/src/main/java/dockshed/eureka/Registry.java
@@ -68,7 +68,8 @@
         TreeMap<String, Integer> counts = new TreeMap<>();
         instances.values().forEach(i -> counts.merge(text(i, "status", "UNKNOWN"), 1, Integer::sum));
         StringBuilder out = new StringBuilder();
-        counts.forEach((status, count) -> out.append(status).append('_').append(count).append('_'));
+        counts.forEach(
+                (status, count) -> out.append(status).append('_').append(count).append('_'));
         return out.toString();
     }
 
@@ -83,12 +84,20 @@
                 JsonObject facts = i.has("metadata") ? i.getAsJsonObject("metadata") : new JsonObject();
                 JsonObject lease = i.has("leaseInfo") ? i.getAsJsonObject("leaseInfo") : new JsonObject();
                 State state = text(i, "status", "").equals("UP") ? State.UP : State.DRAINING;
-                long since = facts.has("started") ? Math.round(Double.parseDouble(text(facts, "started", "0")) * 1000)
-                        : lease.has("serviceUpTimestamp") ? lease.get("serviceUpTimestamp").getAsLong() * 1000 : 0;
-                out.add(new Listing(new Server(text(facts, "box", text(i, "instanceId", text(i, "hostName", ""))),
-                        text(facts, "zone", ""), text(facts, "kind", ""),
-                        Integer.parseInt(text(facts, "cell", "0")), state,
-                        Double.parseDouble(text(facts, "weight", "1")), since),
+                long since = facts.has("started")
+                        ? Math.round(Double.parseDouble(text(facts, "started", "0")) * 1000)
+                        : lease.has("serviceUpTimestamp")
+                                ? lease.get("serviceUpTimestamp").getAsLong() * 1000
+                                : 0;
+                out.add(new Listing(
+                        new Server(
+                                text(facts, "box", text(i, "instanceId", text(i, "hostName", ""))),
+                                text(facts, "zone", ""),
+                                text(facts, "kind", ""),
+                                Integer.parseInt(text(facts, "cell", "0")),
+                                state,
+                                Double.parseDouble(text(facts, "weight", "1")),
+                                since),
                         new InetSocketAddress(address(text(i, "ipAddr", "")), port(i))));
             } catch (RuntimeException e) {
                 throw new Unfit("instance " + text(i, "instanceId", "?") + ": " + e.getMessage());
--- a/src/main/java/dockshed/fleet/Cut.java
+++ b/src/main/java/dockshed/fleet/Cut.java
@@ -33,6 +33,7 @@
     private static final double LOUD = 3;
     /** So long without a cut before it is over, and what the modules have to be given a second for shares to say something. */
     private static final long CALM = 2_000_000;
+
     private static final double FEW = 2;
 
     /** A broker's figures: tries a second by step of rank, and of all of them what was taken and what had no room. */
@@ -45,7 +46,10 @@
                 mask |= told(demand[i]) > 0 ? 1 << i : 0;
             }
             ByteBuffer b = ByteBuffer.allocate(4 + 2 + 2 + 2 + 2 * Integer.bitCount(mask));
-            b.putInt(mask).putShort((short) told(taken)).putShort((short) told(unfit)).putShort((short) (proposal >> 4));
+            b.putInt(mask)
+                    .putShort((short) told(taken))
+                    .putShort((short) told(unfit))
+                    .putShort((short) (proposal >> 4));
             for (int i = 0; i < STEPS; i++) {
                 if ((mask >> i & 1) == 1) {
                     b.putShort((short) told(demand[i]));
@@ -141,7 +145,7 @@
             high--;
         }
         double span = (high - low) << HASH_BITS;
-        double wanted = given > 0 ? able / (1 - KEPT) / given - 1 : 1;       // over what is given now
+        double wanted = given > 0 ? able / (1 - KEPT) / given - 1 : 1; // over what is given now
         double faster = refused < KEPT / 2 ? 0.5 : 0;
         double move = Math.max(-1, Math.min(1, wanted + faster));
         proposal -= SPEED * span * (move > 0 ? FALLS : 1) * move * passed / 1e6;
--- a/src/main/java/dockshed/fleet/Envelope.java
+++ b/src/main/java/dockshed/fleet/Envelope.java
@@ -19,6 +19,7 @@
 public record Envelope(int sender, long incarnation, int serial, List<Item> items) {
     /** Bytes of a datagram at most: the platform's limit. */
     public static final int LIMIT = 256;
+
     static final byte MAGIC = (byte) 0xF1;
     static final int VERSION = 1;
     static final int HEAD = 2 + 2 + 6 + 4;
@@ -26,7 +27,15 @@
     static final int MOST_BROKERS = 0xFFFF;
 
     /** Kinds of items; what a body holds stands at {@link Bodies}. */
-    static final int PING = 1, ACK = 2, PING_FOR = 3, MEMBER = 4, ROW = 5, DIGEST = 6, LOCK = 7, LOCKED = 8, ASK = 9,
+    static final int PING = 1,
+            ACK = 2,
+            PING_FOR = 3,
+            MEMBER = 4,
+            ROW = 5,
+            DIGEST = 6,
+            LOCK = 7,
+            LOCKED = 8,
+            ASK = 9,
             GRANT = 10;
 
     record Item(int kind, byte[] body) {
@@ -46,7 +55,8 @@
     }
 
     byte[] write() {
-        ByteBuffer b = ByteBuffer.allocate(HEAD + items.stream().mapToInt(Item::size).sum());
+        ByteBuffer b =
+                ByteBuffer.allocate(HEAD + items.stream().mapToInt(Item::size).sum());
         b.put(MAGIC).put((byte) VERSION).putShort((short) sender);
         putLong6(b, incarnation);
         b.putInt(serial);
@@ -79,7 +89,7 @@
                 items.add(new Item(kind, body));
             }
         } catch (BufferUnderflowException e) {
-            return null;            // cut off: nothing of it is trusted
+            return null; // cut off: nothing of it is trusted
         }
         return new Envelope(sender, incarnation, serial, List.copyOf(items));
     }
--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -20,6 +20,7 @@
 public final class FleetHost implements Peers {
     /** News not taken yet: a second of the busiest broker's, each tenth of a second one of figures and words on boxes. */
     static final int MOST_NEWS = 1024;
+
     private static final long REPORT = 10_000_000;
     private static final Logger LOG = LoggerFactory.getLogger(FleetHost.class);
 
@@ -106,13 +107,23 @@
         view = v;
         boolean shares = heart.shares().isPurser(now);
         if (!v.living().equals(living) || shares != purser || v.cut() > 0 != cut > 0) {
-            LOG.atInfo().setMessage("fleet").addKeyValue("living", v.living().size())
-                    .addKeyValue("gone", minus(living, v.living())).addKeyValue("come", minus(v.living(), living))
-                    .addKeyValue("steady", v.steady()).addKeyValue("purser", shares).addKeyValue("cut", v.cut()).log();
+            LOG.atInfo()
+                    .setMessage("fleet")
+                    .addKeyValue("living", v.living().size())
+                    .addKeyValue("gone", minus(living, v.living()))
+                    .addKeyValue("come", minus(v.living(), living))
+                    .addKeyValue("steady", v.steady())
+                    .addKeyValue("purser", shares)
+                    .addKeyValue("cut", v.cut())
+                    .log();
         }
         if (v.until() > leased && v.until() > now && v.newcomers() >= 0) {
-            LOG.atDebug().setMessage("fleet lease").addKeyValue("from", now).addKeyValue("until", v.until())
-                    .addKeyValue("share", v.newcomers()).log();
+            LOG.atDebug()
+                    .setMessage("fleet lease")
+                    .addKeyValue("from", now)
+                    .addKeyValue("until", v.until())
+                    .addKeyValue("share", v.newcomers())
+                    .log();
         }
         leased = Math.max(leased, v.until());
         living = v.living();
@@ -121,11 +132,19 @@
         if (now >= reportAt) {
             reportAt = now + REPORT;
             Heart.Counts c = heart.counts();
-            LOG.atInfo().setMessage("fleet figures").addKeyValue("sent", c.sent).addKeyValue("bytes", c.bytes)
-                    .addKeyValue("received", c.received).addKeyValue("passed_over", c.passedOver)
-                    .addKeyValue("made_up", c.mended).addKeyValue("stood_still", c.stoodStill)
-                    .addKeyValue("news_dropped", dropped.get()).addKeyValue("rows", heart.rows().size())
-                    .addKeyValue("newcomers", v.newcomers(now)).addKeyValue("cut", v.cut()).log();
+            LOG.atInfo()
+                    .setMessage("fleet figures")
+                    .addKeyValue("sent", c.sent)
+                    .addKeyValue("bytes", c.bytes)
+                    .addKeyValue("received", c.received)
+                    .addKeyValue("passed_over", c.passedOver)
+                    .addKeyValue("made_up", c.mended)
+                    .addKeyValue("stood_still", c.stoodStill)
+                    .addKeyValue("news_dropped", dropped.get())
+                    .addKeyValue("rows", heart.rows().size())
+                    .addKeyValue("newcomers", v.newcomers(now))
+                    .addKeyValue("cut", v.cut())
+                    .log();
         }
     }
 
--- a/src/main/java/dockshed/fleet/Gate.java
+++ b/src/main/java/dockshed/fleet/Gate.java
@@ -26,11 +26,13 @@
 public final class Gate extends Layer {
     /** Between two hand-overs of figures; and how often it looks at all. */
     static final long EVERY = 250_000;
+
     private static final String KEY = "fleet";
     /** A viewer that comes so long before or after its place has kept it. */
     static final long EARLY = 250_000, LATE = 500_000, SOONEST = 250_000;
     /** Further attempts of the whole fleet, over its fresh tries; of one broker never more of its own than so much, and one. */
     static final double FURTHER = 0.15, FURTHER_OWN = 0.5;
+
     private static final long FURTHER_OVER = 5_000_000;
     private static final Logger LOG = LoggerFactory.getLogger(Gate.class);
 
@@ -45,8 +47,8 @@
     private final Predicate<News> tell;
     private final Map<String, Integer> worths = new HashMap<>();
     private final Map<String, SessionClass> classes = new HashMap<>();
-    private final Set<String> sent = new HashSet<>();       // requests with an attempt behind them; bounded by the broker's
-    private final Set<String> shunned = new HashSet<>();    // bounded by the list
+    private final Set<String> sent = new HashSet<>(); // requests with an attempt behind them; bounded by the broker's
+    private final Set<String> shunned = new HashSet<>(); // bounded by the list
     private final Map<Integer, Integer> notes = new HashMap<>();
     private final ArrayDeque<Long> further = new ArrayDeque<>(), fresh = new ArrayDeque<>();
     private int[] tries = new int[Cut.STEPS];
@@ -56,17 +58,23 @@
     private final Counts counts = new Counts();
 
     /** Puts the gate between a broker's actions and the module that is built on them. */
-    public static Function<Actions, Gate> before(Settings settings, Supplier<View> fleet, Predicate<News> tell,
-                                                 Function<Actions, Director> module) {
+    public static Function<Actions, Gate> before(
+            Settings settings, Supplier<View> fleet, Predicate<News> tell, Function<Actions, Director> module) {
         return actions -> new Gate(settings, fleet, tell, actions, module);
     }
 
-    Gate(Settings settings, Supplier<View> fleet, Predicate<News> tell, Actions out, Function<Actions, Director> module) {
+    Gate(
+            Settings settings,
+            Supplier<View> fleet,
+            Predicate<News> tell,
+            Actions out,
+            Function<Actions, Director> module) {
         this.settings = settings;
         this.fleet = fleet;
         this.tell = tell;
         this.out = out;
-        List<Double> steps = List.copyOf(new TreeSet<>(settings.classes().stream().map(SessionClass::worth).toList()));
+        List<Double> steps = List.copyOf(new TreeSet<>(
+                settings.classes().stream().map(SessionClass::worth).toList()));
         for (SessionClass c : settings.classes()) {
             classes.put(c.name(), c);
             worths.put(c.name(), Math.max(0, steps.indexOf(c.worth()) - Math.max(0, steps.size() - Cut.WORTHS)));
@@ -93,8 +101,10 @@
         boolean holds = v.holds(now);
         if (holds == alone) {
             alone = !holds;
-            LOG.atInfo().setMessage(alone ? "fleet not heard of, on alone" : "fleet heard of")
-                    .addKeyValue("view_age_ms", Math.min(1_000_000_000L, now - v.at()) / 1000).log();
+            LOG.atInfo()
+                    .setMessage(alone ? "fleet not heard of, on alone" : "fleet heard of")
+                    .addKeyValue("view_age_ms", Math.min(1_000_000_000L, now - v.at()) / 1000)
+                    .log();
         }
         return holds ? v : View.ALONE;
     }
@@ -127,7 +137,7 @@
     public void request(long at, Request r) {
         begin(at);
         if (!classes.containsKey(r.className())) {
-            module.request(at, r);      // the module's to fail
+            module.request(at, r); // the module's to fail
             return;
         }
         counts.tries++;
@@ -295,8 +305,8 @@
     }
 
     @Override
-    public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
-                        LoadReport report) {
+    public void outcome(
+            long at, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report) {
         begin(at);
         if (last) {
             sent.remove(request);
--- a/src/main/java/dockshed/fleet/Heart.java
+++ b/src/main/java/dockshed/fleet/Heart.java
@@ -22,11 +22,13 @@
     static final long LOOK = 100_000;
     /** Own figures are told to each peer in turn: so many bytes a second go into that, one peer every so often at most. */
     private static final double PUSH = 0.5;
+
     private static final long PUSH_LEAST = 100_000;
     /** Bytes a second that allow probes at their usual pace: a third of them go into that. */
     private static final double PROBING = 900;
     /** Between two comparisons of what is held, and between answers to such. */
     private static final long REPAIR = 2_000_000, REPAIR_ANSWER = 400_000;
+
     private static final int REPAIR_DATAGRAMS = 3;
     /** The time constant of the figures that are told. */
     private static final double SMOOTH = 1_000_000;
@@ -135,7 +137,7 @@
             who.resumed(now, gap);
             shares.resumed();
             deafUntil = now + STALE_MAIL;
-            steadyAt = Long.MAX_VALUE;      // until somebody has answered
+            steadyAt = Long.MAX_VALUE; // until somebody has answered
             pushAt = now;
         }
     }
@@ -246,7 +248,7 @@
                 default -> who.item(now, from, i, out);
             }
             if (who.incarnation() - life > CONTRADICTED) {
-                life = who.incarnation();   // the others know of a life that began later: this clock went back
+                life = who.incarnation(); // the others know of a life that began later: this clock went back
                 rows.reborn(life);
             }
             if (i.kind() == Envelope.ACK && steadyAt == Long.MAX_VALUE) {
@@ -272,14 +274,14 @@
             return;
         }
         if (r.owner() == me) {
-            if (r.incarnation() > life) {           // of a life before this one, by a clock that went back, or made up
+            if (r.incarnation() > life) { // of a life before this one, by a clock that went back, or made up
                 life = r.incarnation() + 1;
                 rows.reborn(life);
             }
             return;
         }
         if (from != r.owner() && (Row.pushed(r.kind()) || who.member(from).distrustedUntil > now)) {
-            return;                                 // these come from their owners only
+            return; // these come from their owners only
         }
         rows.merge(now, r, from, liar -> {
             who.distrust(now, liar);
@@ -415,9 +417,18 @@
             tries += l.all();
         }
         boolean steady = now >= steadyAt;
-        return new View(now, steady, List.copyOf(living), shared(shares.share(now, Shares.NEWCOMERS)),
-                shared(shares.share(now, Shares.ATTEMPTS)), shared(terms.floor() / brokers), shares.until(now),
-                terms.cut() && steady ? Cut.inForce(proposals) : 0, tries, Map.copyOf(words), Map.copyOf(notes));
+        return new View(
+                now,
+                steady,
+                List.copyOf(living),
+                shared(shares.share(now, Shares.NEWCOMERS)),
+                shared(shares.share(now, Shares.ATTEMPTS)),
+                shared(terms.floor() / brokers),
+                shares.until(now),
+                terms.cut() && steady ? Cut.inForce(proposals) : 0,
+                tries,
+                Map.copyOf(words),
+                Map.copyOf(notes));
     }
 
     private double shared(double share) {
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -48,7 +48,7 @@
     }
 
     /** A probe for somebody else: whom to answer, under which number. */
-    private record Errand(int asker, int number, long until) { }
+    private record Errand(int asker, int number, long until) {}
 
     /** What goes out: to whom, and the items that have to be in it. */
     interface Out {
@@ -61,11 +61,11 @@
     private final List<Integer> turn = new ArrayList<>();
     private final Map<Integer, Probe> probes = new HashMap<>();
     private final Map<Integer, Errand> errands = new HashMap<>();
-    private final long base;            // microseconds of a period in good health
+    private final long base; // microseconds of a period in good health
     private long incarnation, nextAt, deadAt;
     private int health, numbers;
     private boolean leaving, odd;
-    int refutations, falseAlarms;       // words on us contradicted; suspicions that a sign of life ended
+    int refutations, falseAlarms; // words on us contradicted; suspicions that a sign of life ended
 
     /** {@code stretch}: how many times longer its periods are, 1 or more, where little may be sent. */
     Membership(int me, int brokers, long incarnation, long now, double stretch, SplittableRandom random) {
@@ -152,7 +152,12 @@
             if (!p.helped && now - p.sent >= ANSWER * (1 + health)) {
                 p.helped = true;
                 for (int helper : some(HELPERS, p.of.number)) {
-                    out.send(helper, List.of(new Bodies().u16(e.getKey()).u16(p.of.number).item(Envelope.PING_FOR)));
+                    out.send(
+                            helper,
+                            List.of(new Bodies()
+                                    .u16(e.getKey())
+                                    .u16(p.of.number)
+                                    .item(Envelope.PING_FOR)));
                 }
             }
             if (now - p.sent >= period()) {
@@ -184,7 +189,7 @@
         }
         List<Item> items = new ArrayList<>(List.of(new Bodies().u16(number).item(Envelope.PING)));
         if (m.state == State.SUSPECT || m.state == State.DEAD) {
-            items.add(word(m));         // it can contradict only what it hears
+            items.add(word(m)); // it can contradict only what it hears
         }
         out.send(m.number, items);
     }
@@ -192,7 +197,7 @@
     /** In turn through a shuffled list, so that each is probed once a round; now and then one that was called dead. */
     private Member nextTarget(long now) {
         odd = !odd;
-        if (odd) {                          // a suspect is asked by each that suspects it: one answer clears it
+        if (odd) { // a suspect is asked by each that suspects it: one answer clears it
             List<Member> suspects = new ArrayList<>();
             for (Member m : members) {
                 if (m.state == State.SUSPECT) {
@@ -270,11 +275,11 @@
         }
         m.tokens--;
         if (e.incarnation() < m.incarnation) {
-            return false;               // of an earlier life, or of one that has still to hear what was said of it
+            return false; // of an earlier life, or of one that has still to hear what was said of it
         }
         if (e.incarnation() == m.incarnation && m.heard) {
             int behind = m.serial - e.serial();
-            return behind < 0 || behind < 64 && (m.window >> behind & 1) == 0;     // else told before, or too late to tell
+            return behind < 0 || behind < 64 && (m.window >> behind & 1) == 0; // else told before, or too late to tell
         }
         return true;
     }
@@ -347,7 +352,7 @@
                     told(now, from, b.getShort() & 0xFFFF, b.get() & 0xFF, Envelope.getLong6(b));
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -366,7 +371,7 @@
             probes.remove(number);
             health = Math.max(0, health - 1);
         } else if (p.helped && members[from].distrustedUntil < now) {
-            probes.remove(number);      // a helper reached it: there, though not heard here
+            probes.remove(number); // a helper reached it: there, though not heard here
             health = Math.max(0, health - 1);
             if (p.of.state == State.SUSPECT) {
                 become(now, p.of, State.ALIVE);
@@ -402,8 +407,7 @@
             }
         } else if (s == State.LEFT && own) {
             become(now, m, State.LEFT);
-        } else if ((s == State.SUSPECT || s == State.DEAD || s == State.LEFT) && m.there()
-                && now - m.heardAt > base) {
+        } else if ((s == State.SUSPECT || s == State.DEAD || s == State.LEFT) && m.there() && now - m.heardAt > base) {
             // Whatever others say of it, it has the time of a suspicion to answer for itself.
             suspect(now, m, from);
         }
@@ -435,7 +439,11 @@
     // ---- What is passed on.
 
     private Item word(Member m) {
-        return new Bodies().u16(m.number).u8(m.state.ordinal()).u48(m.incarnation).item(Envelope.MEMBER);
+        return new Bodies()
+                .u16(m.number)
+                .u8(m.state.ordinal())
+                .u48(m.incarnation)
+                .item(Envelope.MEMBER);
     }
 
     /** Changes to be passed on, those sent least first, in up to so many bytes. */
--- a/src/main/java/dockshed/fleet/Mix.java
+++ b/src/main/java/dockshed/fleet/Mix.java
@@ -5,7 +5,7 @@
 
 /** Hashes that are the same in every process and version: what brokers agree by. */
 public final class Mix {
-    private Mix() { }
+    private Mix() {}
 
     /** The finaliser of MurmurHash3 (public domain): every bit of the input moves every bit of the output. */
     static int mix(int h) {
--- a/src/main/java/dockshed/fleet/Probes.java
+++ b/src/main/java/dockshed/fleet/Probes.java
@@ -22,16 +22,19 @@
     static final long HOLD = 2_500_000;
     /** Nobody waits longer for the others than this, from the suspicion on. */
     static final long LONGEST = 6_000_000;
+
     static final int UP = 1, DOWN = 2;
     /** Trials that have to agree that a box is down, of different brokers; an own one is one of them. */
     static final int WITNESSES = 2;
 
-    private Probes() { }
+    private Probes() {}
 
     /** The brokers of a box's order: the highest hash first. */
     static List<Integer> order(List<Integer> living, int box) {
         List<Integer> out = new ArrayList<>(living);
-        out.sort(Comparator.comparingInt((Integer i) -> Mix.mix(box, i)).reversed().thenComparing(i -> i));
+        out.sort(Comparator.comparingInt((Integer i) -> Mix.mix(box, i))
+                .reversed()
+                .thenComparing(i -> i));
         return out;
     }
 
--- a/src/main/java/dockshed/fleet/Row.java
+++ b/src/main/java/dockshed/fleet/Row.java
@@ -19,6 +19,7 @@
     static final int LOAD = 1, BOX = 2, PURSER = 3, NOTE = 4, PLANS = 5;
     /** The highest kind that this version keeps; what is higher is passed over. */
     static final int KNOWN = PLANS;
+
     static final int HEAD = 2 + 1 + 4 + 6 + 4 + 2;
     /** So that a row fits into a datagram with nothing else. */
     static final int MOST_VALUE = Envelope.LIMIT - Envelope.HEAD - 2 - HEAD;
@@ -59,8 +60,15 @@
 
     Envelope.Item write(long now) {
         long age = Math.max(0, now - born) / AGE_UNIT;
-        return new Envelope.Bodies().u16(owner).u8(kind).u32(key).u48(incarnation).u32(counter)
-                .u16((int) Math.min(0xFFFF, age)).bytes(value).item(Envelope.ROW);
+        return new Envelope.Bodies()
+                .u16(owner)
+                .u8(kind)
+                .u32(key)
+                .u48(incarnation)
+                .u32(counter)
+                .u16((int) Math.min(0xFFFF, age))
+                .bytes(value)
+                .item(Envelope.ROW);
     }
 
     /** Null where it cannot be read, or is of a kind that is not known here. */
--- a/src/main/java/dockshed/fleet/Rows.java
+++ b/src/main/java/dockshed/fleet/Rows.java
@@ -19,14 +19,15 @@
     static final int MOST_OF_ONE = 24;
     /** So often within so many microseconds no datagram of an owner is overtaken by the same relay's. */
     static final int STRIKES = 3;
+
     static final long WITHIN = 10_000_000;
     /** Buckets of the digest: owners by their number. */
     static final int BUCKETS = 16;
 
     private static final class Held {
         Row row;
-        int via;            // the broker that told it: its owner, or a relay
-        int sends;          // how often this version was sent on
+        int via; // the broker that told it: its owner, or a relay
+        int sends; // how often this version was sent on
 
         Held(Row row, int via) {
             this.row = row;
@@ -39,11 +40,11 @@
     private long incarnation;
     private final Map<Long, Held> held = new LinkedHashMap<>();
     private final Map<Integer, Integer> ofOne = new HashMap<>();
-    private final Map<Integer, Long> lives = new HashMap<>();       // the latest incarnation known, by owner
-    private int written;    // counts all changes of own rows, so that no counter is used twice, also of one withdrawn
+    private final Map<Integer, Long> lives = new HashMap<>(); // the latest incarnation known, by owner
+    private int written; // counts all changes of own rows, so that no counter is used twice, also of one withdrawn
     private final long[] keep = new long[Row.KNOWN + 1];
-    int forged;             // times that an owner's own word was behind what a relay had told
-    private final Map<Integer, List<Long>> strikes = new HashMap<>();     // of those, when, by relay
+    int forged; // times that an owner's own word was behind what a relay had told
+    private final Map<Integer, List<Long>> strikes = new HashMap<>(); // of those, when, by relay
 
     Rows(int me, int brokers, long incarnation) {
         this.me = me;
@@ -68,8 +69,10 @@
 
     /** Makes room among own rows: the longest unchanged of that kind goes. */
     private void oldestOwn(int kind) {
-        held.values().stream().filter(h -> h.row.owner() == me && h.row.kind() == kind)
-                .min(Comparator.comparingLong(h -> h.row.born())).ifPresent(this::drop);
+        held.values().stream()
+                .filter(h -> h.row.owner() == me && h.row.kind() == kind)
+                .min(Comparator.comparingLong(h -> h.row.born()))
+                .ifPresent(this::drop);
     }
 
     /** Own rows go on under a later life: whatever was told of the one before is over. */
@@ -109,7 +112,7 @@
             return false;
         }
         if (told.owner() == me) {
-            return false;           // nobody else knows better; the caller looks whether a word on us is to be contradicted
+            return false; // nobody else knows better; the caller looks whether a word on us is to be contradicted
         }
         long life = lives.getOrDefault(told.owner(), 0L);
         if (told.incarnation() < life) {
--- a/src/main/java/dockshed/fleet/Shares.java
+++ b/src/main/java/dockshed/fleet/Shares.java
@@ -44,9 +44,10 @@
     private static final double DEMAND_UNIT = 10, SHARE_UNIT = 65_535;
     /** A lease is asked for again once this part of it is over; a new one at most so often. */
     private static final double RENEW = 0.65;
+
     private static final long ASK_AGAIN = 300_000;
 
-    private record Lease(double[] share, long until) { }
+    private record Lease(double[] share, long until) {}
 
     private final int me, brokers;
     private final double floor;
@@ -56,11 +57,11 @@
     private final Membership who;
     // as a witness
     private int promisedTo = -1;
-    private long promisedLife;          // of that broker: a later life knows nothing of the leases that still run
+    private long promisedLife; // of that broker: a later life knows nothing of the leases that still run
     private long promisedUntil;
     // as a candidate and purser
-    private final Map<Integer, Long> promises = new HashMap<>();    // by witness: until when, by the own clock
-    private int asked;                  // the round of asking; answers to others are void
+    private final Map<Integer, Long> promises = new HashMap<>(); // by witness: until when, by the own clock
+    private int asked; // the round of asking; answers to others are void
     private long askedAt = Long.MIN_VALUE / 2;
     private final Map<Integer, List<Lease>> given = new HashMap<>();
     private final Map<Integer, double[]> demands = new HashMap<>();
@@ -144,8 +145,11 @@
     /** A witness's row: the purser's number and life. */
     private void testify(long now, Rows rows) {
         Row told = rows.get(me, Row.PURSER, 0);
-        if (promisedTo < 0 || now >= promisedUntil || told != null && now - told.born() < PROMISE / 2
-                && ByteBuffer.wrap(told.value()).getLong() == vote()) {
+        if (promisedTo < 0
+                || now >= promisedUntil
+                || told != null
+                        && now - told.born() < PROMISE / 2
+                        && ByteBuffer.wrap(told.value()).getLong() == vote()) {
             return;
         }
         rows.put(now, Row.PURSER, 0, ByteBuffer.allocate(8).putLong(vote()).array());
@@ -167,7 +171,8 @@
     long next(long now) {
         long ask = requestAt + (answered ? (long) (RENEW * Math.max(1, heldUntil - heldSince)) : ASK_AGAIN);
         long round = askedAt + PROMISE / 4;
-        // What is due and could not be done waits for the next look: there is nobody to ask, or it is not this one's to.
+        // What is due and could not be done waits for the next look: there is nobody to ask, or it is not this one's
+        // to.
         return Math.min(ask > now ? ask : Long.MAX_VALUE, round > now ? round : Long.MAX_VALUE);
     }
 
@@ -184,7 +189,10 @@
             requestAt = now;
             answered = false;
             askedOf = purser;
-            Item item = new Bodies().u32(request).u16(unit(demand[NEWCOMERS])).u16(unit(demand[ATTEMPTS]))
+            Item item = new Bodies()
+                    .u32(request)
+                    .u16(unit(demand[NEWCOMERS]))
+                    .u16(unit(demand[ATTEMPTS]))
                     .item(Envelope.ASK);
             if (purser == me) {
                 item(now, me, item, out);
@@ -219,7 +227,10 @@
 
     /** When the own time as purser ends: a majority's promises run until then. */
     private long purserUntil(long now) {
-        List<Long> ends = promises.values().stream().filter(t -> t > now).sorted(Comparator.reverseOrder()).toList();
+        List<Long> ends = promises.values().stream()
+                .filter(t -> t > now)
+                .sorted(Comparator.reverseOrder())
+                .toList();
         return ends.size() < majority() ? now : ends.get(majority() - 1);
     }
 
@@ -252,7 +263,12 @@
             double whole = 1 - floor;
             double others = 0;
             for (Map.Entry<Integer, List<Lease>> e : given.entrySet()) {
-                others += e.getKey() == to ? 0 : e.getValue().stream().mapToDouble(l -> l.share()[kind]).max().orElse(0);
+                others += e.getKey() == to
+                        ? 0
+                        : e.getValue().stream()
+                                .mapToDouble(l -> l.share()[kind])
+                                .max()
+                                .orElse(0);
             }
             double free = whole - others;
             double aim = part * whole * (1 - KEPT);
@@ -260,8 +276,12 @@
             share[k] = Math.floor(share[k] * SHARE_UNIT) / SHARE_UNIT;
         }
         given.computeIfAbsent(to, x -> new ArrayList<>()).add(new Lease(share, now + (long) (lease * (1 + 2 * DRIFT))));
-        Item item = new Bodies().u32(number).u16((int) (lease / 1000)).u16((int) Math.round(share[0] * SHARE_UNIT))
-                .u16((int) Math.round(share[1] * SHARE_UNIT)).item(Envelope.GRANT);
+        Item item = new Bodies()
+                .u32(number)
+                .u16((int) (lease / 1000))
+                .u16((int) Math.round(share[0] * SHARE_UNIT))
+                .u16((int) Math.round(share[1] * SHARE_UNIT))
+                .item(Envelope.GRANT);
         if (to == me) {
             item(now, me, item, out);
         } else {
@@ -293,10 +313,9 @@
                 }
             }
             case Envelope.LOCKED -> {
-                if (b.remaining() >= 4 && b.getInt() == asked && witnesses.contains(from)
-                        && now - askedAt < PROMISE) {
+                if (b.remaining() >= 4 && b.getInt() == asked && witnesses.contains(from) && now - askedAt < PROMISE) {
                     if (!isPurser(now)) {
-                        given.clear();      // whatever was given in an earlier term is over with that term
+                        given.clear(); // whatever was given in an earlier term is over with that term
                     }
                     promises.put(from, askedAt + PROMISE);
                 }
@@ -304,8 +323,12 @@
             case Envelope.ASK -> {
                 if (b.remaining() >= 8 && isPurser(now)) {
                     int number = b.getInt();
-                    give(now, from, number, new double[] {(b.getShort() & 0xFFFF) / DEMAND_UNIT,
-                            (b.getShort() & 0xFFFF) / DEMAND_UNIT}, out);
+                    give(
+                            now,
+                            from,
+                            number,
+                            new double[] {(b.getShort() & 0xFFFF) / DEMAND_UNIT, (b.getShort() & 0xFFFF) / DEMAND_UNIT},
+                            out);
                 }
             }
             case Envelope.GRANT -> {
@@ -319,7 +342,7 @@
                     held = Arrays.stream(held).map(x -> Math.min(most, x)).toArray();
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/src/main/java/dockshed/fleet/View.java
+++ b/src/main/java/dockshed/fleet/View.java
@@ -19,8 +19,18 @@
  * @param words     on boxes, by the box's hash
  * @param notes     of the storm part, by broker
  */
-public record View(long at, boolean steady, List<Integer> living, double newcomers, double attempts, double floor,
-                   long until, int cut, double tries, Map<Integer, List<Row>> words, Map<Integer, Row> notes) {
+public record View(
+        long at,
+        boolean steady,
+        List<Integer> living,
+        double newcomers,
+        double attempts,
+        double floor,
+        long until,
+        int cut,
+        double tries,
+        Map<Integer, List<Row>> words,
+        Map<Integer, Row> notes) {
     /** An older view is none: the fleet's loop has stalled. */
     public static final long STALE = 1_500_000;
 
@@ -28,8 +38,18 @@
     public static final double UNSHARED = -1;
 
     /** Before anything is known: the broker is alone. */
-    public static final View ALONE = new View(Long.MIN_VALUE / 2, false, List.of(), UNSHARED, UNSHARED, UNSHARED, Long.MIN_VALUE / 2, 0, 0,
-            Map.of(), Map.of());
+    public static final View ALONE = new View(
+            Long.MIN_VALUE / 2,
+            false,
+            List.of(),
+            UNSHARED,
+            UNSHARED,
+            UNSHARED,
+            Long.MIN_VALUE / 2,
+            0,
+            0,
+            Map.of(),
+            Map.of());
 
     public boolean holds(long now) {
         return now - at <= STALE;
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -43,6 +43,7 @@
     static final long IDLE_CONNECTION = 30_000_000;
     /** Requests of one connection that may wait for the one in hand. */
     private static final int PIPELINE = 32;
+
     private static final int REMEMBERED = 1000;
     private static final String LESSONS = "/lessons/", SESSIONS = "/sessions/", MASTER = "/master.m3u8";
     private static final String PLAYLIST = "application/vnd.apple.mpegurl";
@@ -59,12 +60,19 @@
     private final Random random;
     private final Map<String, Session> sessions = new HashMap<>();
     private final Map<String, Session> byViewer = new HashMap<>();
-    private final LinkedHashMap<String, Boolean> ended = new LinkedHashMap<>();    // the latest, to say 410
+    private final LinkedHashMap<String, Boolean> ended = new LinkedHashMap<>(); // the latest, to say 410
     private int connections;
 
     /** {@code idle}: microseconds after the playing time of what was fetched, without a fetch, that end a session. */
-    public HlsFront(Broker broker, Origins origins, Clock clock, Deadlines deadlines, Settings settings, long idle,
-                    int mostConnections, long seed) {
+    public HlsFront(
+            Broker broker,
+            Origins origins,
+            Clock clock,
+            Deadlines deadlines,
+            Settings settings,
+            long idle,
+            int mostConnections,
+            long seed) {
         this.broker = broker;
         this.origins = origins;
         this.clock = clock;
@@ -81,12 +89,12 @@
         final String name, viewerKey;
         final URI path;
         final List<Exchange> waiting = new ArrayList<>();
-        final Map<Integer, String> held = new HashMap<>();      // media playlists as last given
+        final Map<Integer, String> held = new HashMap<>(); // media playlists as last given
         String server;
-        Multivariant list;          // null: not answered yet
+        Multivariant list; // null: not answered yet
         URI base;
         int floor, rung;
-        long lively;                // until when it is not idle
+        long lively; // until when it is not idle
 
         Session(String name, String viewerKey, URI path) {
             this.name = name;
@@ -119,8 +127,9 @@
             if (last) {
                 headers.put("Connection", "close");
             }
-            connection.write(Headed.encode("HTTP/1.1 " + code + " " + phrase, headers,
-                    body.getBytes(StandardCharsets.UTF_8)), last);
+            connection.write(
+                    Headed.encode("HTTP/1.1 " + code + " " + phrase, headers, body.getBytes(StandardCharsets.UTF_8)),
+                    last);
         }
 
         void playlist(String text) {
@@ -166,7 +175,7 @@
             } catch (Headed.Malformed e) {
                 LOG.warn("HLS request malformed: remote={} why={}", channel.remoteAddress(), e.getMessage());
                 closing = true;
-                queue.add(new Headed("", Map.of(), new byte[0]));     // answered in its turn
+                queue.add(new Headed("", Map.of(), new byte[0])); // answered in its turn
             }
             next();
         }
@@ -189,7 +198,8 @@
             }
             answering = true;
             usedAt = clock.now();
-            boolean last = "close".equalsIgnoreCase(m.header("connection")) || m.word(2).equals("HTTP/1.0")
+            boolean last = "close".equalsIgnoreCase(m.header("connection"))
+                    || m.word(2).equals("HTTP/1.0")
                     || closing && queue.isEmpty();
             request(new Exchange(this, last), m);
         }
@@ -224,7 +234,9 @@
      */
     private void abandoned(Connection gone) {
         for (Session s : List.copyOf(sessions.values())) {
-            if (s.list == null && s.waiting.removeIf(x -> x.connection == gone) && s.waiting.isEmpty()
+            if (s.list == null
+                    && s.waiting.removeIf(x -> x.connection == gone)
+                    && s.waiting.isEmpty()
                     && cls(s).effect() == Effect.SAFE) {
                 forget(s);
                 broker.leave(clock.now(), s.name);
@@ -241,7 +253,9 @@
             }
             if (!m.word(0).equals("GET") && !m.word(0).equals("DELETE")) {
                 x.answer(405, "Method Not Allowed", "text/plain", "", Map.of("Allow", "GET, DELETE"));
-            } else if (path.startsWith(LESSONS) && path.endsWith(MASTER) && m.word(0).equals("GET")) {
+            } else if (path.startsWith(LESSONS)
+                    && path.endsWith(MASTER)
+                    && m.word(0).equals("GET")) {
                 lesson(x, target, path.substring(LESSONS.length(), path.length() - MASTER.length()));
             } else if (path.startsWith(SESSIONS)) {
                 session(x, m.word(0).equals("DELETE"), path.substring(SESSIONS.length()));
@@ -285,10 +299,20 @@
         s.waiting.add(x);
         sessions.put(name, s);
         byViewer.put(key, s);
-        Wish wish = new Wish(name, cls.name(), viewer, title, patience, micros(query, "expected_ms", 0),
-                (int) whole(query, "home", 0), (int) whole(query, "copies", cells),
-                (int) whole(query, "top", cls.top()), "1".equals(query.get("repeat")), false,
-                "1".equals(query.get("again")), "");
+        Wish wish = new Wish(
+                name,
+                cls.name(),
+                viewer,
+                title,
+                patience,
+                micros(query, "expected_ms", 0),
+                (int) whole(query, "home", 0),
+                (int) whole(query, "copies", cells),
+                (int) whole(query, "top", cls.top()),
+                "1".equals(query.get("repeat")),
+                false,
+                "1".equals(query.get("again")),
+                "");
         if (!broker.request(clock.now(), 0, this, origins, wish)) {
             forget(s);
             x.error(400, "Bad Request");
@@ -300,7 +324,8 @@
         for (String pair : raw == null ? new String[0] : raw.split("&")) {
             int equals = pair.indexOf('=');
             if (equals > 0) {
-                out.put(URLDecoder.decode(pair.substring(0, equals), StandardCharsets.UTF_8),
+                out.put(
+                        URLDecoder.decode(pair.substring(0, equals), StandardCharsets.UTF_8),
                         URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
             }
         }
@@ -467,8 +492,8 @@
 
     @Override
     public void refused(long connection, String name, long comeBack) {
-        Map<String, String> more = comeBack > 0
-                ? Map.of("Retry-After", Long.toString((comeBack + 999_999) / 1_000_000)) : Map.of();
+        Map<String, String> more =
+                comeBack > 0 ? Map.of("Retry-After", Long.toString((comeBack + 999_999) / 1_000_000)) : Map.of();
         unserved(name).forEach(x -> x.answer(503, "Service Unavailable", "text/plain", "refused\n", more));
     }
 
--- a/src/main/java/dockshed/hls/Origins.java
+++ b/src/main/java/dockshed/hls/Origins.java
@@ -64,40 +64,51 @@
             broker.ended(clock.now(), server, s.name(), Outcome.MOOT, LoadReport.NONE);
             return;
         }
-        Map<String, String> headers = Map.of("Priority-Class", s.className(), "Session", s.name(), "Rung",
-                Integer.toString(s.rung()));
-        out.put(s.name(), HttpFetch.get(net, at, path(s.title()), headers, connectMillis, PLAYLIST_LIMIT,
-                new HttpFetch.Listener() {
-            @Override
-            public void answered(Headed answer) {
-                out.remove(s.name());
-                try {
-                    if (answer.status() != 200) {
-                        throw new Playlists.Unfit("status " + answer.status());
-                    }
-                    Playlists.Multivariant list = Playlists.Multivariant.read(answer.text());
-                    if (!list.has(s.floor(), s.rung())) {
-                        throw new Playlists.Unfit("no variant from rung " + s.floor() + " to " + s.rung());
-                    }
-                    loads.header(clock.now(), server, answer.header(OrcaReport.HEADER));
-                    broker.answered(clock.now(), server, s.name(), answer.text());
-                    if (broker.stands(s.name())) {      // its front may have ended it at once
-                        loads.stands(clock.now(), server, s.name(), s.className(), s.rung());
-                    }
-                } catch (Playlists.Unfit e) {
-                    LOG.warn("playlist of no use: server={} title={} why={}", server, s.title(), e.getMessage());
-                    broker.ended(clock.now(), server, s.name(), Outcome.ERROR, LoadReport.NONE);
-                }
-            }
-
-            @Override
-            public void broken(boolean ran, String why) {
-                out.remove(s.name());
-                LOG.info("playlist not fetched: server={} title={} why={}", server, s.title(), why);
-                broker.ended(clock.now(), server, s.name(), ran ? Outcome.RESET : Outcome.CONNECT_FAILED,
-                        LoadReport.NONE);
-            }
-        }));
+        Map<String, String> headers =
+                Map.of("Priority-Class", s.className(), "Session", s.name(), "Rung", Integer.toString(s.rung()));
+        out.put(
+                s.name(),
+                HttpFetch.get(
+                        net, at, path(s.title()), headers, connectMillis, PLAYLIST_LIMIT, new HttpFetch.Listener() {
+                            @Override
+                            public void answered(Headed answer) {
+                                out.remove(s.name());
+                                try {
+                                    if (answer.status() != 200) {
+                                        throw new Playlists.Unfit("status " + answer.status());
+                                    }
+                                    Playlists.Multivariant list = Playlists.Multivariant.read(answer.text());
+                                    if (!list.has(s.floor(), s.rung())) {
+                                        throw new Playlists.Unfit(
+                                                "no variant from rung " + s.floor() + " to " + s.rung());
+                                    }
+                                    loads.header(clock.now(), server, answer.header(OrcaReport.HEADER));
+                                    broker.answered(clock.now(), server, s.name(), answer.text());
+                                    if (broker.stands(s.name())) { // its front may have ended it at once
+                                        loads.stands(clock.now(), server, s.name(), s.className(), s.rung());
+                                    }
+                                } catch (Playlists.Unfit e) {
+                                    LOG.warn(
+                                            "playlist of no use: server={} title={} why={}",
+                                            server,
+                                            s.title(),
+                                            e.getMessage());
+                                    broker.ended(clock.now(), server, s.name(), Outcome.ERROR, LoadReport.NONE);
+                                }
+                            }
+
+                            @Override
+                            public void broken(boolean ran, String why) {
+                                out.remove(s.name());
+                                LOG.info("playlist not fetched: server={} title={} why={}", server, s.title(), why);
+                                broker.ended(
+                                        clock.now(),
+                                        server,
+                                        s.name(),
+                                        ran ? Outcome.RESET : Outcome.CONNECT_FAILED,
+                                        LoadReport.NONE);
+                            }
+                        }));
     }
 
     @Override
@@ -110,7 +121,7 @@
 
     /** Boxes hold nothing for an HLS session that could be let go: what counts is that nobody fetches any more. */
     @Override
-    public void release(String server, String name) { }
+    public void release(String server, String name) {}
 
     /** The rung takes hold in the front, with the session's next fetch. */
     @Override
@@ -125,7 +136,7 @@
 
     /** There is no connection to keep: each fetch has its own. */
     @Override
-    public void hold(String server, boolean sessions) { }
+    public void hold(String server, boolean sessions) {}
 
     /** Fetches a media playlist for a session that stands. */
     HttpFetch media(String server, String path, HttpFetch.Listener listener) {
--- a/src/main/java/dockshed/hls/Playlists.java
+++ b/src/main/java/dockshed/hls/Playlists.java
@@ -22,14 +22,14 @@
     }
 
     /** A line that names a media playlist; {@code rung} is -1 where it belongs to no single rung. */
-    record Media(String uri, int rung) { }
+    record Media(String uri, int rung) {}
 
     /** A multivariant playlist taken apart: its lines, and the media playlists that it names by number. */
     static final class Multivariant {
         private final List<String> lines;
         private final List<Media> media = new ArrayList<>();
         private final Map<Integer, Integer> mediaOfLine = new LinkedHashMap<>();
-        private final Map<Integer, Integer> rungOfLine = new LinkedHashMap<>();  // a variant's tag and its URI
+        private final Map<Integer, Integer> rungOfLine = new LinkedHashMap<>(); // a variant's tag and its URI
         private final Set<Integer> dropped = new HashSet<>();
 
         private Multivariant(List<String> lines) {
@@ -55,7 +55,7 @@
                 if (line.startsWith("#EXT-X-STREAM-INF:")) {
                     pending = i;
                 } else if (line.startsWith("#EXT-X-I-FRAME-STREAM-INF:")) {
-                    m.dropped.add(i);           // belongs to no rung that could be granted
+                    m.dropped.add(i); // belongs to no rung that could be granted
                 } else if (line.startsWith("#EXT-X-MEDIA:") && attribute(line, "URI") != null) {
                     m.name(i, new Media(attribute(line, "URI"), -1));
                 } else if (!line.startsWith("#") && !line.isBlank()) {
@@ -99,7 +99,10 @@
             int best = -1;
             for (int i = 0; i < media.size(); i++) {
                 int r = media.get(i).rung();
-                if (r >= floor && r <= rung && asked.rung() > r && (best < 0 || r > media.get(best).rung())) {
+                if (r >= floor
+                        && r <= rung
+                        && asked.rung() > r
+                        && (best < 0 || r > media.get(best).rung())) {
                     best = i;
                 }
             }
@@ -123,9 +126,10 @@
             for (int i = 0; i < lines.size(); i++) {
                 String line = lines.get(i);
                 Integer at = rungOfLine.get(i);
-                boolean left = at != null && (at < floor || at > rung) || dropped.contains(i)
+                boolean left = at != null && (at < floor || at > rung)
+                        || dropped.contains(i)
                         || line.startsWith("#EXT-X-MEDIA:")
-                        && !groups.contains(attribute(line, "TYPE") + "=" + attribute(line, "GROUP-ID"));
+                                && !groups.contains(attribute(line, "TYPE") + "=" + attribute(line, "GROUP-ID"));
                 if (left) {
                     continue;
                 }
@@ -141,7 +145,7 @@
         }
     }
 
-    private Playlists() { }
+    private Playlists() {}
 
     /** A media playlist with everything that it names absolute. */
     static String media(String text, URI base) throws Unfit {
--- a/src/main/java/dockshed/load/LoadTeller.java
+++ b/src/main/java/dockshed/load/LoadTeller.java
@@ -59,8 +59,9 @@
 
     /** Readings that are not a set-up's count as late as the settings say, so they are of that time. */
     private void tell(long now) {
-        loads.heldBy().forEach((server, name) -> broker.note(now, server, name, Topic.LINK,
-                loads.share(now, server, now - late)));
+        loads.heldBy()
+                .forEach((server, name) ->
+                        broker.note(now, server, name, Topic.LINK, loads.share(now, server, now - late)));
         waiting = !loads.heldBy().isEmpty();
         if (waiting) {
             deadlines.at(now + every, this::tell);
--- a/src/main/java/dockshed/load/OrcaReport.java
+++ b/src/main/java/dockshed/load/OrcaReport.java
@@ -15,10 +15,11 @@
     public static final String HEADER = "endpoint-load-metrics";
     /** Longer than any report of sense: what is longer is passed over unread. */
     static final int MOST_TEXT = 4096;
-    private static final List<String> FIELDS = List.of("utilization.link", "named_metrics.link_utilization",
-            "named_metrics.link", "application_utilization");
 
-    private OrcaReport() { }
+    private static final List<String> FIELDS = List.of(
+            "utilization.link", "named_metrics.link_utilization", "named_metrics.link", "application_utilization");
+
+    private OrcaReport() {}
 
     /** The share of the link that is asked, as the header says; empty where it does not, or cannot be read. */
     public static OptionalDouble link(String header) {
@@ -63,7 +64,7 @@
 
     private static OptionalDouble number(String text) {
         if (!text.matches("[0-9]{1,9}(\\.[0-9]{1,18})?([eE]-?[0-9]{1,2})?")) {
-            return OptionalDouble.empty();      // a sign, NaN or Infinity is no utilization
+            return OptionalDouble.empty(); // a sign, NaN or Infinity is no utilization
         }
         return OptionalDouble.of(Double.parseDouble(text));
     }
--- a/src/main/java/dockshed/load/ReckonedLoads.java
+++ b/src/main/java/dockshed/load/ReckonedLoads.java
@@ -23,15 +23,15 @@
     /** Over this a box's own word is no share of a link but another unit. */
     static final double MOST_SAID = 20;
 
-    private record Change(long at, double kb) { }
+    private record Change(long at, double kb) {}
 
-    private record Standing(Box box, SessionClass cls, double kb) { }
+    private record Standing(Box box, SessionClass cls, double kb) {}
 
     private static final class Box {
         final LinkedHashMap<String, Standing> sessions = new LinkedHashMap<>();
         final ArrayDeque<Change> changes = new ArrayDeque<>();
         double own;
-        double said;                // kB asked there at saidAt, as the box said
+        double said; // kB asked there at saidAt, as the box said
         long saidAt = Long.MIN_VALUE;
 
         /** What own sessions asked at a time not long past. */
@@ -62,7 +62,8 @@
         links.clear();
         servers.forEach(s -> listed.put(s.id(), s));
         boolean alike = servers.stream().mapToDouble(Server::weight).distinct().count() < 2;
-        double streams = servers.stream().mapToInt(s -> settings.streams(s.kind())).sum();
+        double streams =
+                servers.stream().mapToInt(s -> settings.streams(s.kind())).sum();
         for (Server s : servers) {
             // The module's own measure: by weight, or by streams where all weights are alike.
             double unit = settings.ladder().weightKb() * s.weight();
@@ -118,11 +119,12 @@
     private void change(long now, Box b, double kb) {
         b.own += kb;
         b.changes.add(new Change(now, kb));
-        while (b.changes.size() > MOST_CHANGES || b.changes.peekFirst().at() < now - settings.limits().see() - BELIEVED) {
+        while (b.changes.size() > MOST_CHANGES
+                || b.changes.peekFirst().at() < now - settings.limits().see() - BELIEVED) {
             b.changes.removeFirst();
         }
         if (b.sessions.isEmpty()) {
-            b.own = 0;              // what rounding left
+            b.own = 0; // what rounding left
         }
     }
 
@@ -140,7 +142,8 @@
             return 0;
         }
         double own = b.ownAt(at);
-        double all = b.saidAt > now - BELIEVED ? Math.max(own, b.said + own - b.ownAt(b.saidAt))
+        double all = b.saidAt > now - BELIEVED
+                ? Math.max(own, b.said + own - b.ownAt(b.saidAt))
                 : own * settings.balancers();
         return all / gives(now, server);
     }
--- a/src/main/java/dockshed/names/Dns.java
+++ b/src/main/java/dockshed/names/Dns.java
@@ -22,13 +22,21 @@
     }
 
     /** A record; of {@code priority} to {@code serial} only what belongs to its type is set. */
-    record Record(String name, int type, int priority, int weight, int port, String target, String address,
-                  List<String> texts, long serial) { }
+    record Record(
+            String name,
+            int type,
+            int priority,
+            int weight,
+            int port,
+            String target,
+            String address,
+            List<String> texts,
+            long serial) {}
 
     /** {@code code}: the response code; {@code cut}: the answer did not fit. */
-    record Answer(int id, int code, boolean cut, String question, int type, List<Record> records) { }
+    record Answer(int id, int code, boolean cut, String question, int type, List<Record> records) {}
 
-    private Dns() { }
+    private Dns() {}
 
     static byte[] query(int id, String name, int type) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
@@ -83,7 +91,7 @@
                     if (!cut) {
                         throw e;
                     }
-                    break;          // cut within a record: those before it are whole
+                    break; // cut within a record: those before it are whole
                 }
             }
             return new Answer(id, flags & 15, cut, question, type, out);
@@ -100,34 +108,43 @@
             if (end > in.length) {
                 throw new Malformed("record beyond the end");
             }
-            Record r = switch (type) {
-                case SRV -> new Record(name, type, u16(), u16(), u16(), name(), null, List.of(), 0);
-                case A -> {
-                    if (length != 4) {
-                        throw new Malformed("address of " + length + " bytes");
-                    }
-                    yield new Record(name, type, 0, 0, 0, null, u8() + "." + u8() + "." + u8() + "." + u8(),
-                            List.of(), 0);
-                }
-                case TXT -> {
-                    List<String> texts = new ArrayList<>();
-                    while (at < end) {
-                        int size = u8();
-                        if (at + size > end) {
-                            throw new Malformed("text beyond its record");
+            Record r =
+                    switch (type) {
+                        case SRV -> new Record(name, type, u16(), u16(), u16(), name(), null, List.of(), 0);
+                        case A -> {
+                            if (length != 4) {
+                                throw new Malformed("address of " + length + " bytes");
+                            }
+                            yield new Record(
+                                    name,
+                                    type,
+                                    0,
+                                    0,
+                                    0,
+                                    null,
+                                    u8() + "." + u8() + "." + u8() + "." + u8(),
+                                    List.of(),
+                                    0);
                         }
-                        texts.add(new String(in, at, size, StandardCharsets.UTF_8));
-                        at += size;
-                    }
-                    yield new Record(name, type, 0, 0, 0, null, null, texts, 0);
-                }
-                case SOA -> {
-                    name();
-                    name();
-                    yield new Record(name, type, 0, 0, 0, null, null, List.of(), (long) u16() << 16 | u16());
-                }
-                default -> new Record(name, type, 0, 0, 0, null, null, List.of(), 0);
-            };
+                        case TXT -> {
+                            List<String> texts = new ArrayList<>();
+                            while (at < end) {
+                                int size = u8();
+                                if (at + size > end) {
+                                    throw new Malformed("text beyond its record");
+                                }
+                                texts.add(new String(in, at, size, StandardCharsets.UTF_8));
+                                at += size;
+                            }
+                            yield new Record(name, type, 0, 0, 0, null, null, texts, 0);
+                        }
+                        case SOA -> {
+                            name();
+                            name();
+                            yield new Record(name, type, 0, 0, 0, null, null, List.of(), (long) u16() << 16 | u16());
+                        }
+                        default -> new Record(name, type, 0, 0, 0, null, null, List.of(), 0);
+                    };
             if (at > end) {
                 throw new Malformed("record longer than it says");
             }
--- a/src/main/java/dockshed/names/FleetList.java
+++ b/src/main/java/dockshed/names/FleetList.java
@@ -76,7 +76,9 @@
     /** What part of a list of this number changes; whoever it does not name stays. */
     List<Server> part(long number, List<Listing> listings) {
         serial = Math.max(serial, number);
-        return apply(listings.stream().filter(l -> !l.equals(now.get(l.server().id()))).toList());
+        return apply(listings.stream()
+                .filter(l -> !l.equals(now.get(l.server().id())))
+                .toList());
     }
 
     /** The server has no records any more. */
@@ -95,12 +97,17 @@
 
     private static Listing gone(Listing was) {
         Server s = was.server();
-        return new Listing(new Server(s.id(), s.zone(), s.kind(), s.cell(), State.GONE, s.weight(), s.upSince()), was.at());
+        return new Listing(
+                new Server(s.id(), s.zone(), s.kind(), s.cell(), State.GONE, s.weight(), s.upSince()), was.at());
     }
 
     /** The serial of the list in an answer; -1 where there is none. */
     static long serial(List<Record> records) {
-        return records.stream().filter(r -> r.type() == Dns.SOA).mapToLong(Record::serial).findFirst().orElse(-1);
+        return records.stream()
+                .filter(r -> r.type() == Dns.SOA)
+                .mapToLong(Record::serial)
+                .findFirst()
+                .orElse(-1);
     }
 
     static Map<String, Record> byName(List<Record> records, int type) {
@@ -126,13 +133,19 @@
         }
         Server was = text != null || known == null ? new Server("", "", "", 0, State.UP, 0, 0) : known.server();
         try {
-            return new Listing(new Server(labels[0], labels[1], facts.getOrDefault("kind", was.kind()),
-                    facts.containsKey("cell") ? Integer.parseInt(facts.get("cell")) : was.cell(),
-                    service.priority() == 0 ? State.UP : State.DRAINING, service.weight() / WEIGHT_UNIT,
-                    facts.containsKey("started") ? Math.round(Double.parseDouble(facts.get("started")) * 1000)
-                            : was.upSince()),
-                    new InetSocketAddress(address != null ? address.address() : known.at().getHostString(),
-                            service.port()));
+            return new Listing(
+                    new Server(
+                            labels[0],
+                            labels[1],
+                            facts.getOrDefault("kind", was.kind()),
+                            facts.containsKey("cell") ? Integer.parseInt(facts.get("cell")) : was.cell(),
+                            service.priority() == 0 ? State.UP : State.DRAINING,
+                            service.weight() / WEIGHT_UNIT,
+                            facts.containsKey("started")
+                                    ? Math.round(Double.parseDouble(facts.get("started")) * 1000)
+                                    : was.upSince()),
+                    new InetSocketAddress(
+                            address != null ? address.address() : known.at().getHostString(), service.port()));
         } catch (NumberFormatException e) {
             throw new Dns.Malformed("text of " + service.target() + " holds no number: " + e.getMessage());
         }
--- a/src/main/java/dockshed/names/Names.java
+++ b/src/main/java/dockshed/names/Names.java
@@ -3,9 +3,9 @@
 import dockshed.Director.Scope;
 import dockshed.Director.Server;
 import dockshed.core.Deadlines;
+import dockshed.names.Dns.Answer;
 import dockshed.net.Clock;
 import dockshed.net.Net;
-import dockshed.names.Dns.Answer;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -28,6 +28,7 @@
     static final long PERIOD = 250_000;
     /** An answer that has not come by then is no longer waited for; it counts all the same if it comes late. */
     private static final long PATIENCE = 1_000_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(Names.class);
 
     /** Hears of every piece of news; {@code addresses} holds all servers that are listed now. */
@@ -36,7 +37,7 @@
     }
 
     /** A query that is out: to whom, when, and the question by name; null for the whole list. */
-    private record Asked(InetSocketAddress to, long at, Survey.Question of) { }
+    private record Asked(InetSocketAddress to, long at, Survey.Question of) {}
 
     private final FleetList list = new FleetList();
     private final Survey survey = new Survey(list, SERVICE);
@@ -45,7 +46,7 @@
     private final Deadlines deadlines;
     private InetSocketAddress server;
     private final Random random;
-    private final Map<Integer, Asked> asked = new HashMap<>();      // by query number
+    private final Map<Integer, Asked> asked = new HashMap<>(); // by query number
     private Channel channel;
     private boolean confirmed, reached = true;
     private long answeredAt;
@@ -87,7 +88,10 @@
             if (done.isSuccess()) {
                 ask(clock.now());
             } else {
-                LOG.error("name server cannot be asked: from={} why={}", from, done.cause().toString());
+                LOG.error(
+                        "name server cannot be asked: from={} why={}",
+                        from,
+                        done.cause().toString());
             }
         });
     }
@@ -99,8 +103,8 @@
         }
         LOG.info("name server moved: from={} to={} number={}", server, to, list.serial());
         server = to;
-        survey.moved();             // what one server began the other does not finish
-        asked.values().removeIf(q -> q.of() != null);   // one that is being shut down may say that it knows nobody
+        survey.moved(); // what one server began the other does not finish
+        asked.values().removeIf(q -> q.of() != null); // one that is being shut down may say that it knows nobody
         if (channel != null && channel.isActive()) {
             query(null);
         }
@@ -145,7 +149,7 @@
         }
         asked.remove(a.id());
         if (a.code() != 0 && (q.of() == null || a.code() != Dns.NO_SUCH_NAME)) {
-            return;                 // its own trouble: asked again
+            return; // its own trouble: asked again
         }
         answeredAt = clock.now();
         long before = list.serial();
@@ -153,7 +157,11 @@
         boolean whole = survey.settled();
         if (changes != null && (!changes.isEmpty() || whole && (list.serial() != before || !confirmed))) {
             confirmed |= whole;
-            LOG.info("list of edge servers: number={} before={} changed={}{}", list.serial(), before, changes.size(),
+            LOG.info(
+                    "list of edge servers: number={} before={} changed={}{}",
+                    list.serial(),
+                    before,
+                    changes.size(),
                     a.cut() ? " cut" : "");
             listener.news(Scope.CHANGES, changes, list.addresses());
         }
--- a/src/main/java/dockshed/names/Survey.java
+++ b/src/main/java/dockshed/names/Survey.java
@@ -30,7 +30,7 @@
     /** Targets of one list at most: as many as the program bears, four times over. */
     static final int MOST_TARGETS = 4096;
 
-    record Question(String target, int type) { }
+    record Question(String target, int type) {}
 
     /** What an answer to the list says of a target: its SRV record, and the others as far as they are known. */
     private static final class Target {
@@ -64,7 +64,7 @@
             throw new Dns.Malformed("list without a serial");
         }
         if (undated) {
-            told = Math.max(number, list.serial());     // what was cut off may be the serial
+            told = Math.max(number, list.serial()); // what was cut off may be the serial
         }
         budget = REFRESHED;
         if (told < list.serial() || told == number && complete && settled()) {
@@ -73,7 +73,7 @@
         boolean news = told != number;
         if (news) {
             number = told;
-            complete = false;       // until one that is not cut has told all of it
+            complete = false; // until one that is not cut has told all of it
             needed.clear();
             refreshed.clear();
         }
@@ -103,7 +103,10 @@
             Listing l = listing(targets.get(target));
             Listing was = l == null ? null : list.get(l.server().id());
             // One without a date may be late: it takes no drain back.
-            if (l != null && !(undated && was != null && was.server().state().compareTo(l.server().state()) > 0)) {
+            if (l != null
+                    && !(undated
+                            && was != null
+                            && was.server().state().compareTo(l.server().state()) > 0)) {
                 listings.add(l);
             }
         }
@@ -127,8 +130,12 @@
 
     /** Of the servers that a cut answer does not name: whether they have an address still. */
     private void absent(Set<String> named) {
-        String suffix = named.stream().map(n -> n.split("\\.", 3)).filter(l -> l.length == 3).map(l -> "." + l[2])
-                .findFirst().orElse("");
+        String suffix = named.stream()
+                .map(n -> n.split("\\.", 3))
+                .filter(l -> l.length == 3)
+                .map(l -> "." + l[2])
+                .findFirst()
+                .orElse("");
         for (Listing l : list.all()) {
             String target = l.server().id() + "." + l.server().zone() + suffix;
             if (!suffix.isEmpty() && !named.contains(target)) {
@@ -142,12 +149,12 @@
         out.remove(q);
         Record r = FleetList.byName(a.records(), q.type()).get(q.target());
         Target t = targets.get(q.target());
-        if (r == null && q.type() == Dns.A) {       // one that is gone has no records
+        if (r == null && q.type() == Dns.A) { // one that is gone has no records
             targets.remove(q.target());
             return list.gone(id(q.target()));
         }
         if (t == null) {
-            return List.of();       // only absent from a cut answer, and there still
+            return List.of(); // only absent from a cut answer, and there still
         }
         if (q.type() == Dns.A) {
             t.address = r;
--- a/src/main/java/dockshed/net/ByteHandler.java
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -25,7 +25,7 @@
     protected abstract void closed(ChannelHandlerContext ctx, boolean reset);
 
     /** All that had come has been given to {@link #bytes}; {@code ended}: nothing more will come. */
-    protected void caughtUp(ChannelHandlerContext ctx, boolean ended) { }
+    protected void caughtUp(ChannelHandlerContext ctx, boolean ended) {}
 
     /** The peer has ended its output, and may have closed the connection; by default it is closed here, too. */
     protected void inputEnded(ChannelHandlerContext ctx) {
@@ -33,7 +33,7 @@
     }
 
     /** The connection has just been found broken off; {@link #closed} follows, after what else is waiting to be done. */
-    protected void broke() { }
+    protected void broke() {}
 
     /** What follows an internal error while the connection itself is whole. */
     protected void failed(ChannelHandlerContext ctx) {
@@ -83,7 +83,10 @@
             broke();
             ctx.close();
         } else {
-            LOG.error("connection ends after an internal error: remote={}", ctx.channel().remoteAddress(), cause);
+            LOG.error(
+                    "connection ends after an internal error: remote={}",
+                    ctx.channel().remoteAddress(),
+                    cause);
             failed(ctx);
         }
     }
--- a/src/main/java/dockshed/net/Headed.java
+++ b/src/main/java/dockshed/net/Headed.java
@@ -46,7 +46,8 @@
     /** Lays a message out for the wire; Content-Length is added. */
     public static byte[] encode(String first, Map<String, String> headers, byte[] body) {
         StringBuilder head = new StringBuilder(first).append("\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         head.append("Content-Length: ").append(body.length).append("\r\n\r\n");
         byte[] bytes = head.toString().getBytes(StandardCharsets.UTF_8);
         byte[] out = new byte[bytes.length + body.length];
@@ -70,7 +71,9 @@
             if (colon < 1 || lines[i].charAt(colon - 1) <= ' ' || lines[i].charAt(0) <= ' ') {
                 throw new Malformed("header line without a name");
             }
-            headers.put(lines[i].substring(0, colon).toLowerCase(Locale.ROOT), lines[i].substring(colon + 1).strip());
+            headers.put(
+                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
+                    lines[i].substring(colon + 1).strip());
         }
         return headers;
     }
--- a/src/main/java/dockshed/net/HeadedDecoder.java
+++ b/src/main/java/dockshed/net/HeadedDecoder.java
@@ -13,10 +13,10 @@
     private final int limit;
     private byte[] held = new byte[1024];
     private int from, to, scanned;
-    private Headed head;            // read already, its body still to come
-    private int length;             // of that body; -1: chunked
+    private Headed head; // read already, its body still to come
+    private int length; // of that body; -1: chunked
     private final ByteArrayOutputStream chunks = new ByteArrayOutputStream();
-    private int chunk = -1;         // bytes left of the chunk in hand, with its line end; -1: a size line is next
+    private int chunk = -1; // bytes left of the chunk in hand, with its line end; -1: a size line is next
     private boolean trailer;
 
     /** {@code limit}: bytes that a message may have in all. */
@@ -67,13 +67,14 @@
 
     private boolean readHead() throws Malformed {
         while (from < to && scanned <= from && (held[from] == '\r' || held[from] == '\n')) {
-            from++;                 // empty lines between messages
+            from++; // empty lines between messages
             scanned = from;
         }
         int end = -1;
         int i = Math.max(scanned, from);
         for (; i < to && end < 0; i++) {
-            if (held[i] == '\n' && i > from
+            if (held[i] == '\n'
+                    && i > from
                     && (held[i - 1] == '\n' || held[i - 1] == '\r' && i - 1 > from && held[i - 2] == '\n')) {
                 end = i + 1;
             }
--- a/src/main/java/dockshed/net/HttpFetch.java
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -25,12 +25,24 @@
         this.listener = listener;
     }
 
-    public static HttpFetch get(Net net, InetSocketAddress to, String path, Map<String, String> headers,
-                                int connectMillis, int limit, Listener listener) {
+    public static HttpFetch get(
+            Net net,
+            InetSocketAddress to,
+            String path,
+            Map<String, String> headers,
+            int connectMillis,
+            int limit,
+            Listener listener) {
         HttpFetch f = new HttpFetch(listener);
-        StringBuilder head = new StringBuilder("GET ").append(path).append(" HTTP/1.1\r\nHost: ")
-                .append(to.getHostString()).append(':').append(to.getPort()).append("\r\nConnection: close\r\n");
-        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        StringBuilder head = new StringBuilder("GET ")
+                .append(path)
+                .append(" HTTP/1.1\r\nHost: ")
+                .append(to.getHostString())
+                .append(':')
+                .append(to.getPort())
+                .append("\r\nConnection: close\r\n");
+        headers.forEach(
+                (name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         byte[] request = head.append("\r\n").toString().getBytes(StandardCharsets.UTF_8);
         ChannelFuture coming = net.connect(to, connectMillis, () -> f.new Handler(limit));
         f.channel = coming.channel();
@@ -73,7 +85,7 @@
             try {
                 Headed m = decoder.next();
                 while (m != null && m.status() >= 100 && m.status() < 200) {
-                    m = decoder.next();         // interim answers
+                    m = decoder.next(); // interim answers
                 }
                 if (m != null && (!m.first().startsWith("HTTP/1.") || m.status() < 0)) {
                     throw new Headed.Malformed("no HTTP answer");
--- a/src/main/java/dockshed/net/LoopClock.java
+++ b/src/main/java/dockshed/net/LoopClock.java
@@ -15,6 +15,7 @@
 
     /** Microseconds: answers go out 10 ms before viewers' time is up, and are lost half a second after it. */
     private static final long LATE = 100_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(LoopClock.class);
 
     private final EventLoop loop;
@@ -48,14 +49,17 @@
             armed.cancel(false);
         }
         armedFor = at;
-        armed = loop.schedule(() -> {
-            armed = null;
-            armedFor = Long.MAX_VALUE;
-            long now = now();
-            if (now - at > LATE) {
-                LOG.warn("loop late: ms={}", (now - at) / 1000);
-            }
-            due.accept(now);
-        }, Math.max(0, at - now()), TimeUnit.MICROSECONDS);
+        armed = loop.schedule(
+                () -> {
+                    armed = null;
+                    armedFor = Long.MAX_VALUE;
+                    long now = now();
+                    if (now - at > LATE) {
+                        LOG.warn("loop late: ms={}", (now - at) / 1000);
+                    }
+                    due.accept(now);
+                },
+                Math.max(0, at - now()),
+                TimeUnit.MICROSECONDS);
     }
 }
