--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -43,10 +43,11 @@
 
     /** Milliseconds after which a connection that could not be accepted is tried again. */
     private static final int ACCEPT_AGAIN = 20;
+
     private static final Logger LOG = LoggerFactory.getLogger(Net.class);
 
     private final NioEventLoopGroup group;
-    private final Set<Channel> open = new HashSet<>();      // connections, of the loop's thread
+    private final Set<Channel> open = new HashSet<>(); // connections, of the loop's thread
 
     /** The broker's. */
     public Net() {
@@ -86,7 +87,7 @@
     }
 
     public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler) {
-        return listen(at, handler, () -> { }, false);
+        return listen(at, handler, () -> {}, false);
     }
 
     /**
@@ -94,20 +95,25 @@
      * {@code halfClosed}: a peer that has ended its output can still be answered, see {@link ByteHandler#inputEnded}; a
      * connection is then read until nothing is left, so that an end that has come already is known of what came before it.
      */
-    public ChannelFuture listen(InetSocketAddress at, Supplier<ChannelHandler> handler, Runnable full,
-                                boolean halfClosed) {
-        ServerBootstrap b = new ServerBootstrap().group(group, group).channel(NioServerSocketChannel.class)
+    public ChannelFuture listen(
+            InetSocketAddress at, Supplier<ChannelHandler> handler, Runnable full, boolean halfClosed) {
+        ServerBootstrap b = new ServerBootstrap()
+                .group(group, group)
+                .channel(NioServerSocketChannel.class)
                 .handler(new Accepting(full))
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .option(ChannelOption.SO_BACKLOG, 512)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.SO_KEEPALIVE, true)      // a phone that vanished lets its descriptor go
+                .childOption(ChannelOption.SO_KEEPALIVE, true) // a phone that vanished lets its descriptor go
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
                 .childHandler(initializer(handler));
         if (halfClosed) {
             b.childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                    .childOption(ChannelOption.RCVBUF_ALLOCATOR, new AdaptiveRecvByteBufAllocator()
-                            .respectMaybeMoreData(false).maxMessagesPerRead(READS));
+                    .childOption(
+                            ChannelOption.RCVBUF_ALLOCATOR,
+                            new AdaptiveRecvByteBufAllocator()
+                                    .respectMaybeMoreData(false)
+                                    .maxMessagesPerRead(READS));
         }
         return b.bind(at);
     }
@@ -133,24 +139,35 @@
             LOG.warn("connection not accepted: why={}", cause.toString());
             ctx.channel().config().setAutoRead(false);
             full.run();
-            ctx.channel().eventLoop().schedule(() -> {
-                ctx.channel().config().setAutoRead(true);
-            }, ACCEPT_AGAIN, TimeUnit.MILLISECONDS);
+            ctx.channel()
+                    .eventLoop()
+                    .schedule(
+                            () -> {
+                                ctx.channel().config().setAutoRead(true);
+                            },
+                            ACCEPT_AGAIN,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     public ChannelFuture connect(InetSocketAddress to, int timeoutMillis, Supplier<ChannelHandler> handler) {
-        return new Bootstrap().group(group).channel(NioSocketChannel.class)
+        return new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, BACKLOG)
-                .handler(initializer(handler)).connect(to);
+                .handler(initializer(handler))
+                .connect(to);
     }
 
     public ChannelFuture datagrams(InetSocketAddress at, ChannelHandler handler) {
-        return new Bootstrap().group(group).channel(NioDatagramChannel.class)
+        return new Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(9000))
-                .handler(handler).bind(at);
+                .handler(handler)
+                .bind(at);
     }
 
     /** Connections that are open, those accepted and those begun here; on the loop's thread. */
--- a/src/main/java/dockshed/net/PlannedEnd.java
+++ b/src/main/java/dockshed/net/PlannedEnd.java
@@ -7,7 +7,13 @@
  * nothing that was written waits any more, and nothing more came to be written for a while.
  */
 final class PlannedEnd {
-    enum Step { WAIT, TELL, FAIL, TELL_AGAIN, HALT }
+    enum Step {
+        WAIT,
+        TELL,
+        FAIL,
+        TELL_AGAIN,
+        HALT
+    }
 
     /** New connections come for 0.4 s at most, and requests for 0.2 s more; some slack on top. */
     static final long STILL_COMING = 800_000;
@@ -22,7 +28,7 @@
 
     private final long told, tellAt, failAt, haltAt;
     private boolean ends, failed;
-    private long quietSince = -1;   // -1: something is unanswered, or was when last asked
+    private long quietSince = -1; // -1: something is unanswered, or was when last asked
 
     /** {@code told}: when SIGTERM came; {@code longest}: the longest time that a viewer waits. */
     PlannedEnd(long told, long longest) {
@@ -59,7 +65,7 @@
         }
         if (quietSince < 0) {
             quietSince = now;
-            return Step.TELL_AGAIN;     // those answered since the first time
+            return Step.TELL_AGAIN; // those answered since the first time
         }
         if (unwritten) {
             quietSince = now;
--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -13,6 +13,7 @@
 
     /** What a SIGHUP runs; whether one came before that was known. */
     private static Runnable hungUp;
+
     private static boolean early;
 
     private final Net net;
@@ -33,16 +34,19 @@
 
     /** {@code leaving}: run as the planned end begins, on no loop's thread. */
     public void watch(Runnable leaving) {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            long told = clock.now();            // the stay counts from here, however late the loop hears of it
-            leaving.run();
-            net.loop().execute(() -> begin(told));
-            try {
-                Thread.sleep(Long.MAX_VALUE);       // the loop ends the process
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }, "planned-end"));
+        Runtime.getRuntime()
+                .addShutdownHook(new Thread(
+                        () -> {
+                            long told = clock.now(); // the stay counts from here, however late the loop hears of it
+                            leaving.run();
+                            net.loop().execute(() -> begin(told));
+                            try {
+                                Thread.sleep(Long.MAX_VALUE); // the loop ends the process
+                            } catch (InterruptedException e) {
+                                Thread.currentThread().interrupt();
+                            }
+                        },
+                        "planned-end"));
     }
 
     /** From now on a SIGHUP no longer ends the program; one that comes before {@link #onHangUp} waits for it. */
@@ -82,10 +86,14 @@
         long now = clock.now();
         boolean unwritten = net.unwritten();
         switch (end.step(now, broker.unanswered(), unwritten)) {
-            case WAIT -> { }
+            case WAIT -> {}
             case TELL -> {
-                LOG.info("planned end: ms={} unanswered={} standing={} {}", (now - end.told()) / 1000,
-                        broker.unanswered(), broker.standing(), broker.counts());
+                LOG.info(
+                        "planned end: ms={} unanswered={} standing={} {}",
+                        (now - end.told()) / 1000,
+                        broker.unanswered(),
+                        broker.standing(),
+                        broker.counts());
                 broker.releaseAll(now);
             }
             case FAIL -> {
--- a/src/main/java/dockshed/peers/UdpPeers.java
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -44,21 +44,23 @@
 
     public void listen(Net net, InetSocketAddress at, Heard heard) {
         channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
-            @Override
-            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-                int from = number(packet.sender());
-                if (from < 0 || packet.content().readableBytes() > LIMIT) {
-                    LOG.debug("datagram from nobody known: sender={}", packet.sender());
-                    return;
-                }
-                heard.told(from, Net.bytes(packet.content()));
-            }
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+                        int from = number(packet.sender());
+                        if (from < 0 || packet.content().readableBytes() > LIMIT) {
+                            LOG.debug("datagram from nobody known: sender={}", packet.sender());
+                            return;
+                        }
+                        heard.told(from, Net.bytes(packet.content()));
+                    }
 
-            @Override
-            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                LOG.warn("datagram not handled: why={}", cause.toString());
-            }
-        }).syncUninterruptibly().channel();
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        LOG.warn("datagram not handled: why={}", cause.toString());
+                    }
+                })
+                .syncUninterruptibly()
+                .channel();
     }
 
     @Override
@@ -67,7 +69,8 @@
             LOG.warn("datagram not sent: bytes={}", message.length);
             return;
         }
-        List<InetSocketAddress> to = all != null ? List.of(all)
+        List<InetSocketAddress> to = all != null
+                ? List.of(all)
                 : each.stream().filter(a -> !a.equals(channel.localAddress())).toList();
         for (InetSocketAddress a : to) {
             channel.writeAndFlush(new DatagramPacket(Net.buf(message), a));
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -34,6 +34,7 @@
     static final int MESSAGE_LIMIT = 16 * 1024;
     /** A message must be whole so soon after its beginning, the first so soon after its connection came up. */
     static final long SILENT = 2_000_000;
+
     private static final long LOOK = 250_000;
     /** A connection just used is not closed to make room: its viewer may be about to ask again. */
     private static final long FRESH = 500_000;
@@ -41,11 +42,13 @@
     static final long LAST_READ = 60_000;
     /** What was answered for good is read on for so long, and so many bytes, lest the answer be lost. */
     static final long LINGER = 5_000_000;
+
     private static final long MOST_PASSED_OVER = 128L << 20;
     /** Messages at fault on one connection before it is ended. */
     static final int MOST_FAULTS = 16;
     /** Set-ups open on one connection: ten times what the busiest day brings on one within a deadline. */
     static final int MOST_SET_UPS = 512;
+
     private static final Logger LOG = LoggerFactory.getLogger(RtspFront.class);
     private static final byte[] NOTHING = new byte[0];
 
@@ -55,8 +58,8 @@
     private final Deadlines deadlines;
     private final int mostConnections;
     private final Map<Long, Connection> channels = new HashMap<>();
-    private final Set<Connection> open = new LinkedHashSet<>();     // those that are ending, too
-    private final SplittableRandom random = new SplittableRandom(1);    // of the rounding only: no secret, any seed does
+    private final Set<Connection> open = new LinkedHashSet<>(); // those that are ending, too
+    private final SplittableRandom random = new SplittableRandom(1); // of the rounding only: no secret, any seed does
     private boolean full;
 
     /** Viewers keep to a third of the descriptors; {@code mostConnections} leaves room for what is no viewer's. */
@@ -103,8 +106,12 @@
         for (Connection c : open) {
             boolean fresh = now - c.usedAt < FRESH;
             boolean owed = !c.setUps.isEmpty() || Net.unwritten(c.channel) && now - c.usedAt < LINGER;
-            if (!c.doomed && !owed && !(fresh && c.sort() > 0) && (worst == null || c.sort() < worst.sort()
-                    || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
+            if (!c.doomed
+                    && !owed
+                    && !(fresh && c.sort() > 0)
+                    && (worst == null
+                            || c.sort() < worst.sort()
+                            || c.sort() == worst.sort() && c.usedAt < worst.usedAt)) {
                 worst = c;
             }
         }
@@ -129,18 +136,19 @@
     }
 
     /** A set-up as it came. */
-    private record Asked(Wish wish, Headed message) { }
+    private record Asked(Wish wish, Headed message) {}
 
     private final class Connection extends ByteHandler {
         private final HeadedDecoder decoder = new HeadedDecoder(MESSAGE_LIMIT);
-        private final Set<String> setUps = new HashSet<>();     // open ones
+        private final Set<String> setUps = new HashSet<>(); // open ones
         /** Read, but not taken before all that has come is read: its viewer may have left behind it. */
         private final Map<String, Asked> fresh = new LinkedHashMap<>();
+
         private Channel channel;
         private long handle;
         private boolean ending, asked, viewer, doomed;
-        private boolean shut;           // all answers owed are written: our output is ended, or is about to be
-        private long since;             // the beginning of a first message, of a part of one, of the ending; else -1
+        private boolean shut; // all answers owed are written: our output is ended, or is about to be
+        private long since; // the beginning of a first message, of a part of one, of the ending; else -1
         private long usedAt;
         private long passedOver;
         private int faults;
@@ -175,7 +183,7 @@
                 if (shut) {
                     channel.close();
                 } else {
-                    channel.config().setAutoRead(false);    // answers are owed: it is read on once they are written
+                    channel.config().setAutoRead(false); // answers are owed: it is read on once they are written
                 }
             }
             return ending;
@@ -240,7 +248,7 @@
             broker.silenced(clock.now(), handle);
             leave();
             shut = true;
-            open.add(this);     // until what is written has been read, or for as long as it may linger
+            open.add(this); // until what is written has been read, or for as long as it may linger
             since = clock.now();
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         }
@@ -269,7 +277,8 @@
 
         private void quiet(String why) {
             LOG.debug("viewer's connection closed: remote={} why={}", channel.remoteAddress(), why);
-            if (!ending && Net.unwritten(channel)) {       // a close would throw away what the viewer has not made room for yet
+            if (!ending
+                    && Net.unwritten(channel)) { // a close would throw away what the viewer has not made room for yet
                 end();
                 return;
             }
@@ -285,7 +294,7 @@
             if (ending) {
                 return;
             }
-            take();             // they came whole before whatever ends this connection
+            take(); // they came whole before whatever ends this connection
             if (ending) {
                 return;
             }
@@ -293,7 +302,9 @@
             since = clock.now();
             channel.config().setAutoRead(true);
             if (!setUps.isEmpty()) {
-                LOG.info("viewer's connection ends after its answers: remote={} open={}", channel.remoteAddress(),
+                LOG.info(
+                        "viewer's connection ends after its answers: remote={} open={}",
+                        channel.remoteAddress(),
                         setUps.size());
             }
             shutOnceAnswered();
@@ -341,7 +352,10 @@
 
         @Override
         protected void closed(ChannelHandlerContext ctx, boolean reset) {
-            LOG.debug("viewer's connection ended: remote={} reset={} open={}", ctx.channel().remoteAddress(), reset,
+            LOG.debug(
+                    "viewer's connection ended: remote={} reset={} open={}",
+                    ctx.channel().remoteAddress(),
+                    reset,
                     setUps);
             leave();
         }
@@ -376,7 +390,7 @@
                 reply(ch, 200, "OK", m);
             }
             case "OPTIONS" -> reply(ch, 200, "OK", m);
-            case "ANNOUNCE", "REDIRECT", "SET_PARAMETER" -> { }    // want no answer
+            case "ANNOUNCE", "REDIRECT", "SET_PARAMETER" -> {} // want no answer
             default -> reply(ch, 501, "Not Implemented", m);
         }
     }
@@ -391,8 +405,10 @@
         }
         Wish wish = f.wish();
         boolean untaken = c.fresh.remove(wish.name()) != null;
-        if (untaken || c.setUps.contains(wish.name())) {    // no telling any more which of the two an answer would be for
-            LOG.warn("viewer's message malformed: remote={} why=two set-ups under one session", c.channel.remoteAddress());
+        if (untaken || c.setUps.contains(wish.name())) { // no telling any more which of the two an answer would be for
+            LOG.warn(
+                    "viewer's message malformed: remote={} why=two set-ups under one session",
+                    c.channel.remoteAddress());
             if (!untaken) {
                 broker.leave(clock.now(), wish.name());
             }
@@ -456,7 +472,12 @@
 
     @Override
     public void failed(long connection, String name, boolean late) {
-        answer(connection, name, late ? 504 : 500, late ? "Gateway Time-out" : "Internal Server Error", NOTHING,
+        answer(
+                connection,
+                name,
+                late ? 504 : 500,
+                late ? "Gateway Time-out" : "Internal Server Error",
+                NOTHING,
                 Map.of());
     }
 
@@ -498,7 +519,8 @@
         headers.put("CSeq", "1");
         headers.put("Session", name);
         headers.putAll(more);
-        c.channel.writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
+        c.channel
+                .writeAndFlush(Net.buf(Headed.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
                 .addListener(done -> {
                     if (!done.isSuccess()) {
                         broker.trail().bad(name, "answer not written");
@@ -523,7 +545,8 @@
         if (reason != null) {
             headers.put("Reason", reason);
         }
-        c.channel.writeAndFlush(Net.buf(Headed.encode(method + " rtsp://media/" + name + " RTSP/1.0", headers, NOTHING)));
+        c.channel.writeAndFlush(
+                Net.buf(Headed.encode(method + " rtsp://media/" + name + " RTSP/1.0", headers, NOTHING)));
     }
 
     /** Answers a request of the viewer's at once, with its own CSeq and session. */
--- a/src/main/java/dockshed/rtsp/SetUpFields.java
+++ b/src/main/java/dockshed/rtsp/SetUpFields.java
@@ -30,10 +30,19 @@
             throw new IllegalArgumentException("title is no word");
         }
         Map<String, String> info = pairs(m.header("p-trunk-info", ""));
-        Wish wish = new Wish(session, m.header("priority-class", ""), info.getOrDefault("viewer", ""),
-                title, micros(m, "expires-ms"), micros(m, "expected-ms"),
-                integer(info, "home"), integer(info, "copies"), integer(info, "top"),
-                m.header("p-repeat", "0").equals("1"), "1".equals(info.get("moved")), "1".equals(info.get("again")),
+        Wish wish = new Wish(
+                session,
+                m.header("priority-class", ""),
+                info.getOrDefault("viewer", ""),
+                title,
+                micros(m, "expires-ms"),
+                micros(m, "expected-ms"),
+                integer(info, "home"),
+                integer(info, "copies"),
+                integer(info, "top"),
+                m.header("p-repeat", "0").equals("1"),
+                "1".equals(info.get("moved")),
+                "1".equals(info.get("again")),
                 description(m));
         String at = info.get("at");
         if (at == null && wish.patience() <= 0) {
@@ -46,7 +55,10 @@
     private static String description(Headed m) {
         String text;
         try {
-            text = StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(m.body())).toString();
+            text = StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(m.body()))
+                    .toString();
         } catch (CharacterCodingException e) {
             throw new IllegalArgumentException("description is no text");
         }
@@ -64,7 +76,9 @@
         for (String pair : list.split(";")) {
             int colon = pair.indexOf(':');
             if (colon > 0) {
-                out.put(pair.substring(0, colon).strip(), pair.substring(colon + 1).strip());
+                out.put(
+                        pair.substring(0, colon).strip(),
+                        pair.substring(colon + 1).strip());
             }
         }
         return out;
@@ -91,7 +105,7 @@
     }
 
     private static double number(String value, String what) {
-        if (!FIGURE.matcher(value).matches()) {     // Java's own forms, such as 0x1p3 or 5d, are nobody else's
+        if (!FIGURE.matcher(value).matches()) { // Java's own forms, such as 0x1p3 or 5d, are nobody else's
             throw new IllegalArgumentException(what + " is no number");
         }
         return Double.parseDouble(value);
--- a/src/main/java/dockshed/simhost/SimHost.java
+++ b/src/main/java/dockshed/simhost/SimHost.java
@@ -1,5 +1,10 @@
 package dockshed.simhost;
 
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.JsonToken;
 import dockshed.Choice;
 import dockshed.Director;
 import dockshed.Director.LoadReport;
@@ -11,11 +16,6 @@
 import dockshed.Director.Topic;
 import dockshed.config.Fields;
 import dockshed.config.SettingsReader;
-import com.fasterxml.jackson.core.JsonFactory;
-import com.fasterxml.jackson.core.JsonGenerator;
-import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.core.JsonToken;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -39,7 +39,7 @@
     private final Map<Integer, List<Server>> rosters = new HashMap<>();
     private JsonGenerator out;
 
-    private SimHost() { }
+    private SimHost() {}
 
     /** Serves batches until the input ends; returns the process's exit status. */
     public static int run(InputStream in, OutputStream to, PrintStream complaints) {
@@ -85,7 +85,8 @@
         }
         if (token == JsonToken.VALUE_NUMBER_INT) {
             return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
-                    ? (Object) in.getBigIntegerValue().longValue() : (Object) in.getLongValue();
+                    ? (Object) in.getBigIntegerValue().longValue()
+                    : (Object) in.getLongValue();
         }
         if (token == JsonToken.VALUE_NUMBER_FLOAT) {
             return in.getDoubleValue();
@@ -128,8 +129,9 @@
         }
         String id = e.text("director_id");
         switch (name) {
-            case "boot" -> instances.put(id,
-                    new Choice(SettingsReader.read(e.object("options")), e.whole("entropy"), new Writer(id)));
+            case "boot" ->
+                instances.put(
+                        id, new Choice(SettingsReader.read(e.object("options")), e.whole("entropy"), new Writer(id)));
             case "halt" -> instances.remove(id);
             default -> {
                 Director d = instances.get(id);
@@ -155,19 +157,27 @@
             case "already_open" -> d.open(now, request(e), e.text("node"));
             case "opened" -> d.first(now, e.text("call"), e.integer("n"), e.text("node"));
             case "note" -> {
-                Topic topic = switch (e.integer("topic")) {
-                    case 1 -> Topic.DELIVERED;
-                    case 2 -> Topic.RUNG;
-                    case 3 -> Topic.LINK;
-                    case 4 -> Topic.UPLINK;
-                    default -> null;
-                };
+                Topic topic =
+                        switch (e.integer("topic")) {
+                            case 1 -> Topic.DELIVERED;
+                            case 2 -> Topic.RUNG;
+                            case 3 -> Topic.LINK;
+                            case 4 -> Topic.UPLINK;
+                            default -> null;
+                        };
                 if (topic != null) {
                     d.note(now, e.text("call"), e.text("node"), topic, e.number("x"));
                 }
             }
-            case "ended" -> d.outcome(now, e.text("call"), e.integer("n"), e.text("node"),
-                    outcome(e.integer("status")), e.flag("final"), report(e));
+            case "ended" ->
+                d.outcome(
+                        now,
+                        e.text("call"),
+                        e.integer("n"),
+                        e.text("node"),
+                        outcome(e.integer("status")),
+                        e.flag("final"),
+                        report(e));
             case "timed_out_client" -> d.gone(now, e.text("call"));
             case "alarm" -> d.timer(now, e.text("key_back"));
             case "health" -> d.probed(now, e.text("node"), e.integer("status") == 100, report(e));
@@ -177,9 +187,19 @@
     }
 
     private static Request request(Fields e) {
-        return new Request(e.text("call"), e.text("kind"), e.text("target_key", ""), e.text("asset", ""),
-                e.micros("budget", 0), e.micros("cost_guess", 0), e.integer("home", 0), e.integer("cells_in_row", 0),
-                e.integer("ceiling_rung", 0), e.flag("is_retry"), e.flag("back_from_move"), e.flag("came_back"));
+        return new Request(
+                e.text("call"),
+                e.text("kind"),
+                e.text("target_key", ""),
+                e.text("asset", ""),
+                e.micros("budget", 0),
+                e.micros("cost_guess", 0),
+                e.integer("home", 0),
+                e.integer("cells_in_row", 0),
+                e.integer("ceiling_rung", 0),
+                e.flag("is_retry"),
+                e.flag("back_from_move"),
+                e.flag("came_back"));
     }
 
     private static LoadReport report(Fields e) {
@@ -190,14 +210,21 @@
         List<Server> out = new ArrayList<>();
         for (Object each : e.list("rows_in")) {
             Fields row = new Fields("roster.rows_in", each);
-            State state = switch (row.text("status")) {
-                case "up" -> State.UP;
-                case "draining" -> State.DRAINING;
-                case "removed" -> State.GONE;
-                default -> throw new Fields.Malformed("roster.rows_in: member 'status' is unknown");
-            };
-            out.add(new Server(row.text("node"), row.text("az", ""), row.text("generation_hw", ""),
-                    row.integer("place", 0), state, row.number("weight", 1), row.micros("up_since", 0)));
+            State state =
+                    switch (row.text("status")) {
+                        case "up" -> State.UP;
+                        case "draining" -> State.DRAINING;
+                        case "removed" -> State.GONE;
+                        default -> throw new Fields.Malformed("roster.rows_in: member 'status' is unknown");
+                    };
+            out.add(new Server(
+                    row.text("node"),
+                    row.text("az", ""),
+                    row.text("generation_hw", ""),
+                    row.integer("place", 0),
+                    state,
+                    row.number("weight", 1),
+                    row.micros("up_since", 0)));
         }
         return out;
     }
--- a/src/main/java/dockshed/storm/Calendar.java
+++ b/src/main/java/dockshed/storm/Calendar.java
@@ -49,7 +49,7 @@
         int slots = (int) Math.min(slotOf(latest) - first + 1, MOST_SLOTS);
         double each = Math.max(1, Math.ceil(perSecond * slot / 1e6));
         double[] here = new double[slots];
-        double[] spare = new double[slots];     // places that are free by the end of a slot and of all booked ones behind
+        double[] spare = new double[slots]; // places that are free by the end of a slot and of all booked ones behind
         double promised = 0;
         for (int i = 0; i < slots; i++) {
             here[i] = booked(first + i) + others.applyAsDouble(first + i);
--- a/src/main/java/dockshed/storm/ColdPace.java
+++ b/src/main/java/dockshed/storm/ColdPace.java
@@ -28,12 +28,12 @@
     private static final class Box {
         final int hash;
         int streams = 1;
-        boolean up, maybe, hearsay;         // maybe: cold only for want of news; hearsay: by a peer's word alone
-        long since = Long.MIN_VALUE;        // of its start, as far as known
+        boolean up, maybe, hearsay; // maybe: cold only for want of news; hearsay: by a peer's word alone
+        long since = Long.MIN_VALUE; // of its start, as far as known
         double tokens;
         long countedAt;
         Window sent;
-        final Map<Integer, long[]> peers = new HashMap<>();     // by peer: how many, heard when
+        final Map<Integer, long[]> peers = new HashMap<>(); // by peer: how many, heard when
 
         Box(int hash) {
             this.hash = hash;
@@ -41,13 +41,13 @@
     }
 
     /** A box that is cold: its hash, and what this broker sent it within the rule's window. */
-    record Spent(int hash, int count) { }
+    record Spent(int hash, int count) {}
 
     private final Settings settings;
     private final Terms terms;
-    private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>();     // bounded by the list
+    private final LinkedHashMap<String, Box> boxes = new LinkedHashMap<>(); // bounded by the list
     private double part;
-    private long newsSince = Long.MAX_VALUE;    // the list has been fresh since then
+    private long newsSince = Long.MAX_VALUE; // the list has been fresh since then
 
     ColdPace(Settings settings, Terms terms) {
         this.settings = settings;
@@ -69,7 +69,7 @@
         if (scope == Scope.DISK) {
             newsSince = Long.MAX_VALUE;
         } else if (newsSince == Long.MAX_VALUE) {
-            newsSince = now;                // fresh news names all that changed since the list was kept
+            newsSince = now; // fresh news names all that changed since the list was kept
             for (Box b : boxes.values()) {
                 if (b.maybe) {
                     warm(b);
@@ -100,8 +100,12 @@
 
     /** Whether all cold boxes are known here, and fit into a note: what it does not name is then warm. */
     boolean knows(long now, int most) {
-        return newsSince <= now && boxes.values().stream().noneMatch(b -> b.maybe)
-                && boxes.values().stream().filter(b -> !Double.isInfinite(takes(now, b))).count() <= most;
+        return newsSince <= now
+                && boxes.values().stream().noneMatch(b -> b.maybe)
+                && boxes.values().stream()
+                                .filter(b -> !Double.isInfinite(takes(now, b)))
+                                .count()
+                        <= most;
     }
 
     /** The box's process is gone, as its connections tell: what answers next is freshly started. */
@@ -160,7 +164,8 @@
         for (long[] told : b.peers.values()) {
             fleet += now - told[1] < settings.rules().fall() ? told[0] : 0;
         }
-        double window = Math.max(1, terms.coldAim() * takes(now, b) * settings.rules().fall() / 1e6);
+        double window =
+                Math.max(1, terms.coldAim() * takes(now, b) * settings.rules().fall() / 1e6);
         return b.tokens >= 1 && fleet + 1 <= window;
     }
 
@@ -177,8 +182,9 @@
     List<Spent> spent(long now, int most) {
         List<Spent> out = new ArrayList<>();
         for (Box b : boxes.values()) {
-            if (!Double.isInfinite(takes(now, b)) && !b.hearsay) {      // or a word would go round for ever
-                out.add(new Spent(b.hash, (int) Math.min(255, b.sent.sum(now, settings.rules().fall()))));
+            if (!Double.isInfinite(takes(now, b)) && !b.hearsay) { // or a word would go round for ever
+                out.add(new Spent(b.hash, (int)
+                        Math.min(255, b.sent.sum(now, settings.rules().fall()))));
             }
         }
         out.sort((x, y) -> Integer.compare(y.count(), x.count()));
@@ -192,9 +198,10 @@
                 warm(b);
             }
             for (Spent s : told) {
-                boolean news = b.since == Long.MIN_VALUE || now - b.since > 2 * settings.rules().warmUp();
+                boolean news = b.since == Long.MIN_VALUE
+                        || now - b.since > 2 * settings.rules().warmUp();
                 if (knows && b.hash == s.hash() && news) {
-                    begin(now, b, now);     // the list tells late: the worse news counts
+                    begin(now, b, now); // the list tells late: the worse news counts
                     b.hearsay = true;
                 }
                 if (b.hash == s.hash() && (b.peers.size() < MOST_PEERS || b.peers.containsKey(peer))) {
--- a/src/main/java/dockshed/storm/Damper.java
+++ b/src/main/java/dockshed/storm/Damper.java
@@ -24,20 +24,34 @@
     private static final long TURN = 20_000, LOOK = 250_000;
     /** Of the room expected, what returns get at least however many fresh viewers come. */
     private static final double RETURNS_PART = 0.3;
+
     private static final double LEAST_RETURNS = 0.2;
     /** Peers' promises are believed for so long. */
     private static final long BELIEVED = 3_000_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(Damper.class);
 
     /** Counts since the start. */
     public static final class Counts {
-        public long requests, waited, turnedAway, appointed, unplaced, kept, early, untold, retriesDenied, notesSent,
-                notesHeard, notesPassedOver, forgotten;
+        public long requests,
+                waited,
+                turnedAway,
+                appointed,
+                unplaced,
+                kept,
+                early,
+                untold,
+                retriesDenied,
+                notesSent,
+                notesHeard,
+                notesPassedOver,
+                forgotten;
 
         @Override
         public String toString() {
-            return "requests=" + requests + " waited=" + waited + " turned_away=" + turnedAway + " appointed=" + appointed
-                    + " unplaced=" + unplaced + " kept=" + kept + " early=" + early + " retries_denied=" + retriesDenied;
+            return "requests=" + requests + " waited=" + waited + " turned_away=" + turnedAway + " appointed="
+                    + appointed + " unplaced=" + unplaced + " kept=" + kept + " early=" + early + " retries_denied="
+                    + retriesDenied;
         }
     }
 
@@ -57,15 +71,15 @@
         }
     }
 
-    private record Told(Note note, long at) { }
+    private record Told(Note note, long at) {}
 
     private final Settings settings;
     private final Terms terms;
     private final Director.Actions out;
     private final SplittableRandom random;
     private final Map<String, SessionClass> classes = new HashMap<>();
-    private final Map<String, Held> held = new HashMap<>();         // bounded by the broker's own table
-    private final Map<Integer, Told> peers = new HashMap<>();       // bounded by the tier
+    private final Map<String, Held> held = new HashMap<>(); // bounded by the broker's own table
+    private final Map<Integer, Told> peers = new HashMap<>(); // bounded by the tier
     private final Watch watch;
     private final Calendar calendar;
     private final Visits visits;
@@ -78,13 +92,17 @@
     private long now, notedAt, armedFor = Long.MAX_VALUE;
 
     /** Puts the part between a broker's actions and the module that is built on them. */
-    public static Function<Director.Actions, Director> before(Settings settings, Terms terms, long seed,
-                                                              Function<Director.Actions, Director> module) {
+    public static Function<Director.Actions, Director> before(
+            Settings settings, Terms terms, long seed, Function<Director.Actions, Director> module) {
         return actions -> new Damper(settings, terms, seed, actions, module);
     }
 
-    Damper(Settings settings, Terms terms, long seed, Director.Actions out,
-           Function<Director.Actions, Director> module) {
+    Damper(
+            Settings settings,
+            Terms terms,
+            long seed,
+            Director.Actions out,
+            Function<Director.Actions, Director> module) {
         this.settings = settings;
         this.terms = terms;
         this.out = out;
@@ -134,7 +152,7 @@
         begin(at);
         SessionClass cls = classes.get(r.className());
         if (cls == null) {
-            module.request(at, r);      // the module's to fail
+            module.request(at, r); // the module's to fail
             return;
         }
         counts.requests++;
@@ -172,11 +190,31 @@
     private void pass(Waiter w) {
         room.passed(cold.all(now));
         Request r = w.request();
-        held.put(r.id(), new Held(w.visit(), Visits.key(r.viewer(), r.title(), r.className()), w.standing(),
-                w.visit().tries > 1 || r.retry() || r.back()));
+        held.put(
+                r.id(),
+                new Held(
+                        w.visit(),
+                        Visits.key(r.viewer(), r.title(), r.className()),
+                        w.standing(),
+                        w.visit().tries > 1 || r.retry() || r.back()));
         long waited = now - w.came();
-        module.request(now, waited == 0 ? r : new Request(r.id(), r.className(), r.viewer(), r.title(),
-                r.patience() - waited, r.length(), r.home(), r.copies(), r.top(), r.retry(), r.moved(), r.back()));
+        module.request(
+                now,
+                waited == 0
+                        ? r
+                        : new Request(
+                                r.id(),
+                                r.className(),
+                                r.viewer(),
+                                r.title(),
+                                r.patience() - waited,
+                                r.length(),
+                                r.home(),
+                                r.copies(),
+                                r.top(),
+                                r.retry(),
+                                r.moved(),
+                                r.back()));
     }
 
     /** Refuses, at once, a request that never went out. */
@@ -216,7 +254,7 @@
         }
         if (standing == Standing.EARLY && v.appointed > now) {
             v.refusedAt = now;
-            return inUnits(v, v.appointed - now, longest, unit);    // what it had, neither more nor less
+            return inUnits(v, v.appointed - now, longest, unit); // what it had, neither more nor less
         }
         unbook(v);
         long soonest = Math.min(terms.soonest(), longest);
@@ -226,7 +264,12 @@
         } else if (terms.returns() == Terms.Returns.JITTER) {
             back = soonest + random.nextLong(longest - soonest + 1);
         } else {
-            long found = calendar.book(now, now + soonest, now + longest, returnsPerSecond(), this::promisedElsewhere,
+            long found = calendar.book(
+                    now,
+                    now + soonest,
+                    now + longest,
+                    returnsPerSecond(),
+                    this::promisedElsewhere,
                     random.nextDouble());
             v.booked = found >= 0;
             counts.unplaced += v.booked ? 0 : 1;
@@ -292,7 +335,7 @@
         now = Math.max(now, at);
         double shared = out.newcomers();
         if (shared >= 0) {
-            cold.part(shared);          // leased: no guess by the others' notes is needed
+            cold.part(shared); // leased: no guess by the others' notes is needed
         }
         if (armedFor == Long.MAX_VALUE) {
             arm(now + LOOK);
@@ -309,8 +352,14 @@
     private void look(long at) {
         Watch.Change change = watch.look(at);
         if (change != null) {
-            LOG.info("storm: state={} was={} {} waiting={} promised={} {}", change.to(), change.from(), change.signs(),
-                    waiting.size(), calendar.promised(at), counts());
+            LOG.info(
+                    "storm: state={} was={} {} waiting={} promised={} {}",
+                    change.to(),
+                    change.from(),
+                    change.signs(),
+                    waiting.size(),
+                    calendar.promised(at),
+                    counts());
         }
     }
 
@@ -322,7 +371,7 @@
             return;
         }
         if (at < armedFor) {
-            return;                 // one that a sooner one has replaced
+            return; // one that a sooner one has replaced
         }
         armedFor = Long.MAX_VALUE;
         look(at);
@@ -345,8 +394,16 @@
             slots = promised[i] > 0 ? i + 1 : slots;
         }
         counts.notesSent++;
-        out.tell(new Note(watch.state(), (int) (terms.slot() / 1000), watch.fast(at), ownRoom(), first,
-                java.util.Arrays.copyOf(promised, slots), cold.spent(at, Note.MOST_BOXES), cold.knows(at, Note.MOST_BOXES)).write());
+        out.tell(new Note(
+                        watch.state(),
+                        (int) (terms.slot() / 1000),
+                        watch.fast(at),
+                        ownRoom(),
+                        first,
+                        java.util.Arrays.copyOf(promised, slots),
+                        cold.spent(at, Note.MOST_BOXES),
+                        cold.knows(at, Note.MOST_BOXES))
+                .write());
     }
 
     @Override
@@ -405,8 +462,8 @@
     }
 
     @Override
-    public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
-                        LoadReport report) {
+    public void outcome(
+            long at, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report) {
         begin(at);
         if (outcome == Outcome.TIMEOUT && !last) {
             watch.troubled(at);
@@ -471,7 +528,7 @@
             Held h = held.remove(request);
             if (h != null) {
                 unbook(h.visit);
-                visits.over(h.key);     // it may have run: its viewer is told so, not to come again
+                visits.over(h.key); // it may have run: its viewer is told so, not to come again
             }
             out.fail(request);
         }
--- a/src/main/java/dockshed/storm/Note.java
+++ b/src/main/java/dockshed/storm/Note.java
@@ -15,18 +15,31 @@
  * slots 1 (at most 40), a count each 1, boxes 1 (at most 30), for each the CRC-32C of its id 4 and a count 1
  * </pre>
  */
-record Note(Watch.State state, int slotMillis, double arrivals, double room, long firstSlot, int[] promised, List<Spent> spent,
-            boolean knows) {
+record Note(
+        Watch.State state,
+        int slotMillis,
+        double arrivals,
+        double room,
+        long firstSlot,
+        int[] promised,
+        List<Spent> spent,
+        boolean knows) {
     static final int MAGIC = 0xd5, VERSION = 1;
     static final int MOST_SLOTS = 40, MOST_BOXES = 30;
     /** The platform's limit on a datagram; the longest note has 19 + 40 + 150 bytes. */
     static final int MOST_BYTES = 256;
+
     private static final int HEAD = 17;
 
     byte[] write() {
         ByteBuffer b = ByteBuffer.allocate(HEAD + 1 + promised.length + 1 + 5 * spent.size());
-        b.put((byte) MAGIC).put((byte) VERSION).put((byte) (state.ordinal() | (knows ? 0x80 : 0))).putShort((short) slotMillis)
-                .putShort(tenths(arrivals)).putShort(tenths(room)).putLong(firstSlot);
+        b.put((byte) MAGIC)
+                .put((byte) VERSION)
+                .put((byte) (state.ordinal() | (knows ? 0x80 : 0)))
+                .putShort((short) slotMillis)
+                .putShort(tenths(arrivals))
+                .putShort(tenths(room))
+                .putLong(firstSlot);
         b.put((byte) promised.length);
         for (int n : promised) {
             b.put((byte) Math.min(255, n));
@@ -73,6 +86,7 @@
         for (int i = 0; i < boxes; i++) {
             spent.add(new Spent(b.getInt(), b.get() & 0xff));
         }
-        return new Note(Watch.State.values()[state], width, arrivals, room, first, promised, spent, (flags & 0x80) != 0);
+        return new Note(
+                Watch.State.values()[state], width, arrivals, room, first, promised, spent, (flags & 0x80) != 0);
     }
 }
--- a/src/main/java/dockshed/storm/Room.java
+++ b/src/main/java/dockshed/storm/Room.java
@@ -17,7 +17,7 @@
     /** Promises never fall under this part of what was measured: or nobody would come to show that there is room. */
     private static final double LEAST_PART = 0.15;
 
-    private double held = 1;        // part of the room expected that promises turn out to find
+    private double held = 1; // part of the room expected that promises turn out to find
 
     private final Window sent = new Window(250_000, SPAN);
     private double tokens = 1;
--- a/src/main/java/dockshed/storm/Terms.java
+++ b/src/main/java/dockshed/storm/Terms.java
@@ -20,13 +20,46 @@
  * @param coldAim      set-ups to a freshly started box, over what it can take
  * @param notesEvery   between notes to the other brokers; 0: none are sent
  */
-public record Terms(Returns returns, long soonest, long longest, long slot, long early, long remember, long hold,
-                    int waiting, double rush, double repeats, double trouble, long calmAfter, double retryShare,
-                    double retryLeast, double coldAim, long notesEvery) {
+public record Terms(
+        Returns returns,
+        long soonest,
+        long longest,
+        long slot,
+        long early,
+        long remember,
+        long hold,
+        int waiting,
+        double rush,
+        double repeats,
+        double trouble,
+        long calmAfter,
+        double retryShare,
+        double retryLeast,
+        double coldAim,
+        long notesEvery) {
     /** CALENDAR: by the room expected; JITTER: anywhere up to the longest time; FIXED: the longest time for all. */
-    public enum Returns { CALENDAR, JITTER, FIXED }
+    public enum Returns {
+        CALENDAR,
+        JITTER,
+        FIXED
+    }
 
     /** Figures that suit sessions of half a minute and patience of seconds; the note on design has their reasons. */
-    public static final Terms USUAL = new Terms(Returns.CALENDAR, 250_000, 0, 250_000, 100_000, 60_000_000, 400_000, 1024,
-            2, 0.3, 0.3, 3_000_000, 0.2, 1, 1.4, 500_000);
+    public static final Terms USUAL = new Terms(
+            Returns.CALENDAR,
+            250_000,
+            0,
+            250_000,
+            100_000,
+            60_000_000,
+            400_000,
+            1024,
+            2,
+            0.3,
+            0.3,
+            3_000_000,
+            0.2,
+            1,
+            1.4,
+            500_000);
 }
--- a/src/main/java/dockshed/storm/Visits.java
+++ b/src/main/java/dockshed/storm/Visits.java
@@ -15,13 +15,18 @@
     private static final long WHOLE = 200_000;
 
     /** KEPT: came at or after its time; EARLY: before; UNTOLD: came back without having been told a time. */
-    enum Standing { FIRST, KEPT, EARLY, UNTOLD }
+    enum Standing {
+        FIRST,
+        KEPT,
+        EARLY,
+        UNTOLD
+    }
 
     static final class Visit {
         final long firstTry;
-        long lastSeen, refusedAt, appointed;    // appointed 0: none
+        long lastSeen, refusedAt, appointed; // appointed 0: none
         int tries;
-        boolean booked;                         // has a place in the calendar
+        boolean booked; // has a place in the calendar
 
         Visit(long now) {
             firstTry = now;
@@ -31,7 +36,7 @@
 
     private final Terms terms;
     private final LinkedHashMap<String, Visit> visits = new LinkedHashMap<>(16, 0.75f, true);
-    long forgotten;                             // for want of room, since the start
+    long forgotten; // for want of room, since the start
 
     Visits(Terms terms) {
         this.terms = terms;
@@ -65,7 +70,7 @@
     }
 
     private void forget(long now) {
-        for (Iterator<Visit> all = visits.values().iterator(); all.hasNext();) {
+        for (Iterator<Visit> all = visits.values().iterator(); all.hasNext(); ) {
             Visit v = all.next();
             if (now - Math.max(v.lastSeen, v.appointed) <= terms.remember()) {
                 return;
--- a/src/main/java/dockshed/storm/WaitingRoom.java
+++ b/src/main/java/dockshed/storm/WaitingRoom.java
@@ -21,7 +21,7 @@
     /** Of the time left to a request, what waiting may take: its set-up needs the rest. */
     private static final double PART = 0.5;
 
-    record Waiter(Request request, SessionClass cls, Visit visit, Standing standing, long came) { }
+    record Waiter(Request request, SessionClass cls, Visit visit, Standing standing, long came) {}
 
     private final Terms terms;
     private final Map<String, Waiter> waiting = new LinkedHashMap<>();
@@ -41,11 +41,12 @@
     /** What a request counts for now. */
     static double score(long now, Waiter w) {
         double age = Math.min(2, (now - w.visit().firstTry) / (double) w.cls().deadline());
-        double kept = switch (w.standing()) {
-            case KEPT -> 1.5;
-            case FIRST, UNTOLD -> 1;
-            case EARLY -> 0.25;
-        };
+        double kept =
+                switch (w.standing()) {
+                    case KEPT -> 1.5;
+                    case FIRST, UNTOLD -> 1;
+                    case EARLY -> 0.25;
+                };
         return w.cls().worth() * (1 + age) * kept + PATIENT * (now - w.came()) / 1e6;
     }
 
@@ -60,7 +61,8 @@
      */
     Waiter offer(long now, Waiter w, double perSecond) {
         double score = score(now, w);
-        long before = waiting.values().stream().filter(o -> score(now, o) >= score).count();
+        long before =
+                waiting.values().stream().filter(o -> score(now, o) >= score).count();
         if (now + (before + 1) / perSecond * 1e6 > until(w)) {
             return w;
         }
--- a/src/main/java/dockshed/storm/Watch.java
+++ b/src/main/java/dockshed/storm/Watch.java
@@ -11,7 +11,12 @@
  * only by a step to its neighbour, and STORM is never entered on fewer than {@link #FEW} arrivals in the fast span.
  */
 final class Watch {
-    enum State { CALM, RISING, STORM, EBBING }
+    enum State {
+        CALM,
+        RISING,
+        STORM,
+        EBBING
+    }
 
     /** The spans of the fast averages; the usual rate follows over ten times as long. */
     static final long FAST = 3_000_000, SLOW = 20_000_000;
@@ -29,25 +34,45 @@
     private static final long LONG_SILENT = 15_000_000;
     /** Where arrivals are not so far above the usual, repeats and refusals tell of want of room, and count so much less. */
     private static final double MORE = 1.25, WANT = 0.4;
+
     private static final double RISES = 1, STORMS = 1.75, EBBS = 1, CALMS = 0.75;
     private static final long FIRM = 400_000;
 
     /** What a state rests on, for the log; rates a second. */
-    record Signs(double fast, double usual, double repeats, double trouble, double connections, boolean fresh,
-                 int silent, double pressure) {
+    record Signs(
+            double fast,
+            double usual,
+            double repeats,
+            double trouble,
+            double connections,
+            boolean fresh,
+            int silent,
+            double pressure) {
         @Override
         public String toString() {
-            return String.format(Locale.ROOT, "arrivals=%.1f usual=%.1f repeats=%.2f trouble=%.2f connections=%.1f "
-                    + "fresh=%s silent=%d pressure=%.2f", fast, usual, repeats, trouble, connections, fresh, silent, pressure);
+            return String.format(
+                    Locale.ROOT,
+                    "arrivals=%.1f usual=%.1f repeats=%.2f trouble=%.2f connections=%.1f "
+                            + "fresh=%s silent=%d pressure=%.2f",
+                    fast,
+                    usual,
+                    repeats,
+                    trouble,
+                    connections,
+                    fresh,
+                    silent,
+                    pressure);
         }
     }
 
-    record Change(State from, State to, Signs signs) { }
+    record Change(State from, State to, Signs signs) {}
 
     private final Terms terms;
-    private final Window arrivals = new Window(LOOK, FAST), repeats = new Window(LOOK, FAST),
-            trouble = new Window(LOOK, FAST), connections = new Window(LOOK, FAST);
-    private final Map<Integer, Long> heard = new HashMap<>();       // by peer: bounded by the tier
+    private final Window arrivals = new Window(LOOK, FAST),
+            repeats = new Window(LOOK, FAST),
+            trouble = new Window(LOOK, FAST),
+            connections = new Window(LOOK, FAST);
+    private final Map<Integer, Long> heard = new HashMap<>(); // by peer: bounded by the tier
     private final int peers;
     private State state = State.CALM;
     private double usual, usualConnections;
@@ -97,14 +122,20 @@
 
     /** Peers heard of and silent since, though not for so long that they are no news. */
     int silent(long now) {
-        return terms.notesEvery() == 0 ? 0 : (int) heard.values().stream().filter(at ->
-                now - at > MISSED * Math.max(terms.notesEvery(), 250_000) && now - at < LONG_SILENT).count();
+        return terms.notesEvery() == 0
+                ? 0
+                : (int) heard.values().stream()
+                        .filter(at ->
+                                now - at > MISSED * Math.max(terms.notesEvery(), 250_000) && now - at < LONG_SILENT)
+                        .count();
     }
 
     /** Peers that speak, this broker included; 1 where none ever spoke. */
     int living(long now) {
-        return 1 + (int) heard.values().stream()
-                .filter(at -> now - at <= MISSED * Math.max(terms.notesEvery(), 250_000)).count();
+        return 1
+                + (int) heard.values().stream()
+                        .filter(at -> now - at <= MISSED * Math.max(terms.notesEvery(), 250_000))
+                        .count();
     }
 
     State state() {
@@ -134,7 +165,8 @@
         double pressure = (rush ? 1 : 0)
                 + want * ((repeated > terms.repeats() ? 1 : 0) + (troubled > terms.trouble() ? 0.75 : 0))
                 + (connects > 3 * usualConnections && connects * FAST > 1e6 * FEW ? 0.5 : 0)
-                + (fresh ? 0.25 : 0) + (silent > 0 ? 0.5 : 0);
+                + (fresh ? 0.25 : 0)
+                + (silent > 0 ? 0.5 : 0);
         return new Signs(fast, usual, repeated, troubled, connects, fresh, silent, came >= FEW ? pressure : 0);
     }
 
@@ -160,14 +192,19 @@
         boolean down = p < (state == State.EBBING ? CALMS : EBBS);
         aboveSince = up ? aboveSince : now;
         belowSince = down ? belowSince : now;
-        State next = switch (state) {
-            case CALM -> up ? State.RISING : state;
-            case RISING -> now - aboveSince >= FIRM ? State.STORM
-                    : now - belowSince >= terms.calmAfter() ? State.CALM : state;
-            case STORM -> now - belowSince >= terms.calmAfter() / 3 ? State.EBBING : state;
-            case EBBING -> now - aboveSince >= FIRM ? State.STORM
-                    : now - belowSince >= terms.calmAfter() ? State.CALM : state;
-        };
+        State next =
+                switch (state) {
+                    case CALM -> up ? State.RISING : state;
+                    case RISING ->
+                        now - aboveSince >= FIRM
+                                ? State.STORM
+                                : now - belowSince >= terms.calmAfter() ? State.CALM : state;
+                    case STORM -> now - belowSince >= terms.calmAfter() / 3 ? State.EBBING : state;
+                    case EBBING ->
+                        now - aboveSince >= FIRM
+                                ? State.STORM
+                                : now - belowSince >= terms.calmAfter() ? State.CALM : state;
+                };
         if (next == state) {
             return null;
         }
--- a/src/main/java/dockshed/storm/Window.java
+++ b/src/main/java/dockshed/storm/Window.java
@@ -4,7 +4,7 @@
 final class Window {
     private final long width;
     private final double[] counts;
-    private long latest = Long.MIN_VALUE;       // number of the newest bucket
+    private long latest = Long.MIN_VALUE; // number of the newest bucket
 
     /** Holds at least {@code span} microseconds in buckets of {@code width}. */
     Window(long width, long span) {
--- a/src/test/java/dockshed/Bench.java
+++ b/src/test/java/dockshed/Bench.java
@@ -27,6 +27,7 @@
 
     /** Lines such as "send r1 a", "refuse r1", "fail r1", "rate r1 2". */
     final List<String> log = new ArrayList<>();
+
     List<SessionClass> classes = List.of(new SessionClass("film", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0));
     Rules rules = new Rules(250_000, 0.4, 12 * S, 2, 2 * S, 0, 0, 0);
     int balancers = 1;
@@ -51,10 +52,27 @@
     }
 
     Bench start(Server... servers) {
-        Ladder ladder = new Ladder(RATES, List.of(0.2, 0.42, 0.62, 0.81, 1.0),
-                6000.0 * servers.length, 6000, uplinkKb, 2, cells, guard, 7, 800_000);
-        Settings settings = new Settings(me, balancers, "here", classes, List.of(new Kind("box", streams)), ladder,
-                new Limits(attempts, false, false, 250_000, 500_000, 800_000, 3 * S), rules, new Prices(0.04, 0.05, 0, handshake),
+        Ladder ladder = new Ladder(
+                RATES,
+                List.of(0.2, 0.42, 0.62, 0.81, 1.0),
+                6000.0 * servers.length,
+                6000,
+                uplinkKb,
+                2,
+                cells,
+                guard,
+                7,
+                800_000);
+        Settings settings = new Settings(
+                me,
+                balancers,
+                "here",
+                classes,
+                List.of(new Kind("box", streams)),
+                ladder,
+                new Limits(attempts, false, false, 250_000, 500_000, 800_000, 3 * S),
+                rules,
+                new Prices(0.04, 0.05, 0, handshake),
                 List.of(Field.LINK));
         d = new Choice(settings, seed, this);
         d.members(now, Scope.DISK, List.of(servers));
--- a/src/test/java/dockshed/CapacityTest.java
+++ b/src/test/java/dockshed/CapacityTest.java
@@ -35,37 +35,48 @@
     private Config config(int count) throws Exception {
         StringBuilder members = new StringBuilder(), peers = new StringBuilder();
         for (int i = 0; i < count; i++) {
-            members.append(i == 0 ? "" : ",").append(String.format("{\"id\":\"s-%08x\",\"host_port\":\"127.0.%d.%d:5080\","
-                    + "\"locality\":\"east\",\"flavor\":\"std\",\"cell\":%d,\"phase\":\"active\",\"size\":4,\"up_since_ms\":0}",
-                    i, i / 250, i % 250 + 1, i % 3));
+            members.append(i == 0 ? "" : ",")
+                    .append(String.format(
+                            "{\"id\":\"s-%08x\",\"host_port\":\"127.0.%d.%d:5080\","
+                                    + "\"locality\":\"east\",\"flavor\":\"std\",\"cell\":%d,\"phase\":\"active\",\"size\":4,\"up_since_ms\":0}",
+                            i, i / 250, i % 250 + 1, i % 3));
             peers.append(i == 0 ? "" : ",").append(String.format("\"127.1.%d.%d:7946\"", i / 250, i % 250 + 1));
         }
-        String text = ConfigTest.WHOLE.replaceFirst("(?s)\"notices\":.*?}]}}]", "\"notices\":[{\"rev\":1,\"pool\":"
-                + "{\"revision\":1,\"complete\":true,\"members\":[" + members + "]}}]")
+        String text = ConfigTest.WHOLE
+                .replaceFirst(
+                        "(?s)\"notices\":.*?}]}}]",
+                        "\"notices\":[{\"rev\":1,\"pool\":" + "{\"revision\":1,\"complete\":true,\"members\":["
+                                + members + "]}}]")
                 .replace("\"peers\":[\"127.0.0.1:7946\"]", "\"peers\":[" + peers + "]")
                 .replace("\"balancers\":2", "\"balancers\":" + count);
-        return Config.load(Map.of("EDGE_CONFIG", Files.writeString(dir.resolve("c.json"), text).toString()));
+        return Config.load(Map.of(
+                "EDGE_CONFIG", Files.writeString(dir.resolve("c.json"), text).toString()));
     }
 
     @Test
     void aListOfSomeHundredsIsReadWholeAndServed() throws Exception {
         for (int count : new int[] {1024, 1025}) {
             Config c = config(count);
-            List<Server> servers = c.known().get(0).members().stream().map(l -> l.server()).toList();
+            List<Server> servers =
+                    c.known().get(0).members().stream().map(l -> l.server()).toList();
             assertEquals(count, servers.size());
             assertEquals(count, c.peers().size());
             Stage stage = new Stage();
             Choice[] module = {null};
-            Broker broker = new Broker(c.settings(), a -> module[0] = new Choice(c.settings(), 1, a), m -> { },
-                    stage.deadlines);
+            Broker broker =
+                    new Broker(c.settings(), a -> module[0] = new Choice(c.settings(), 1, a), m -> {}, stage.deadlines);
             broker.members(stage.now, "names", Scope.DISK, servers);
             broker.members(stage.now, "names", Scope.CHANGES, List.of());
             assertEquals(count, module[0].known());
-            long connection = broker.connected(stage.now, stage, h -> { });
+            long connection = broker.connected(stage.now, stage, h -> {});
             for (int i = 0; i < 300; i++) {
                 String name = "v" + i;
-                broker.request(stage.now, connection, stage, stage, new Wish(name, "paid", "viewer" + i, "t", 3_000_000,
-                        0, 0, 3, 1, false, false, false, "sdp"));
+                broker.request(
+                        stage.now,
+                        connection,
+                        stage,
+                        stage,
+                        new Wish(name, "paid", "viewer" + i, "t", 3_000_000, 0, 0, 3, 1, false, false, false, "sdp"));
                 String sent = stage.log.get(stage.log.size() - 1);
                 assertTrue(sent.contains(" setUp " + name + " "), sent);
                 broker.answered(stage.now, sent.split(" ")[1], name, "answer");
@@ -87,8 +98,8 @@
                 LoopClock clock = new LoopClock(net.loop());
                 Deadlines deadlines = new Deadlines(clock::wake);
                 clock.onDue(deadlines::run);
-                Edges made = new Edges(stage.broker, net, clock, deadlines,
-                        new Edges.Terms(250_000, 30_000_000, 0, 0, List.of(), 8));
+                Edges made = new Edges(
+                        stage.broker, net, clock, deadlines, new Edges.Terms(250_000, 30_000_000, 0, 0, List.of(), 8));
                 Map<String, InetSocketAddress> at = new TreeMap<>();
                 for (int i = 0; i < 1025; i++) {
                     at.put("s-" + i, new InetSocketAddress("127.0.0.1", all.getLocalPort()));
@@ -99,9 +110,10 @@
             for (int i = 0; i < 1025; i++) {
                 String id = "s-" + i;
                 assertTrue((int) net.call(() -> {
-                    edges.hold(id, true);
-                    return edges.lines();
-                }) <= 8);
+                            edges.hold(id, true);
+                            return edges.lines();
+                        })
+                        <= 8);
             }
         } finally {
             net.close();
--- a/src/test/java/dockshed/ChoiceTest.java
+++ b/src/test/java/dockshed/ChoiceTest.java
@@ -9,8 +9,8 @@
 import dockshed.Director.Outcome;
 import dockshed.Director.Scope;
 import dockshed.Director.Server;
-import dockshed.Director.State;
 import dockshed.Director.SessionClass;
+import dockshed.Director.State;
 import dockshed.Director.Topic;
 import java.util.List;
 import org.junit.jupiter.api.Test;
@@ -20,7 +20,8 @@
     private static final long S = Bench.S;
 
     private static List<SessionClass> two() {
-        return List.of(new SessionClass("plain", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0),
+        return List.of(
+                new SessionClass("plain", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0),
                 new SessionClass("premium", Effect.SAFE, S, 4 * S, 2, 1, 0, 4, 0));
     }
 
@@ -109,7 +110,9 @@
         int before = b.log.size();
         b.now += 9 * S;
         b.d.timer(b.now, "sweep");
-        long ups = b.log.subList(before, b.log.size()).stream().filter(l -> l.startsWith("rate ")).count();
+        long ups = b.log.subList(before, b.log.size()).stream()
+                .filter(l -> l.startsWith("rate "))
+                .count();
         assertTrue(ups <= 1, b.log.subList(before, b.log.size()).toString());
     }
 
@@ -159,16 +162,22 @@
 
     @Test
     void contradictorySettingsAreRefusedByName() {
-        assertTrue(assertThrows(IllegalArgumentException.class, () -> new Ladder(List.of(), List.of(), 1, 1, 1, 1, 1, 0,
-                0, 0)).getMessage().contains("rungs"));
-        assertTrue(assertThrows(IllegalArgumentException.class, () -> new SessionClass("film", Effect.SAFE, 1, 1, 0, 1, 0,
-                0, 0)).getMessage().contains("worth of class film"));
+        assertTrue(assertThrows(
+                        IllegalArgumentException.class, () -> new Ladder(List.of(), List.of(), 1, 1, 1, 1, 1, 0, 0, 0))
+                .getMessage()
+                .contains("rungs"));
+        assertTrue(assertThrows(
+                        IllegalArgumentException.class,
+                        () -> new SessionClass("film", Effect.SAFE, 1, 1, 0, 1, 0, 0, 0))
+                .getMessage()
+                .contains("worth of class film"));
     }
 
     @Test
     void aClassThatEarnsNothingIsServedWhereThereIsRoomAndSetsNoPrice() {
         Bench b = new Bench();
-        b.classes = List.of(new SessionClass("film", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0),
+        b.classes = List.of(
+                new SessionClass("film", Effect.SAFE, S, 4 * S, 1, 1, 0, 4, 0),
                 new SessionClass("free", Effect.SAFE, S, 4 * S, 1e-6, 1, 0, 4, 0));
         b.start(Bench.server("a", 0), Bench.server("b", 1), Bench.server("c", 2));
         b.play("f", "free");
@@ -262,10 +271,12 @@
         // Each one that had left stayed in the tables, and its link in the sum of all links, for the rest of the day.
         Bench b = new Bench().start(Bench.server("a", 0), Bench.server("b", 0));
         int two = b.d.known();
-        b.d.members(b.now, Scope.CHANGES, List.of(Bench.server("b", 0, State.GONE, 0),
-                Bench.server("c", 0, State.DRAINING, 0)));
+        b.d.members(
+                b.now,
+                Scope.CHANGES,
+                List.of(Bench.server("b", 0, State.GONE, 0), Bench.server("c", 0, State.DRAINING, 0)));
         b.d.timer(b.now, "sweep");
-        assertEquals(two, b.d.known());         // c drains, and may have sessions of others
+        assertEquals(two, b.d.known()); // c drains, and may have sessions of others
         b.d.members(b.now, Scope.SNAPSHOT, List.of(Bench.server("a", 0)));
         b.d.timer(b.now, "sweep");
         assertEquals(1, b.d.known());
@@ -307,7 +318,7 @@
             assertTrue(to.equals("s0") || to.equals("s1"), to);
             b.d.gone(b.now, "r" + i);
         }
-        b.d.note(b.now, "o1", "s0", Topic.LINK, 1.2);       // full: another line is worth its price
+        b.d.note(b.now, "o1", "s0", Topic.LINK, 1.2); // full: another line is worth its price
         b.request("last");
         assertTrue(!"s0".equals(b.sentTo("last")), b.log.toString());
     }
@@ -318,7 +329,7 @@
         for (int balancers : new int[] {1, 14}) {
             Bench b = new Bench();
             b.balancers = balancers;
-            b.uplinkKb = 1000;          // a rack's, told 2,000 as all stands in one of two
+            b.uplinkKb = 1000; // a rack's, told 2,000 as all stands in one of two
             b.start(Bench.server("a", 0));
             b.request("r0");
             b.d.first(b.now, "r0", 0, "a");
@@ -330,7 +341,8 @@
 
     @Test
     void refusedTriesDoNotShutTheRoomThatIsThere() {
-        // They were counted as other directors' newcomers: the more viewers came again, the less of a free link was used.
+        // They were counted as other directors' newcomers: the more viewers came again, the less of a free link was
+        // used.
         int[] rung = new int[2];
         for (int storm = 0; storm < 2; storm++) {
             Bench b = Bench.one(0, 3).start(Bench.server("a", 0), Bench.server("b", 1));
@@ -339,8 +351,21 @@
             for (int i = 0; i < 20; i++) {
                 b.now += Bench.S / 10;
                 for (int n = 0; n < 20 && storm == 1; n++) {
-                    b.d.request(b.now, new Director.Request("x" + i + "-" + n, "film", "v", "t", 4 * Bench.S, 0, 0, 0, 4,
-                            true, false, true));        // held by no server: refused whatever the room
+                    b.d.request(
+                            b.now,
+                            new Director.Request(
+                                    "x" + i + "-" + n,
+                                    "film",
+                                    "v",
+                                    "t",
+                                    4 * Bench.S,
+                                    0,
+                                    0,
+                                    0,
+                                    4,
+                                    true,
+                                    false,
+                                    true)); // held by no server: refused whatever the room
                 }
             }
             b.d.note(b.now, "o", "a", Topic.LINK, 0.5);
@@ -348,7 +373,10 @@
             b.d.timer(b.now, "sweep");
             b.log.clear();
             b.request("r");
-            rung[storm] = Integer.parseInt(b.log.stream().filter(l -> l.startsWith("rate r ")).findFirst().orElse("rate r -1")
+            rung[storm] = Integer.parseInt(b.log.stream()
+                    .filter(l -> l.startsWith("rate r "))
+                    .findFirst()
+                    .orElse("rate r -1")
                     .split(" ")[2]);
         }
         assertEquals(rung[0], rung[1]);
--- a/src/test/java/dockshed/MethodTwoTest.java
+++ b/src/test/java/dockshed/MethodTwoTest.java
@@ -18,7 +18,7 @@
         assertEquals(0.0367, new Choice.Erlang(2, 5).loss[5], 5e-5);
         Choice.Erlang e = new Choice.Erlang(7.3, 12);
         assertEquals(1.0, Arrays.stream(e.term).sum() / e.sum[12], 1e-12);
-        assertEquals(7.3 * (1 - e.loss[12]), e.mean[12], 1e-12);    // carried load
+        assertEquals(7.3 * (1 - e.loss[12]), e.mean[12], 1e-12); // carried load
     }
 
     @Test
@@ -61,11 +61,12 @@
 
     @Test
     void aLargeServersSlotsAreGoneThroughInSteps() {
-        // Guards against trying each pair of quotas: at the fleet's size a server has hundreds of slots, the pairs' sums
+        // Guards against trying each pair of quotas: at the fleet's size a server has hundreds of slots, the pairs'
+        // sums
         // grow with their cube, and every broker stood still for over a second at its first recompute, five seconds
         // after its start. 8,000 slots that way take minutes and gigabytes.
-        int[] best = assertTimeoutPreemptively(Duration.ofSeconds(30),
-                () -> Choice.bestQuotas(8000, 300, 900, 1, 3, 1));
+        int[] best =
+                assertTimeoutPreemptively(Duration.ofSeconds(30), () -> Choice.bestQuotas(8000, 300, 900, 1, 3, 1));
         assertTrue(best[0] + best[1] <= 8000);
         // 1,000 erlangs: the terms' sum is beyond a double's range unless it begins small.
         assertTrue(Choice.bestQuotas(1100, 300, 700, 1, 3, 1)[0] > 0);
@@ -76,7 +77,8 @@
         for (int slots : new int[] {65, 100, 130}) {
             double heavy = slots * 0.9;
             int[] best = Choice.bestQuotas(slots, heavy * 0.3, heavy * 0.7, 1, 3, 1);
-            double found = Choice.payoff(best[0], best[1], slots - best[0] - best[1], heavy * 0.3, heavy * 0.7, 1, 3, 1);
+            double found =
+                    Choice.payoff(best[0], best[1], slots - best[0] - best[1], heavy * 0.3, heavy * 0.7, 1, 3, 1);
             double most = found;
             for (int h = 0; h <= slots; h++) {
                 for (int l = 0; h + l <= slots; l++) {
--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -29,8 +29,9 @@
 class ProgramTest {
     @TempDir
     Path dir;
+
     private Process process;
-    private int limit;              // of descriptors; 0: as it is here
+    private int limit; // of descriptors; 0: as it is here
     private BufferedReader log;
 
     private void start(String config, String... arguments) throws Exception {
@@ -88,13 +89,18 @@
         int port = port(line("serving:"));
         try (Socket s = new Socket("127.0.0.1", port)) {
             assertEquals(200, ask(s, TEST).status());
-            process.toHandle().destroy();   // SIGTERM; the log stays open
+            process.toHandle().destroy(); // SIGTERM; the log stays open
             line("planned end begun");
             // Viewers still come at a planned end; they must be let in and answered.
             try (Socket late = new Socket("127.0.0.1", port)) {
                 assertEquals(200, ask(late, TEST).status());
-                assertEquals(453, ask(late, "SETUP rtsp://media/t RTSP/1.0\r\nSession: 0123456789abcdef\r\n"
-                        + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 5\r\n\r\nv=0\r\n").status());
+                assertEquals(
+                        453,
+                        ask(
+                                        late,
+                                        "SETUP rtsp://media/t RTSP/1.0\r\nSession: 0123456789abcdef\r\n"
+                                                + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 5\r\n\r\nv=0\r\n")
+                                .status());
             }
         }
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
@@ -115,10 +121,14 @@
             while (true) {
                 Headed answer;
                 try {
-                    answer = ask(s, String.format("SETUP rtsp://media/t RTSP/1.0\r\nSession: %016x\r\n"
-                            + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 5\r\n\r\nv=0\r\n", ++asked));
+                    answer = ask(
+                            s,
+                            String.format(
+                                    "SETUP rtsp://media/t RTSP/1.0\r\nSession: %016x\r\n"
+                                            + "Priority-Class: paid\r\nExpires-Ms: 3000\r\nContent-Length: 5\r\n\r\nv=0\r\n",
+                                    ++asked));
                 } catch (java.net.SocketException e) {
-                    answer = null;      // it came when the program was no more
+                    answer = null; // it came when the program was no more
                 }
                 if (answer == null) {
                     break;
@@ -137,7 +147,7 @@
     void sighupReadsTheConfigurationAgainAndABadFileLeavesTheOldOne() throws Exception {
         // Without a handler a JVM takes SIGHUP for the planned end.
         try (DatagramSocket first = new DatagramSocket(0, InetAddress.getLoopbackAddress());
-             DatagramSocket second = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                DatagramSocket second = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             String named = ConfigTest.WHOLE.replace("\"127.0.0.1:9\"", "\"127.0.0.1:PORT\"");
             Path file = dir.resolve("config.json");
             start(named.replace("PORT", "" + first.getLocalPort()), "serve");
@@ -159,11 +169,12 @@
     @Test
     void idleViewersThatFillTheDescriptorsWhileDiscoveryIsDownLeaveRoomForWhoAsks() throws Exception {
         try (ServerSocket box = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-             DatagramSocket names = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+                DatagramSocket names = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
             int port;
             int namesPort = names.getLocalPort();
-            names.close();      // out of reach
-            String config = served(box).replace("\"sockets\":512", "\"sockets\":192")
+            names.close(); // out of reach
+            String config = served(box)
+                    .replace("\"sockets\":512", "\"sockets\":192")
                     .replace("\"127.0.0.1:9\"", "\"127.0.0.1:" + namesPort + "\"");
             // The jars of the tests' class path take a few more than the program's one.
             limit = 192 + 24;
@@ -218,14 +229,17 @@
     }
 
     private static void answer(Socket line, String id) throws Exception {
-        line.getOutputStream().write(("{\"type\":\"answer\",\"id\":\"" + id
-                + "\",\"fields\":{},\"sdp\":\"v=1\\r\\n\"}\n").getBytes(StandardCharsets.UTF_8));
+        line.getOutputStream()
+                .write(("{\"type\":\"answer\",\"id\":\"" + id + "\",\"fields\":{},\"sdp\":\"v=1\\r\\n\"}\n")
+                        .getBytes(StandardCharsets.UTF_8));
     }
 
     /** A configuration with one server, there. */
     private static String served(ServerSocket box) {
-        return ConfigTest.WHOLE.replace("127.0.0.1:5080", "127.0.0.1:" + box.getLocalPort())
-                .replace("leaving", "active").replace("1500}", "0}");
+        return ConfigTest.WHOLE
+                .replace("127.0.0.1:5080", "127.0.0.1:" + box.getLocalPort())
+                .replace("leaving", "active")
+                .replace("1500}", "0}");
     }
 
     @Test
@@ -235,14 +249,17 @@
             start(served(box), "serve");
             int port = port(line("serving:"));
             String out = "00000000000000a1", half = "00000000000000a2", late = "00000000000000a3";
-            try (Socket one = new Socket("127.0.0.1", port); Socket two = new Socket("127.0.0.1", port)) {
+            try (Socket one = new Socket("127.0.0.1", port);
+                    Socket two = new Socket("127.0.0.1", port)) {
                 one.getOutputStream().write(setUp(out).getBytes(StandardCharsets.UTF_8));
                 Socket line = box.accept();
                 line.setSoTimeout(20_000);
-                assertTrue(new BufferedReader(new InputStreamReader(line.getInputStream())).readLine().contains(out));
+                assertTrue(new BufferedReader(new InputStreamReader(line.getInputStream()))
+                        .readLine()
+                        .contains(out));
                 two.getOutputStream().write(setUp(half).substring(0, 60).getBytes(StandardCharsets.UTF_8));
                 process.toHandle().destroy();
-                try (Socket three = new Socket("127.0.0.1", port)) {    // accepted by the system, as the end begins
+                try (Socket three = new Socket("127.0.0.1", port)) { // accepted by the system, as the end begins
                     three.getOutputStream().write(setUp(late).getBytes(StandardCharsets.UTF_8));
                     two.getOutputStream().write(setUp(half).substring(60).getBytes(StandardCharsets.UTF_8));
                     answer(line, out);
@@ -250,7 +267,9 @@
                     // The module may send the others on or refuse them: either way each has its one answer.
                     for (Socket s : List.of(two, three)) {
                         Headed answer = ask(s, "");
-                        assertTrue(answer.status() >= 400 && answer.status() <= 504, answer.first());   // the box answers only the first
+                        assertTrue(
+                                answer.status() >= 400 && answer.status() <= 504,
+                                answer.first()); // the box answers only the first
                         assertEquals(s == two ? half : late, answer.header("session"));
                     }
                     Headed end = ask(one, "");
@@ -265,7 +284,11 @@
     }
 
     private void hangUp() throws Exception {
-        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+        assertEquals(
+                0,
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor());
     }
 
     private static void asked(DatagramSocket names) throws Exception {
@@ -275,8 +298,9 @@
 
     @Test
     void itServesHlsWhereAFileSaysSo() throws Exception {
-        Path file = Files.writeString(dir.resolve("hls.json"), "{\"listen\":\"127.0.0.1:0\",\"servers\":"
-                + "[{\"id\":\"a\",\"host_port\":\"127.0.0.1:9\"}]}");
+        Path file = Files.writeString(
+                dir.resolve("hls.json"),
+                "{\"listen\":\"127.0.0.1:0\",\"servers\":" + "[{\"id\":\"a\",\"host_port\":\"127.0.0.1:9\"}]}");
         start(ConfigTest.WHOLE, "serve", "--hls", file.toString());
         try (Socket s = new Socket("127.0.0.1", port(line("serving HLS:")))) {
             assertEquals(404, ask(s, "GET /sessions/0/0.m3u8 HTTP/1.1\r\n\r\n").status());
@@ -291,7 +315,11 @@
             assertEquals(200, ask(s, TEST).status());
         }
         stop();
-        start(ConfigTest.WHOLE, "serve", "--conf", Files.writeString(dir.resolve("x.conf"), "storm {\nhold 2\n}").toString());
+        start(
+                ConfigTest.WHOLE,
+                "serve",
+                "--conf",
+                Files.writeString(dir.resolve("x.conf"), "storm {\nhold 2\n}").toString());
         assertTrue(line("x.conf").contains("x.conf:2: hold: expected a time from 0s to 1s, got 2"));
         assertTrue(process.waitFor(20, TimeUnit.SECONDS));
         assertEquals(2, process.exitValue());
@@ -308,8 +336,10 @@
     @Test
     void anAddressInUseEndsItWithAWord() throws Exception {
         try (java.net.ServerSocket taken = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
-            start(ConfigTest.WHOLE.replace("\"listen\":\"127.0.0.1:0\"",
-                    "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""), "serve");
+            start(
+                    ConfigTest.WHOLE.replace(
+                            "\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + taken.getLocalPort() + "\""),
+                    "serve");
             line("dockshed: cannot serve");
             assertTrue(process.waitFor(20, TimeUnit.SECONDS));
             assertEquals(1, process.exitValue());
@@ -325,7 +355,8 @@
         assertEquals(0, process.exitValue());
         List<String> deploy = Files.readAllLines(Path.of("deploy/balancer.toml"));
         assertTrue(deploy.stream().anyMatch(l -> l.startsWith("build = ") && l.contains("sh deploy/archive.sh")));
-        assertTrue(deploy.stream().anyMatch(l -> l.startsWith("run = ") && l.contains("SharedArchiveFile=target/dockshed.jsa")));
+        assertTrue(deploy.stream()
+                .anyMatch(l -> l.startsWith("run = ") && l.contains("SharedArchiveFile=target/dockshed.jsa")));
     }
 
     @Test
--- a/src/test/java/dockshed/RulesTest.java
+++ b/src/test/java/dockshed/RulesTest.java
@@ -162,8 +162,12 @@
                 b.end("r" + i, Outcome.FULL, false);
             }
             b.now += S / 2;
-            long extra = b.count("send ") - b.log.stream().filter(l -> l.startsWith("send "))
-                    .map(l -> l.split(" ")[1]).distinct().count();
+            long extra = b.count("send ")
+                    - b.log.stream()
+                            .filter(l -> l.startsWith("send "))
+                            .map(l -> l.split(" ")[1])
+                            .distinct()
+                            .count();
             assertTrue(extra <= 1 + 0.2 * (i + 1), "extra " + extra + " after " + (i + 1));
         }
     }
@@ -176,7 +180,7 @@
             Bench b = Bench.one(me, 100);
             b.start(Bench.server("a", 0));
             b.now += me * S / 50;
-            for (int i = 0; i < 10; i++) {          // half a request a second each, as usual there
+            for (int i = 0; i < 10; i++) { // half a request a second each, as usual there
                 b.request("u" + i);
                 b.end("u" + i, Outcome.OK, true);
                 b.now += 2 * S;
@@ -190,7 +194,7 @@
     }
 
     /** How tries come to the directors of a cold server. */
-    private record Ramp(int directors, double perSecond, boolean uneven, boolean full, boolean again) { }
+    private record Ramp(int directors, double perSecond, boolean uneven, boolean full, boolean again) {}
 
     /**
      * The real module, so many of it, and one server of four that has just started: the most that it gets in a window of the
@@ -213,7 +217,7 @@
             }
             b.d.members(b.now, Scope.CHANGES, List.of(Bench.server("c", 0, State.UP, begin)));
             all.add(b);
-            sum += r.uneven && me % 10 == 0 ? 8 : 1;    // one in ten has several times the mean
+            sum += r.uneven && me % 10 == 0 ? 8 : 1; // one in ten has several times the mean
             upTo[me] = sum;
         }
         java.util.ArrayDeque<Long> sends = new java.util.ArrayDeque<>();
@@ -253,15 +257,22 @@
 
     @Test
     void whateverComesToHoweverManyDirectorsAColdServerIsNotPushedOver() {
-        // With a coin by each director's own rate of tries a hundred sent 1.9 times what is borne where all else was full.
+        // With a coin by each director's own rate of tries a hundred sent 1.9 times what is borne where all else was
+        // full.
         for (int directors : List.of(2, 20, 30, 100, 1024)) {
-            for (Ramp r : List.of(new Ramp(directors, 40, false, false, false), new Ramp(directors, 400, true, false, true),
-                    new Ramp(directors, 400, true, true, false), new Ramp(directors, 40, true, true, true))) {
+            for (Ramp r : List.of(
+                    new Ramp(directors, 40, false, false, false),
+                    new Ramp(directors, 400, true, false, true),
+                    new Ramp(directors, 400, true, true, false),
+                    new Ramp(directors, 40, true, true, true))) {
                 for (long seed = 1; seed <= 2; seed++) {
                     double[] got = ramp(r, seed);
                     assertTrue(got[0] <= 1, r + " seed " + seed + ": " + got[0]);
-                    // What stands unused beside a full fleet is a loss, too: a quarter at least of what it takes meanwhile.
-                    assertTrue(!r.full || r.perSecond < 400 || got[1] >= 40 * 0.7 / 4, r + " seed " + seed + ": " + got[1]);
+                    // What stands unused beside a full fleet is a loss, too: a quarter at least of what it takes
+                    // meanwhile.
+                    assertTrue(
+                            !r.full || r.perSecond < 400 || got[1] >= 40 * 0.7 / 4,
+                            r + " seed " + seed + ": " + got[1]);
                 }
             }
         }
--- a/src/test/java/dockshed/SimHostTest.java
+++ b/src/test/java/dockshed/SimHostTest.java
@@ -39,7 +39,9 @@
     private int raw(String in) {
         ByteArrayOutputStream o = new ByteArrayOutputStream();
         ByteArrayOutputStream e = new ByteArrayOutputStream();
-        int status = SimHost.run(new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)), o,
+        int status = SimHost.run(
+                new ByteArrayInputStream(in.getBytes(StandardCharsets.UTF_8)),
+                o,
                 new PrintStream(e, true, StandardCharsets.UTF_8));
         out = o.toString(StandardCharsets.UTF_8);
         err = e.toString(StandardCharsets.UTF_8);
@@ -51,7 +53,9 @@
         assertEquals(0, run("", BOOT, CALL), () -> err);
         String[] lines = out.split("\n");
         assertEquals("{\"decisions\":[]}", lines[0]);
-        assertTrue(lines[2].contains("\"submit_to\":{\"director_id\":\"director/0\",\"call\":\"t/1\",\"node\":\"n1\""), out);
+        assertTrue(
+                lines[2].contains("\"submit_to\":{\"director_id\":\"director/0\",\"call\":\"t/1\",\"node\":\"n1\""),
+                out);
         assertEquals("", err);
     }
 
@@ -66,7 +70,11 @@
         assertEquals(1, run(BOOT, "{\"datagram\":{\"director_id\":\"director/0\",\"author\":1,\"bytes\":\"xyz\"}}"));
         assertEquals("simhost: datagram: member 'bytes' is not hex\n", err);
         assertEquals(1, raw("not json\n"));
-        assertTrue(err.startsWith("simhost: not JSON: ") && err.endsWith("\n") && err.lines().count() == 1, err);
+        assertTrue(
+                err.startsWith("simhost: not JSON: ")
+                        && err.endsWith("\n")
+                        && err.lines().count() == 1,
+                err);
         assertEquals(1, run(BOOT.replace("\"points\":1.0", "\"points\":-1")));
         assertTrue(err.contains("classes: member 'points'"), err);
         assertEquals(0, run(BOOT.replace("\"points\":1.0", "\"points\":0"), CALL), () -> err);
--- a/src/test/java/dockshed/config/ConfFileTest.java
+++ b/src/test/java/dockshed/config/ConfFileTest.java
@@ -26,8 +26,9 @@
 
     @Test
     void valuesCarryUnitsAndWhatIsLeftOutHasItsDefault() {
-        Terms t = storm("# a comment\n\nstorm {   # on\n\treturns \"jitter\"\n longest 1.5s\n retry_share 12.5% # of fresh\n"
-                + "retry_least 30/m\ncalm_after 0.1m\nnotes_every 0s\n}\n");
+        Terms t = storm(
+                "# a comment\n\nstorm {   # on\n\treturns \"jitter\"\n longest 1.5s\n retry_share 12.5% # of fresh\n"
+                        + "retry_least 30/m\ncalm_after 0.1m\nnotes_every 0s\n}\n");
         assertEquals(Terms.Returns.JITTER, t.returns());
         assertEquals(1_500_000, t.longest());
         assertEquals(0.125, t.retryShare());
@@ -42,25 +43,37 @@
 
     @Test
     void everyFaultNamesFileLineKeyAndWhatWasExpected() {
-        assertEquals(List.of("x.conf:2: soonest: expected a time from 10ms to 60s, got 5",
-                "x.conf:3: returns: expected one of calendar, jitter, fixed, got sooner",
-                "x.conf:4: retry_share: expected a share from 0% to 100%, got 120%",
-                "x.conf:5: waiting: expected a whole number, got 1.5",
-                "x.conf:6: hold: expected a time from 0s to 1s, got nothing"),
+        assertEquals(
+                List.of(
+                        "x.conf:2: soonest: expected a time from 10ms to 60s, got 5",
+                        "x.conf:3: returns: expected one of calendar, jitter, fixed, got sooner",
+                        "x.conf:4: retry_share: expected a share from 0% to 100%, got 120%",
+                        "x.conf:5: waiting: expected a whole number, got 1.5",
+                        "x.conf:6: hold: expected a time from 0s to 1s, got nothing"),
                 faults("storm {\nsoonest 5\nreturns sooner\nretry_share 120%\nwaiting 1.5\nhold\n}").stream()
-                        .sorted().toList());
-        assertTrue(faults("storm {\nholdd 1s\n}").get(0).startsWith("x.conf:2: holdd: expected one of enabled, returns,"));
-        assertTrue(faults("strom {\n}").get(0).startsWith("x.conf:1: strom: expected one of storm, fleet, got an unknown"));
-        assertEquals(List.of("x.conf:3: hold: expected it once, and it stands in line 2, got it again"),
+                        .sorted()
+                        .toList());
+        assertTrue(
+                faults("storm {\nholdd 1s\n}").get(0).startsWith("x.conf:2: holdd: expected one of enabled, returns,"));
+        assertTrue(faults("strom {\n}")
+                .get(0)
+                .startsWith("x.conf:1: strom: expected one of storm, fleet, got an unknown"));
+        assertEquals(
+                List.of("x.conf:3: hold: expected it once, and it stands in line 2, got it again"),
                 faults("storm {\nhold 1s\nhold 1s\n}"));
-        assertEquals(List.of("x.conf:1: storm: expected a closing brace, got the end of the file"), faults("storm {\nhold 1s"));
+        assertEquals(
+                List.of("x.conf:1: storm: expected a closing brace, got the end of the file"),
+                faults("storm {\nhold 1s"));
         assertEquals(List.of("x.conf:1: storm: expected a section: 'storm {', got on"), faults("storm on"));
         assertEquals(List.of("x.conf:1: }: expected an open section, got }"), faults("}"));
-        assertEquals(List.of("x.conf:2: hold: expected a closing quote, got the end of the line"),
+        assertEquals(
+                List.of("x.conf:2: hold: expected a closing quote, got the end of the line"),
                 faults("storm {\nhold \"1s\n}"));
-        assertEquals(List.of("x.conf:2: soonest: expected at most longest, got 5s"),
+        assertEquals(
+                List.of("x.conf:2: soonest: expected at most longest, got 5s"),
                 faults("storm {\nsoonest 5s\nlongest 2s\n}"));
-        assertEquals(List.of("x.conf:2: hold: expected a time from 0s to 1s, got 1s 2s"), faults("storm {\nhold 1s 2s\n}"));
+        assertEquals(
+                List.of("x.conf:2: hold: expected a time from 0s to 1s, got 1s 2s"), faults("storm {\nhold 1s 2s\n}"));
     }
 
     @Test
@@ -96,13 +109,22 @@
     void filesThatAreNoTextAreToldSo(@TempDir Path dir) throws Exception {
         Path file = dir.resolve("c.conf");
         byte[] cut = "storm { # ü".getBytes(StandardCharsets.UTF_8);
-        Files.write(file, java.util.Arrays.copyOf(cut, cut.length - 1));    // in the midst of a character
-        assertTrue(assertThrows(Fields.Malformed.class, () -> OperatorConfig.load(file.toString())).getMessage().contains("UTF-8"));
+        Files.write(file, java.util.Arrays.copyOf(cut, cut.length - 1)); // in the midst of a character
+        assertTrue(assertThrows(Fields.Malformed.class, () -> OperatorConfig.load(file.toString()))
+                .getMessage()
+                .contains("UTF-8"));
         Files.write(file, new byte[ConfFile.MOST_BYTES + 1]);
-        assertTrue(assertThrows(Fields.Malformed.class, () -> OperatorConfig.load(file.toString())).getMessage().contains("longer"));
-        assertThrows(Fields.Malformed.class, () -> OperatorConfig.load(dir.resolve("none").toString()));
-        assertTrue(assertThrows(Fields.Malformed.class, () -> ConfFile.read("x.conf", "a {\n".repeat(20)).check())
-                .getMessage().contains("sections in sections"));
+        assertTrue(assertThrows(Fields.Malformed.class, () -> OperatorConfig.load(file.toString()))
+                .getMessage()
+                .contains("longer"));
+        assertThrows(
+                Fields.Malformed.class,
+                () -> OperatorConfig.load(dir.resolve("none").toString()));
+        assertTrue(assertThrows(
+                        Fields.Malformed.class,
+                        () -> ConfFile.read("x.conf", "a {\n".repeat(20)).check())
+                .getMessage()
+                .contains("sections in sections"));
     }
 
     @Test
--- a/src/test/java/dockshed/config/ConfigTest.java
+++ b/src/test/java/dockshed/config/ConfigTest.java
@@ -56,10 +56,11 @@
 
     @Test
     void whatMayBeAbsentHasADefaultAndTheEnvironmentComesFirst() {
-        String less = WHOLE.replace("\"peer_listen\":\"127.0.0.1:0\",", "").replace("\"peers_all\":\"127.0.0.1:7947\",", "")
-                .replace(",\"idle_close\":20000.0", "").replace("\"limits\":{\"cores\":1.0,\"memory_mb\":192,\n\"sockets\":512},", "");
-        Config c = Config.read(Config.parse(less, "config"),
-                Map.of("EDGE_NAME", "n9", "EDGE_LISTEN", "127.0.0.2:80"));
+        String less = WHOLE.replace("\"peer_listen\":\"127.0.0.1:0\",", "")
+                .replace("\"peers_all\":\"127.0.0.1:7947\",", "")
+                .replace(",\"idle_close\":20000.0", "")
+                .replace("\"limits\":{\"cores\":1.0,\"memory_mb\":192,\n\"sockets\":512},", "");
+        Config c = Config.read(Config.parse(less, "config"), Map.of("EDGE_NAME", "n9", "EDGE_LISTEN", "127.0.0.2:80"));
         assertEquals("n9", c.name());
         assertEquals("127.0.0.2", c.listen().getHostString());
         assertNull(c.peerListen());
@@ -91,7 +92,8 @@
         complains("\"cold_from\":0.4", "\"cold_from\":4", "cold_from");
         complains("\"try_limit\":3", "\"try_limit\":0", "try_limit");
         complains("\"kind_slots\":[22]", "\"kind_slots\":[0]", "kind_slots of kind std");
-        String paid = "{\"deadline\":4000.0,\"effect\":\"at_most_once\",\n\"goal_time\":800.0,\"name\":\"paid\",\"points\":1.0}";
+        String paid =
+                "{\"deadline\":4000.0,\"effect\":\"at_most_once\",\n\"goal_time\":800.0,\"name\":\"paid\",\"points\":1.0}";
         complains(paid, paid + "," + paid, "config.settings.classes: member 'name' is there twice: paid");
         complains("\"lowest_rung\":[1]", "\"lowest_rung\":[]", "'lowest_rung'");
         complains("\"peers\":[\"127.0.0.1:7946\"]", "\"peers\":[3]", "config: member 'peers'");
@@ -104,9 +106,13 @@
     void aClassWithoutWorthIsReadAndOneOfEachFigureMayDiffer() {
         // A customer's class that earns nothing ended the start.
         for (String none : List.of("", ",\"points\":0")) {
-            Config c = read(WHOLE.replace("\"points\":1.0}", "\"points\":7.0},{\"deadline\":900.0,\"effect\":\"idempotent\","
-                    + "\"goal_time\":300.0,\"name\":\"odd one\"" + none + "}").replace("\"class_scale\":[1]", "\"class_scale\":[1,0.3]")
-                    .replace("\"class_seats\":[0]", "\"class_seats\":[0,9]").replace("\"lowest_rung\":[1]", "\"lowest_rung\":[1,0]")
+            Config c = read(WHOLE.replace(
+                            "\"points\":1.0}",
+                            "\"points\":7.0},{\"deadline\":900.0,\"effect\":\"idempotent\","
+                                    + "\"goal_time\":300.0,\"name\":\"odd one\"" + none + "}")
+                    .replace("\"class_scale\":[1]", "\"class_scale\":[1,0.3]")
+                    .replace("\"class_seats\":[0]", "\"class_seats\":[0,9]")
+                    .replace("\"lowest_rung\":[1]", "\"lowest_rung\":[1,0]")
                     .replace("\"top_by_class\":[1]", "\"top_by_class\":[1,9]"));
             Director.SessionClass odd = c.settings().classes().get(1);
             assertTrue(odd.worth() > 0 && odd.worth() < 1e-5 && odd.top() == 1, odd.toString());
@@ -124,9 +130,15 @@
         assertEquals(new HlsConfig.Eureka(h.eureka().at(), "/eureka", "B", 5_000_000), h.eureka());
         assertEquals(20_000_000, h.idle());
         assertEquals(State.UP, h.servers().get(0).server().state());
-        for (Map.Entry<String, String> bad : Map.of("{}", "servers", "{\"listen\":1,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}",
-                "'listen'", "{\"listen\":\"127.0.0.1:1\",\"eureka\":{\"at\":\"127.0.0.1:1\"}}", "hls.eureka: member 'app'",
-                "{\"listen\":\"127.0.0.1:1\",\"idle_ms\":5,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}", "'idle_ms'")
+        for (Map.Entry<String, String> bad : Map.of(
+                        "{}",
+                        "servers",
+                        "{\"listen\":1,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}",
+                        "'listen'",
+                        "{\"listen\":\"127.0.0.1:1\",\"eureka\":{\"at\":\"127.0.0.1:1\"}}",
+                        "hls.eureka: member 'app'",
+                        "{\"listen\":\"127.0.0.1:1\",\"idle_ms\":5,\"eureka\":{\"at\":\"127.0.0.1:1\",\"app\":\"B\"}}",
+                        "'idle_ms'")
                 .entrySet()) {
             Fields.Malformed e = assertThrows(Fields.Malformed.class, () -> hls(bad.getKey()), bad.getKey());
             assertTrue(e.getMessage().contains(bad.getValue()), e.getMessage());
@@ -144,7 +156,11 @@
         assertEquals(2, both.size());
         assertTrue(both.get(0).contains("server a") && both.get(1).contains("uplink_kb"), both.toString());
         // No uplink at all is no doubt.
-        assertEquals(1, h.doubts(read(link.replace("\"uplink_kb\":9000.0", "\"uplink_kb\":0")).settings()).size());
+        assertEquals(
+                1,
+                h.doubts(read(link.replace("\"uplink_kb\":9000.0", "\"uplink_kb\":0"))
+                                .settings())
+                        .size());
     }
 
     @Test
--- a/src/test/java/dockshed/config/DocExamplesTest.java
+++ b/src/test/java/dockshed/config/DocExamplesTest.java
@@ -38,12 +38,14 @@
                 files.sorted().forEach(pages::add);
             }
         }
-        Parser parser = Parser.builder().includeSourceSpans(IncludeSourceSpans.BLOCKS).build();
+        Parser parser =
+                Parser.builder().includeSourceSpans(IncludeSourceSpans.BLOCKS).build();
         for (Path page : pages) {
             parser.parse(Files.readString(page)).accept(new AbstractVisitor() {
                 @Override
                 public void visit(FencedCodeBlock b) {
-                    out.add(new Example(page, b.getSourceSpans().get(0).getLineIndex() + 1, b.getInfo(), b.getLiteral()));
+                    out.add(new Example(
+                            page, b.getSourceSpans().get(0).getLineIndex() + 1, b.getInfo(), b.getLiteral()));
                 }
             });
         }
@@ -53,7 +55,9 @@
     @Test
     void everyFencedExampleIsOfAKindThatIsChecked() throws IOException {
         for (Example e : examples()) {
-            assertTrue(Set.of("conf", "log").contains(e.kind()), e + ": nothing checks a block of kind '" + e.kind() + "'");
+            assertTrue(
+                    Set.of("conf", "log").contains(e.kind()),
+                    e + ": nothing checks a block of kind '" + e.kind() + "'");
         }
     }
 
@@ -114,6 +118,9 @@
             rows++;
         }
         assertEquals(7, rows, "directives in the table");
-        assertEquals(dockshed.fleet.FleetTerms.USUAL, OperatorConfig.read(ConfFile.read("docs/ops/fleet.md", conf + "}\n")).fleet());
+        assertEquals(
+                dockshed.fleet.FleetTerms.USUAL,
+                OperatorConfig.read(ConfFile.read("docs/ops/fleet.md", conf + "}\n"))
+                        .fleet());
     }
 }
--- a/src/test/java/dockshed/core/BrokerTest.java
+++ b/src/test/java/dockshed/core/BrokerTest.java
@@ -23,15 +23,23 @@
         s.ask("v1", "safe");
         s.broker.answered(s.now, "a", "v1", "answer");
         s.ended("a", "v1", Outcome.OK);
-        s.ended("a", "v1", Outcome.OK);      // sent again on the next connection
-        assertEquals(List.of("box a setUp v1 left=2990", "box a hold true", "front served v1 0..0", "module first 0 a",
-                "front over v1 OK", "box a hold false", "module outcome 0 a OK last"), s.log);
+        s.ended("a", "v1", Outcome.OK); // sent again on the next connection
+        assertEquals(
+                List.of(
+                        "box a setUp v1 left=2990",
+                        "box a hold true",
+                        "front served v1 0..0",
+                        "module first 0 a",
+                        "front over v1 OK",
+                        "box a hold false",
+                        "module outcome 0 a OK last"),
+                s.log);
         assertEquals(0, s.broker.standing() + s.broker.unanswered());
     }
 
     @Test
     void aRequestThatTheModuleForgetsFailsBeforeItsTimeIsUp() {
-        s.onRequest = r -> { };
+        s.onRequest = r -> {};
         s.ask("v1", "safe");
         s.pass(3 * S - 11 * MS);
         assertEquals(0, s.count("front"));
@@ -45,8 +53,13 @@
         s.onOutcome = id -> s.actions.send(id, "b", 0);
         s.ask("v1", "safe");
         s.pass(400 * MS);
-        assertEquals(List.of("box a setUp v1 left=400", "box a giveUp v1", "module outcome 0 a TIMEOUT",
-                "box b setUp v1 left=2590"), s.log);
+        assertEquals(
+                List.of(
+                        "box a setUp v1 left=400",
+                        "box a giveUp v1",
+                        "module outcome 0 a TIMEOUT",
+                        "box b setUp v1 left=2590"),
+                s.log);
         // The server that was given up answers after all: that is no session, and no second answer.
         s.broker.answered(s.now, "a", "v1", "late");
         assertEquals(0, s.count("front"));
@@ -76,7 +89,7 @@
                 if (t.count("module outcome") == 1) {
                     t.actions.send(id, "b", 0);
                 } else {
-                    t.actions.refuse(id, S);     // refusing is a promise as well: trying again is harmless
+                    t.actions.refuse(id, S); // refusing is a promise as well: trying again is harmless
                 }
             };
             t.ask("v1", "paid");
@@ -183,8 +196,13 @@
         s.now += 3 * S - 5 * MS;
         s.broker.leave(s.now, "v1");
         s.pass(S);
-        assertEquals(List.of("box a setUp v1 left=2990", "box a giveUp v1", "module outcome 0 a TIMEOUT",
-                "front failed v1 late"), s.log);
+        assertEquals(
+                List.of(
+                        "box a setUp v1 left=2990",
+                        "box a giveUp v1",
+                        "module outcome 0 a TIMEOUT",
+                        "front failed v1 late"),
+                s.log);
         assertEquals(0, s.broker.unanswered());
     }
 
@@ -192,17 +210,21 @@
     void aViewerThatSaysNoMoreIsAnsweredAtOnceAndNotTriedAgain() {
         s.ask("v1", "paid");
         s.ask("v2", "safe");
-        s.onRequest = r -> { };
+        s.onRequest = r -> {};
         s.ask("v3", "paid");
         s.broker.silenced(s.now, s.connection);
         s.ended("a", "v1", Outcome.FULL);
         s.ended("a", "v2", Outcome.RESET);
         s.broker.answered(s.now, "a", "v1", "crossed");
         s.pass(5 * S);
-        assertEquals(List.of("front failed v1", "front refused v2 2000", "front refused v3 2000"),
+        assertEquals(
+                List.of("front failed v1", "front refused v2 2000", "front refused v3 2000"),
                 s.log.stream().filter(l -> l.startsWith("front")).sorted().toList());
-        assertEquals(List.of("box a giveUp v1", "box a giveUp v2"),
-                s.log.stream().filter(l -> l.startsWith("box") && !l.contains("setUp")).toList());
+        assertEquals(
+                List.of("box a giveUp v1", "box a giveUp v2"),
+                s.log.stream()
+                        .filter(l -> l.startsWith("box") && !l.contains("setUp"))
+                        .toList());
         assertEquals(2, s.count("box a setUp"));
         assertEquals(3, s.count("module gone"));
         assertEquals(0, s.broker.unanswered() + s.broker.standing());
@@ -224,7 +246,7 @@
         s.ended("a", "v1", Outcome.RESET);
         assertEquals(0, s.count("front over"));
         s.pass(300 * MS);
-        s.connection = s.broker.connected(s.now, s, h -> { });
+        s.connection = s.broker.connected(s.now, s, h -> {});
         assertEquals(0, s.count("front over v1 RESET"), "nobody may be reading there");
         s.ask("v2", "safe");
         assertEquals(1, s.count("front over v1 RESET"));
@@ -236,19 +258,19 @@
         // connection of their own, and their ends went to the connection that had come last.
         long asks = s.connection;
         s.broker.open(s.now, asks, s, s, Stage.wish("v1", "safe"), "a");
-        s.broker.connected(s.now, s, h -> { });
+        s.broker.connected(s.now, s, h -> {});
         s.ended("a", "v1", Outcome.RESET);
         assertEquals(List.of(asks), s.overOn);
-        long other = s.broker.connected(s.now, s, h -> { });
+        long other = s.broker.connected(s.now, s, h -> {});
         s.connection = other;
         s.play("v2", "safe");
         s.broker.open(s.now, asks, s, s, Stage.wish("v3", "safe"), "a");
         s.pass(S);
         s.broker.disconnected(s.now, asks);
-        s.broker.connected(s.now, s, h -> { });
-        long refused = s.broker.connected(s.now, s, h -> { });
+        s.broker.connected(s.now, s, h -> {});
+        long refused = s.broker.connected(s.now, s, h -> {});
         s.connection = refused;
-        s.ask("v4", "safe");            // a set-up that nobody has answered yet proves less than a session
+        s.ask("v4", "safe"); // a set-up that nobody has answered yet proves less than a session
         s.ended("a", "v3", Outcome.RESET);
         assertEquals(List.of(asks, other), s.overOn);
     }
@@ -259,7 +281,7 @@
         s.play("v1", "safe");
         s.play("v2", "safe");
         long first = s.connection;
-        s.connection = s.broker.connected(s.now, s, h -> { });
+        s.connection = s.broker.connected(s.now, s, h -> {});
         s.ask("v3", "safe");
         s.connection = first;
         s.ended("a", "v1", Outcome.OK);
@@ -276,8 +298,15 @@
         s.broker.open(s.now, s.connection, s, s, Stage.wish("v1", "safe"), "b");
         s.broker.note(s.now, "b", "v1", Topic.RUNG, 2);
         s.ended("b", "v1", Outcome.OK);
-        assertEquals(List.of("box b hold true", "module open b", "module note RUNG 2.0", "front over v1 OK",
-                "box b hold false", "module outcome 0 b OK last"), s.log);
+        assertEquals(
+                List.of(
+                        "box b hold true",
+                        "module open b",
+                        "module note RUNG 2.0",
+                        "front over v1 OK",
+                        "box b hold false",
+                        "module outcome 0 b OK last"),
+                s.log);
     }
 
     @Test
@@ -292,7 +321,8 @@
         s.actions.rate(id[0], 3);
         s.broker.note(s.now, "a", "v1", Topic.RUNG, 1);
         s.actions.rate(id[0], 1);
-        assertEquals(List.of("box a rate v1 3", "module note RUNG 1.0", "box a rate v1 1"),
+        assertEquals(
+                List.of("box a rate v1 3", "module note RUNG 1.0", "box a rate v1 1"),
                 s.log.subList(s.log.size() - 3, s.log.size()));
     }
 
@@ -305,7 +335,8 @@
         s.broker.note(s.now, "b", "v1", Topic.LINK, 0.9);
         assertEquals(0, s.count("module note"));
         s.broker.answered(s.now, "a", "v1", "answer");
-        assertEquals(List.of("module first 0 a", "module note LINK 0.5"), s.log.subList(s.log.size() - 2, s.log.size()));
+        assertEquals(
+                List.of("module first 0 a", "module note LINK 0.5"), s.log.subList(s.log.size() - 2, s.log.size()));
     }
 
     @Test
@@ -349,13 +380,20 @@
         s.log.clear();
         s.actions.move(id[0]);
         s.broker.told(s.now, 1, new byte[2]);
-        assertEquals(List.of("front moved v1", "box a release v1", "box a hold false",
-                "module outcome 0 a CANCELLED last", "module told 1"), s.log);
+        assertEquals(
+                List.of(
+                        "front moved v1",
+                        "box a release v1",
+                        "box a hold false",
+                        "module outcome 0 a CANCELLED last",
+                        "module told 1"),
+                s.log);
     }
 
     @Test
     void aServerOnTwoListsCountsByTheWorse() {
-        s.broker.members(s.now, "eureka", Scope.SNAPSHOT, List.of(new Server("a", "east", "k", 0, State.DRAINING, 1, 0)));
+        s.broker.members(
+                s.now, "eureka", Scope.SNAPSHOT, List.of(new Server("a", "east", "k", 0, State.DRAINING, 1, 0)));
         assertEquals(List.of("module CHANGES a DRAINING"), s.log);
         s.log.clear();
         s.broker.members(s.now, "eureka", Scope.SNAPSHOT, List.of());
@@ -416,7 +454,7 @@
         assertEquals(1, s.count("front failed v1"));
         assertEquals(1, s.count("box a giveUp v1"));
         assertEquals(0, s.broker.unanswered());
-        s.broker.answered(s.now, "a", "v1", "answer");      // too late: one answer is enough
+        s.broker.answered(s.now, "a", "v1", "answer"); // too late: one answer is enough
         assertEquals(0, s.count("front served v1"));
     }
 
--- a/src/test/java/dockshed/core/Stage.java
+++ b/src/test/java/dockshed/core/Stage.java
@@ -29,13 +29,15 @@
     public final List<String> log = new ArrayList<>();
     /** The connections on which ends of sessions were told. */
     public final List<Long> overOn = new ArrayList<>();
+
     private final BlockingQueue<String> live = new LinkedBlockingQueue<>();
     /** What the module does when a request comes, when an attempt ends unanswered, and when its timer comes. */
     public Consumer<Request> onRequest = r -> this.actions.send(r.id(), "a", 0);
+
     public Consumer<String> onOutcome = id -> this.actions.fail(id);
     public boolean polls;
     public long now = 1_000 * S;
-    public final Deadlines deadlines = new Deadlines(at -> { });
+    public final Deadlines deadlines = new Deadlines(at -> {});
     public Director.Actions actions;
     public final Settings settings;
     public final Broker broker;
@@ -43,16 +45,29 @@
 
     public Stage() {
         Rules rules = new Rules(1 * S, 0.4, 12 * S, 2.5, 2 * S, 0, 0, 0);
-        settings = new Settings(0, 1, "east", List.of(new SessionClass("safe", Effect.SAFE, S, 3 * S, 1, 1, 0, 4, 0),
-                new SessionClass("paid", Effect.AT_MOST_ONCE, S, 4 * S, 3, 1, 1, 4, 0)), List.of(new Kind("k", 40)),
+        settings = new Settings(
+                0,
+                1,
+                "east",
+                List.of(
+                        new SessionClass("safe", Effect.SAFE, S, 3 * S, 1, 1, 0, 4, 0),
+                        new SessionClass("paid", Effect.AT_MOST_ONCE, S, 4 * S, 3, 1, 1, 4, 0)),
+                List.of(new Kind("k", 40)),
                 new Ladder(List.of(1.0, 2.0, 3.0, 4.0, 5.0), List.of(.2, .4, .6, .8, 1.0), 100, 10, 100, 1, 3, 0, 7, 1),
-                new Limits(5, false, true, 250 * MS, 2 * S, S, 3 * S), rules, new Prices(0, 0, 0, 0), List.of());
-        broker = new Broker(settings, a -> {
-            actions = a;
-            return this;
-        }, message -> say("peers " + message.length), deadlines);
+                new Limits(5, false, true, 250 * MS, 2 * S, S, 3 * S),
+                rules,
+                new Prices(0, 0, 0, 0),
+                List.of());
+        broker = new Broker(
+                settings,
+                a -> {
+                    actions = a;
+                    return this;
+                },
+                message -> say("peers " + message.length),
+                deadlines);
         list(Scope.DISK, State.UP, "a", "b");
-        connection = broker.connected(now, this, h -> { });
+        connection = broker.connected(now, this, h -> {});
         log.clear();
     }
 
@@ -186,8 +201,8 @@
     }
 
     @Override
-    public void outcome(long at, String request, int attempt, String server, Outcome outcome, boolean last,
-                        LoadReport report) {
+    public void outcome(
+            long at, String request, int attempt, String server, Outcome outcome, boolean last, LoadReport report) {
         say("module outcome " + attempt + " " + server + " " + outcome + (last ? " last" : "")
                 + (report.values().isEmpty() ? "" : " " + report.values()));
         if (!last) {
@@ -211,7 +226,7 @@
     }
 
     @Override
-    public void probed(long at, String server, boolean healthy, LoadReport report) { }
+    public void probed(long at, String server, boolean healthy, LoadReport report) {}
 
     @Override
     public void told(long at, int from, byte[] message) {
--- a/src/test/java/dockshed/core/TablesTest.java
+++ b/src/test/java/dockshed/core/TablesTest.java
@@ -58,7 +58,7 @@
     @Test
     void aDeadlineThatAsksForAnotherAtOnceDoesNotKeepTheClock() {
         List<String> done = new ArrayList<>();
-        Deadlines d = new Deadlines(at -> { });
+        Deadlines d = new Deadlines(at -> {});
         d.at(1, t -> {
             done.add("first");
             d.at(0, u -> done.add("second"));
--- a/src/test/java/dockshed/edge/EdgesTest.java
+++ b/src/test/java/dockshed/edge/EdgesTest.java
@@ -76,17 +76,29 @@
         net.call(() -> {
             clock = new LoopClock(net.loop());
             Deadlines deadlines = new Deadlines(clock::wake);
-            broker = new Broker(stage.settings, a -> {
-                act = a;
-                return stage;
-            }, m -> { }, deadlines);
+            broker = new Broker(
+                    stage.settings,
+                    a -> {
+                        act = a;
+                        return stage;
+                    },
+                    m -> {},
+                    deadlines);
             clock.onDue(broker::tick);
-            edges = new Edges(broker, net, clock, deadlines,
-                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), lines), finder);
+            edges = new Edges(
+                    broker,
+                    net,
+                    clock,
+                    deadlines,
+                    new Edges.Terms(250_000, idleClose, tell, 0, List.of("busy_reqs", "x0"), lines),
+                    finder);
             stage.onRequest = r -> act.send(r.id(), "a", 0);
             stage.onOutcome = id -> act.fail(id);
-            stage.connection = broker.connected(clock.now(), stage, h -> { });
-            broker.members(clock.now(), "names", Director.Scope.DISK,
+            stage.connection = broker.connected(clock.now(), stage, h -> {});
+            broker.members(
+                    clock.now(),
+                    "names",
+                    Director.Scope.DISK,
                     List.of(new Director.Server("a", "z", "k", 0, Director.State.UP, 1, 0)));
             edges.addresses(Map.of("a", new InetSocketAddress("127.0.0.1", server.getLocalPort())));
             return null;
@@ -143,7 +155,10 @@
         assertEquals("setup", m.type());
         assertEquals("v1", m.id());
         assertEquals("sdp", m.sdp());
-        assertEquals("paid title 1", m.fields().get("class") + " " + m.fields().get("key") + " " + m.fields().get("rung"));
+        assertEquals(
+                "paid title 1",
+                m.fields().get("class") + " " + m.fields().get("key") + " "
+                        + m.fields().get("rung"));
         int left = Integer.parseInt(m.fields().get("left"));
         assertTrue(left > 0 && left <= 2990, "left " + left);
     }
@@ -156,7 +171,7 @@
         assertEquals("module note DELIVERED 0.93", stage.await("module note"));
         say("note", "v1", -1, Map.of("note", "grade", "value", "2"));
         assertEquals("module note RUNG 2.0", stage.await("module note"));
-        say("note", "v1", -1, Map.of("note", "local", "value", "x"));    // no figure: passed over
+        say("note", "v1", -1, Map.of("note", "local", "value", "x")); // no figure: passed over
         say("note", "v1", -1, Map.of("note", "local", "value", "1.5"));
         assertEquals("module note LINK 1.5", stage.await("module note"));
         say("note", "v1", -1, Map.of("note", "upstream", "value", "0.5"));
@@ -178,7 +193,8 @@
             say("release", m.id(), e.getKey(), Map.of());
             assertEquals("module outcome 0 a " + e.getValue(), stage.await("module outcome"));
         }
-        for (Map.Entry<Integer, String> e : Map.of(16, "OK", 41, "RESET", 31, "CANCELLED", 99, "RESET").entrySet()) {
+        for (Map.Entry<Integer, String> e :
+                Map.of(16, "OK", 41, "RESET", 31, "CANCELLED", 99, "RESET").entrySet()) {
             play("a" + e.getKey());
             say("release", "a" + e.getKey(), e.getKey(), Map.of());
             assertEquals("module outcome 0 a " + e.getValue() + " last", stage.await("module outcome"));
@@ -221,7 +237,7 @@
         play("v1");
         line.setSoLinger(true, 0);
         server.close();
-        line.close();               // with a reset
+        line.close(); // with a reset
         assertEquals("front over v1 RESET", stage.await("front over"));
     }
 
@@ -230,7 +246,7 @@
         play("v1");
         line.close();
         accept();
-        say("release", "v1", 16, Map.of());     // sent on the next connection that is opened
+        say("release", "v1", 16, Map.of()); // sent on the next connection that is opened
         assertEquals("front over v1 OK", stage.await("front over"));
     }
 
@@ -255,7 +271,7 @@
     @Test
     void aLineIsNotUsedForASetUpThatTheServerIsAboutToClose() throws Exception {
         // Idle lines close after a time; a set-up written just then would be lost, and a paid one with it.
-        begin(1, 0);                // all of its time is over as soon as anything else has happened
+        begin(1, 0); // all of its time is over as soon as anything else has happened
         ask("v1", "safe");
         accept();
         say(new Message("release", read().id(), Map.of(), 34, null).write());
@@ -306,7 +322,8 @@
             return null;
         });
         Message rate = read();
-        assertEquals("rate v1 3", rate.type() + " " + rate.id() + " " + rate.fields().get("rung"));
+        assertEquals(
+                "rate v1 3", rate.type() + " " + rate.id() + " " + rate.fields().get("rung"));
         assertEquals("release v1", read().type() + " v1");
     }
 
@@ -349,18 +366,20 @@
         ask("v2", "safe");
         accept();
         say(new Message("answer", read().id(), Map.of(), -1, "v=0").write());
-        stage.await("front served v2");     // the second line is free now
-        net.call(() -> {            // both are gone before the loop looks again, that with the set-up first
-            for (Socket s : List.of(first, line)) {
-                s.setSoLinger(true, 0);
-                s.close();
-            }
-            return null;
-        });
+        stage.await("front served v2"); // the second line is free now
+        net.call(
+                () -> { // both are gone before the loop looks again, that with the set-up first
+                    for (Socket s : List.of(first, line)) {
+                        s.setSoLinger(true, 0);
+                        s.close();
+                    }
+                    return null;
+                });
         accept();
         assertEquals("setup", read().type());
         net.call(() -> null);
-        assertEquals(List.of("module outcome 0 a RESET"),
+        assertEquals(
+                List.of("module outcome 0 a RESET"),
                 stage.log.stream().filter(l -> l.startsWith("module outcome")).toList());
     }
 
@@ -386,7 +405,7 @@
         awaitFinding("asked a");
         assertEquals(0, net.call(edges::lines));
         verdict = Verdict.UP;
-        accept();                       // somebody else found it up: news of the session needs a line
+        accept(); // somebody else found it up: news of the session needs a line
         awaitFinding("suspected a false");
         assertEquals(1, net.call(broker::standing));
     }
@@ -435,7 +454,7 @@
         read();
         Socket first = line;
         ask("v2", "paid");
-        accept();                       // a line of its own
+        accept(); // a line of its own
         assertEquals("v2", read().id());
         first.getOutputStream().write("{\"type\":\"answer\",\"id\":\"v1\"\n".getBytes(StandardCharsets.UTF_8));
         assertEquals("module outcome 0 a RESET", stage.await("module outcome"));
@@ -505,11 +524,16 @@
     @Test
     void whenNoServerReportsOneIsTriedAndNoLineIsClosed() throws Exception {
         // Reports stayed out everywhere: 14 brokers closed and renewed 277 lines, and an end on its way was lost.
-        begin(30_000_000, 2_000_000);    // long enough that none is silent before all play
+        begin(30_000_000, 2_000_000); // long enough that none is silent before all play
         List<String> ids = List.of("a", "b", "c", "d");
         net.call(() -> {
-            broker.members(clock.now(), "names", Director.Scope.DISK, ids.stream().map(id ->
-                    new Director.Server(id, "z", "k", 0, Director.State.UP, 1, 0)).toList());
+            broker.members(
+                    clock.now(),
+                    "names",
+                    Director.Scope.DISK,
+                    ids.stream()
+                            .map(id -> new Director.Server(id, "z", "k", 0, Director.State.UP, 1, 0))
+                            .toList());
             InetSocketAddress at = new InetSocketAddress("127.0.0.1", server.getLocalPort());
             edges.addresses(Map.of("a", at, "b", at, "c", at, "d", at));
             return null;
@@ -521,7 +545,7 @@
             play("v" + id);
             lines.add(line);
         }
-        accept();                       // the one that is tried
+        accept(); // the one that is tried
         assertEquals(5, net.call(() -> edges.lines()));
         for (int i = 0; i < lines.size(); i++) {
             line = lines.get(i);
@@ -536,10 +560,16 @@
         ServerSocket b = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         b.setSoTimeout(20_000);
         net.call(() -> {
-            broker.members(clock.now(), "names", Director.Scope.CHANGES,
+            broker.members(
+                    clock.now(),
+                    "names",
+                    Director.Scope.CHANGES,
                     List.of(new Director.Server("b", "z", "k", 0, Director.State.UP, 1, 0)));
-            edges.addresses(Map.of("a", new InetSocketAddress("127.0.0.1", server.getLocalPort()),
-                    "b", new InetSocketAddress("127.0.0.1", b.getLocalPort())));
+            edges.addresses(Map.of(
+                    "a",
+                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    "b",
+                    new InetSocketAddress("127.0.0.1", b.getLocalPort())));
             return null;
         });
         return b;
@@ -583,13 +613,15 @@
             stage.onRequest = r -> act.send(r.id(), "b", 0);
             ask("0000000000000002", "safe");
             try (Socket other = b.accept()) {
-                String asked = new BufferedReader(new InputStreamReader(other.getInputStream(),
-                        StandardCharsets.UTF_8)).readLine();
+                String asked = new BufferedReader(new InputStreamReader(other.getInputStream(), StandardCharsets.UTF_8))
+                        .readLine();
                 assertEquals("0000000000000002", Message.read(asked).id());
-                other.getOutputStream().write(new Message("answer", "0000000000000002", Map.of(), -1, "v=0").write()
-                        .getBytes(StandardCharsets.UTF_8));
+                other.getOutputStream()
+                        .write(new Message("answer", "0000000000000002", Map.of(), -1, "v=0")
+                                .write()
+                                .getBytes(StandardCharsets.UTF_8));
                 stage.await("front served 0000000000000002");
-                accept();                       // a's turn again, by itself
+                accept(); // a's turn again, by itself
                 say("release", "0000000000000001", 16, Map.of());
                 stage.await("front over 0000000000000001");
             }
@@ -626,7 +658,8 @@
     // ---- What waits for a line, or on one, when its viewer goes or its server drains.
 
     private static Wish large(String name) {
-        return new Wish(name, "safe", "viewer", "title", 3_000_000, 0, 0, 3, 4, false, false, false, "x".repeat(15_000) + "\n");
+        return new Wish(
+                name, "safe", "viewer", "title", 3_000_000, 0, 0, 3, 4, false, false, false, "x".repeat(15_000) + "\n");
     }
 
     private boolean take(Wish wish) {
@@ -651,7 +684,7 @@
         net.call(() -> {
             take(Stage.wish("v2", "paid"));
             broker.disconnected(clock.now(), stage.connection);
-            stage.connection = broker.connected(clock.now(), stage, h -> { });
+            stage.connection = broker.connected(clock.now(), stage, h -> {});
             return take(Stage.wish("v3", "safe"));
         });
         assertEquals("v3", read().id());
@@ -668,7 +701,7 @@
         });
         Message m = read();
         assertEquals("release v1 16", m.type() + " " + m.id() + " " + m.cause());
-        say(new Message("answer", "v1", Map.of(), -1, "v=0").write());      // it crossed
+        say(new Message("answer", "v1", Map.of(), -1, "v=0").write()); // it crossed
         ask("v2", "safe");
         assertEquals("v2", read().id());
         assertEquals(0, net.call(() -> stage.count("front")));
@@ -681,18 +714,36 @@
         Director.Rules none = new Director.Rules(300_000, 0.4, 12_000_000, 2.5, 2_000_000, 0, 0, 0);
         net.call(() -> {
             Deadlines deadlines = new Deadlines(clock::wake);
-            broker = new Broker(new Director.Settings(0, 1, "z", s.classes(), s.kinds(), s.ladder(), s.limits(), none,
-                    s.prices(), s.reportFields()), a -> {
-                act = a;
-                return stage;
-            }, m -> { }, deadlines);
-            edges = new Edges(broker, net, clock, deadlines,
-                    new Edges.Terms(250_000, 30_000_000, 3_000_000, 0, List.of("busy_reqs", "x0"), 256), finder);
-            stage.connection = broker.connected(clock.now(), stage, h -> { });
+            broker = new Broker(
+                    new Director.Settings(
+                            0,
+                            1,
+                            "z",
+                            s.classes(),
+                            s.kinds(),
+                            s.ladder(),
+                            s.limits(),
+                            none,
+                            s.prices(),
+                            s.reportFields()),
+                    a -> {
+                        act = a;
+                        return stage;
+                    },
+                    m -> {},
+                    deadlines);
+            edges = new Edges(
+                    broker,
+                    net,
+                    clock,
+                    deadlines,
+                    new Edges.Terms(250_000, 30_000_000, 3_000_000, 0, List.of("busy_reqs", "x0"), 256),
+                    finder);
+            stage.connection = broker.connected(clock.now(), stage, h -> {});
             list(Director.State.UP);
             edges.addresses(Map.of("a", new InetSocketAddress("127.0.0.1", server.getLocalPort())));
             take(Stage.wish("v1", "paid"));
-            list(Director.State.DRAINING);      // its grace is as long as what is kept of it: none is left
+            list(Director.State.DRAINING); // its grace is as long as what is kept of it: none is left
             return null;
         });
         accept();
@@ -706,7 +757,10 @@
     }
 
     private void list(Director.State state) {
-        broker.members(clock.now(), "names", Director.Scope.CHANGES,
+        broker.members(
+                clock.now(),
+                "names",
+                Director.Scope.CHANGES,
                 List.of(new Director.Server("a", "z", "k", 0, state, 1, 0)));
     }
 
@@ -714,20 +768,23 @@
     void whatAServerHasNotReadYetDoesNotReachItOnceGivenUp() throws Exception {
         // What the system would not take yet left whenever the server read again, long after its viewer had gone.
         server.setReceiveBufferSize(4096);
-        begin(30_000_000, 3_000_000, 2);        // one line a server
+        begin(30_000_000, 3_000_000, 2); // one line a server
         int last = 0;
         do {
             String name = "v" + ++last;
             net.call(() -> take(large(name)));
             assertTrue(last < 4000, "the system takes it all");
-        } while (net.call(() -> stage.count("module outcome")) == 0);      // one that was held back: the server does not read
+        } while (net.call(() -> stage.count("module outcome"))
+                == 0); // one that was held back: the server does not read
         String waits = "v" + (last - 1);
         net.call(() -> {
             broker.leave(clock.now(), waits);
             return null;
         });
         accept();
-        for (String text = reads.readLine(); text != null && text.endsWith("}"); text = reads.readLine()) {  // or cut off
+        for (String text = reads.readLine();
+                text != null && text.endsWith("}");
+                text = reads.readLine()) { // or cut off
             assertTrue(!Message.read(text).id().equals(waits), "it came after all");
         }
     }
--- a/src/test/java/dockshed/edge/MessageTest.java
+++ b/src/test/java/dockshed/edge/MessageTest.java
@@ -23,15 +23,18 @@
     void theExampleOfThePageIsReadAndWritten() throws Exception {
         Message m = Message.read("{\"type\":\"setup\",\"id\":\"9b1f03aa5c7e2d41\",\"fields\":{\"class\":\"paid\","
                 + "\"left\":\"1500\"},\"sdp\":\"9d41\\r\\nc=IN\\r\\n\"}");
-        assertEquals(new Message("setup", "9b1f03aa5c7e2d41", Map.of("class", "paid", "left", "1500"), -1,
-                "9d41\r\nc=IN\r\n"), m);
+        assertEquals(
+                new Message(
+                        "setup", "9b1f03aa5c7e2d41", Map.of("class", "paid", "left", "1500"), -1, "9d41\r\nc=IN\r\n"),
+                m);
         assertEquals(m, Message.read(m.write().stripTrailing()));
     }
 
     @Test
     void numbersUnknownMembersAndSpaceAreTaken() throws Exception {
-        Message m = Message.read(" { \"new\" : [1, {\"a\":null}, []] , \"cause\" : 34 , \"type\":\"release\",\"id\":\"x\","
-                + "\"fields\":{ \"value\": -0.5e1, \"deep\":{\"a\":[true]}, \"left\":12 }} ");
+        Message m =
+                Message.read(" { \"new\" : [1, {\"a\":null}, []] , \"cause\" : 34 , \"type\":\"release\",\"id\":\"x\","
+                        + "\"fields\":{ \"value\": -0.5e1, \"deep\":{\"a\":[true]}, \"left\":12 }} ");
         assertEquals(34, m.cause());
         assertEquals(Map.of("value", "-0.5e1", "left", "12"), m.fields());
         assertNull(m.sdp());
@@ -39,10 +42,20 @@
 
     @Test
     void whatIsNoMessageIsMalformed() {
-        for (String bad : List.of("", "[]", "{", "{}", "{\"type\":\"a\"}", "{\"type\":\"a\",\"id\":\"b\"} x",
-                "{\"type\":\"a\",\"id\":\"b\",}", "{\"type\":\"a\",\"id\":1}", "{\"type\":\"a\",\"id\":\"b\\x\"}",
-                "{\"type\":\"a\",\"id\":\"b\",\"cause\":\"x\"}", "{\"type\":\"a\",\"id\":\"b\",\"fields\":{\"v\":nan}}",
-                "{\"type\":\"a\",\"id\":\"b\",\"x\":" + "[".repeat(5000) + "}", "{\"type\":\"a\",\"id\":\"\\u12")) {
+        for (String bad : List.of(
+                "",
+                "[]",
+                "{",
+                "{}",
+                "{\"type\":\"a\"}",
+                "{\"type\":\"a\",\"id\":\"b\"} x",
+                "{\"type\":\"a\",\"id\":\"b\",}",
+                "{\"type\":\"a\",\"id\":1}",
+                "{\"type\":\"a\",\"id\":\"b\\x\"}",
+                "{\"type\":\"a\",\"id\":\"b\",\"cause\":\"x\"}",
+                "{\"type\":\"a\",\"id\":\"b\",\"fields\":{\"v\":nan}}",
+                "{\"type\":\"a\",\"id\":\"b\",\"x\":" + "[".repeat(5000) + "}",
+                "{\"type\":\"a\",\"id\":\"\\u12")) {
             assertThrows(Message.Malformed.class, () -> Message.read(bad), bad);
         }
     }
@@ -67,8 +80,30 @@
 
     @Provide
     Arbitrary<String> jsonish() {
-        return Arbitraries.of("{", "}", "[", "]", ",", ":", "\"", "\\", "\\u00e9", "type", "id", "fields", "\"type\"",
-                "\"id\"", "1", "-", "e5", "true", " ", "\u0000").list().ofMaxSize(24).map(l -> String.join("", l));
+        return Arbitraries.of(
+                        "{",
+                        "}",
+                        "[",
+                        "]",
+                        ",",
+                        ":",
+                        "\"",
+                        "\\",
+                        "\\u00e9",
+                        "type",
+                        "id",
+                        "fields",
+                        "\"type\"",
+                        "\"id\"",
+                        "1",
+                        "-",
+                        "e5",
+                        "true",
+                        " ",
+                        "\u0000")
+                .list()
+                .ofMaxSize(24)
+                .map(l -> String.join("", l));
     }
 
     private static List<String> lines(int limit, byte[]... parts) throws LineDecoder.Unreadable {
@@ -88,8 +123,13 @@
         byte[] all = "first\n\r\nthird é\r\nrest".getBytes(StandardCharsets.UTF_8);
         for (int i = 0; i <= all.length; i++) {
             for (int j = i; j <= all.length; j++) {
-                assertEquals(List.of("first", "", "third é"), lines(64, Arrays.copyOfRange(all, 0, i),
-                        Arrays.copyOfRange(all, i, j), Arrays.copyOfRange(all, j, all.length)));
+                assertEquals(
+                        List.of("first", "", "third é"),
+                        lines(
+                                64,
+                                Arrays.copyOfRange(all, 0, i),
+                                Arrays.copyOfRange(all, i, j),
+                                Arrays.copyOfRange(all, j, all.length)));
             }
         }
     }
--- a/src/test/java/dockshed/eureka/RegistryTest.java
+++ b/src/test/java/dockshed/eureka/RegistryTest.java
@@ -23,7 +23,9 @@
     }
 
     private static List<String> states(Registry r) throws Registry.Unfit {
-        return r.servers("boxes").stream().map(l -> l.server().id() + " " + l.server().state()).toList();
+        return r.servers("boxes").stream()
+                .map(l -> l.server().id() + " " + l.server().state())
+                .toList();
     }
 
     @Test
@@ -31,7 +33,9 @@
         Registry r = new Registry();
         r.full(apps("OUT_OF_SERVICE_1_UP_1_", instance("a", "UP", "ADDED"), instance("b", "OUT_OF_SERVICE", "ADDED")));
         Listing a = r.servers("BOXES").get(0);
-        assertEquals("Server[id=a, zone=east, kind=k, cell=2, state=UP, weight=1.5, upSince=5000]", a.server().toString());
+        assertEquals(
+                "Server[id=a, zone=east, kind=k, cell=2, state=UP, weight=1.5, upSince=5000]",
+                a.server().toString());
         assertEquals(9001, a.at().getPort());
         assertEquals(State.DRAINING, r.servers("BOXES").get(1).server().state());
         assertEquals(List.of(), r.servers("OTHERS"));
@@ -51,7 +55,10 @@
     void deltasAddChangeAndRemove() throws Exception {
         Registry r = new Registry();
         r.full(apps("UP_2_", instance("a", "UP", "ADDED"), instance("b", "UP", "ADDED")));
-        r.delta(apps("DOWN_1_UP_1_", instance("a", "", "DELETED"), instance("b", "DOWN", "MODIFIED"),
+        r.delta(apps(
+                "DOWN_1_UP_1_",
+                instance("a", "", "DELETED"),
+                instance("b", "DOWN", "MODIFIED"),
                 instance("c", "UP", "ADDED")));
         assertEquals(List.of("b DRAINING", "c UP"), states(r));
     }
@@ -66,13 +73,17 @@
 
     @Test
     void whatIsNotEurekasIsUnfit() {
-        for (String bad : List.of("", "no", "[]", "{}", "{\"applications\":3}", "{\"applications\":{\"application\":[3]}}")) {
+        for (String bad :
+                List.of("", "no", "[]", "{}", "{\"applications\":3}", "{\"applications\":{\"application\":[3]}}")) {
             assertThrows(Registry.Unfit.class, () -> new Registry().full(bad), bad);
         }
         Registry r = new Registry();
-        assertThrows(Registry.Unfit.class, () -> {
-            r.full(apps("UP_1_", instance("a", "UP", "ADDED").replace("127.0.0.1", "some.host")));
-            r.servers("BOXES");
-        }, "an address, not a name that the system would have to resolve");
+        assertThrows(
+                Registry.Unfit.class,
+                () -> {
+                    r.full(apps("UP_1_", instance("a", "UP", "ADDED").replace("127.0.0.1", "some.host")));
+                    r.servers("BOXES");
+                },
+                "an address, not a name that the system would have to resolve");
     }
 }
--- a/src/test/java/dockshed/fleet/FleetCosts.java
+++ b/src/test/java/dockshed/fleet/FleetCosts.java
@@ -5,7 +5,7 @@
 
 /** What the heart costs by the size of a fleet, on the simulated network; for the bench. */
 public final class FleetCosts {
-    private FleetCosts() { }
+    private FleetCosts() {}
 
     private static FleetWorld fleet(int brokers) {
         FleetWorld w = new FleetWorld(brokers, FleetTerms.USUAL, 11);
@@ -30,8 +30,10 @@
         FleetWorld w = fleet(brokers);
         w.sentBy.clear();
         w.run(seconds * FleetWorld.S, 250 * FleetWorld.MS, () -> figures(w));
-        return new double[] {w.sentBy.values().stream().mapToLong(x -> x).sum() / (double) brokers / seconds,
-            w.sentBy.values().stream().mapToLong(x -> x).max().orElse(0) / (double) seconds};
+        return new double[] {
+            w.sentBy.values().stream().mapToLong(x -> x).sum() / (double) brokers / seconds,
+            w.sentBy.values().stream().mapToLong(x -> x).max().orElse(0) / (double) seconds
+        };
     }
 
     /**
@@ -73,7 +75,12 @@
                     continue;
                 }
                 View v = n.view();
-                Verdict say = Probes.verdict(now, i, v.living(), box, v.words().getOrDefault(box, java.util.List.of()),
+                Verdict say = Probes.verdict(
+                        now,
+                        i,
+                        v.living(),
+                        box,
+                        v.words().getOrDefault(box, java.util.List.of()),
                         new Suspicion(since[i], since[i] - FleetWorld.S, tried[i], failures[i]));
                 if (say == Verdict.TRY) {
                     trials[0]++;
--- a/src/test/java/dockshed/fleet/FleetWorld.java
+++ b/src/test/java/dockshed/fleet/FleetWorld.java
@@ -28,9 +28,9 @@
         final int number;
         Heart heart;
         double rate = 1;
-        long offset;                // of its clock to the world's, at the world's start
+        long offset; // of its clock to the world's, at the world's start
         long stillUntil = -1;
-        int life;                   // of the world's making: what an earlier one has to do is void
+        int life; // of the world's making: what an earlier one has to do is void
         final List<byte[]> mail = new ArrayList<>();
 
         Node(int number) {
@@ -57,7 +57,8 @@
             life++;
             mail.clear();
             stillUntil = -1;
-            heart = new Heart(terms, number, nodes.length, startMillis.apply(clock() / 1000), clock(), random.nextLong());
+            heart = new Heart(
+                    terms, number, nodes.length, startMillis.apply(clock() / 1000), clock(), random.nextLong());
             started.accept(this);
             tick(life);
         }
@@ -117,14 +118,15 @@
     private long order;
     long now = 1_000 * S;
     double loss, twice;
-    long least = MS / 2, most = 3 * MS;         // delays
+    long least = MS / 2, most = 3 * MS; // delays
     long carried;
     final Map<Integer, Long> sentBy = new HashMap<>();
     private boolean[][] cut;
     /** Mutants: what happens to a datagram on its way, and what a start takes for its time. */
     UnaryOperator<Envelope> spoil = e -> e;
+
     java.util.function.Function<Long, Long> startMillis = ms -> ms;
-    Consumer<Node> started = n -> { };
+    Consumer<Node> started = n -> {};
 
     FleetWorld(int brokers, FleetTerms terms, long seed) {
         this.terms = terms;
@@ -191,7 +193,7 @@
 
     /** Runs step by step, looking each time; what a look finds it throws. */
     void run(long micros, long step, Runnable look) {
-        for (long end = now + micros; now < end;) {
+        for (long end = now + micros; now < end; ) {
             run(Math.min(step, end - now));
             look.run();
         }
@@ -207,7 +209,12 @@
 
     /** Rewrites items of a kind on their way, for mutants. */
     static UnaryOperator<Envelope> items(int kind, UnaryOperator<Envelope.Item> change) {
-        return e -> new Envelope(e.sender(), e.incarnation(), e.serial(),
-                e.items().stream().map(i -> i.kind() == kind ? change.apply(i) : i).toList());
+        return e -> new Envelope(
+                e.sender(),
+                e.incarnation(),
+                e.serial(),
+                e.items().stream()
+                        .map(i -> i.kind() == kind ? change.apply(i) : i)
+                        .toList());
     }
 }
--- a/src/test/java/dockshed/fleet/GateTest.java
+++ b/src/test/java/dockshed/fleet/GateTest.java
@@ -40,19 +40,19 @@
         }
 
         @Override
-        public void rate(String request, int rung) { }
+        public void rate(String request, int rung) {}
 
         @Override
-        public void move(String request) { }
+        public void move(String request) {}
 
         @Override
-        public void probe(String server) { }
+        public void probe(String server) {}
 
         @Override
-        public void tell(byte[] message) { }
+        public void tell(byte[] message) {}
 
         @Override
-        public void timer(String key, long at) { }
+        public void timer(String key, long at) {}
     }
 
     private final Book book = new Book();
@@ -135,8 +135,24 @@
     void viewersWithoutANameAreNotAllJudgedAsOne() {
         int under = 0;
         for (int i = 0; i < 100; i++) {
-            under += broker(10 * S).underCut(10 * S, new Request(Integer.toHexString(i), "safe", "", "t", 3 * S, 0, 0, 3, 4,
-                    false, false, false)) ? 1 : 0;
+            under += broker(10 * S)
+                            .underCut(
+                                    10 * S,
+                                    new Request(
+                                            Integer.toHexString(i),
+                                            "safe",
+                                            "",
+                                            "t",
+                                            3 * S,
+                                            0,
+                                            0,
+                                            3,
+                                            4,
+                                            false,
+                                            false,
+                                            false))
+                    ? 1
+                    : 0;
         }
         assertTrue(under > 25 && under < 75, "refused " + under);
     }
@@ -211,21 +227,37 @@
             Verdict v = Probes.verdict(now, order.get(i), living, box, List.of(), new Suspicion(now, now - S, 0, 0));
             assertEquals(i == 0 ? Verdict.TRY : Verdict.WAIT, v);
         }
-        assertEquals(Verdict.TRY, Probes.verdict(now + Probes.TURN, order.get(1), living, box, List.of(),
-                new Suspicion(now, now - S, 0, 0)), "the first one is dead or cut off");
+        assertEquals(
+                Verdict.TRY,
+                Probes.verdict(
+                        now + Probes.TURN, order.get(1), living, box, List.of(), new Suspicion(now, now - S, 0, 0)),
+                "the first one is dead or cut off");
         Row one = new Row(order.get(0), Row.BOX, box, 1, 1, now, new byte[] {Probes.DOWN});
         Row two = new Row(order.get(1), Row.BOX, box, 1, 1, now, new byte[] {Probes.DOWN});
         Suspicion s = new Suspicion(now, now - S, 0, 0);
         assertEquals(Verdict.WAIT, Probes.verdict(now + 1, order.get(5), living, box, List.of(one), s), "one may lie");
         assertEquals(Verdict.DOWN, Probes.verdict(now + 1, order.get(5), living, box, List.of(one, two), s));
-        assertEquals(Verdict.DOWN, Probes.verdict(now + 1, order.get(1), living, box, List.of(one),
-                new Suspicion(now, now - S, now, 1)), "with its own trial");
-        assertEquals(Verdict.WAIT, Probes.verdict(now + 1, order.get(5), living, box, List.of(one, two),
-                new Suspicion(now, now + 1, 0, 0)), "it has given a sign of life since");
+        assertEquals(
+                Verdict.DOWN,
+                Probes.verdict(now + 1, order.get(1), living, box, List.of(one), new Suspicion(now, now - S, now, 1)),
+                "with its own trial");
+        assertEquals(
+                Verdict.WAIT,
+                Probes.verdict(
+                        now + 1, order.get(5), living, box, List.of(one, two), new Suspicion(now, now + 1, 0, 0)),
+                "it has given a sign of life since");
         Row up = new Row(order.get(0), Row.BOX, box, 1, 2, now, new byte[] {Probes.UP});
         assertEquals(Verdict.UP, Probes.verdict(now + 1, order.get(5), living, box, List.of(up, two), s));
-        assertEquals(Verdict.TRY, Probes.verdict(now + Probes.LONGEST, order.get(5), living, box,
-                List.of(new Row(order.get(0), Row.BOX, box, 1, 3, now + Probes.LONGEST, new byte[] {Probes.UP})), s),
+        assertEquals(
+                Verdict.TRY,
+                Probes.verdict(
+                        now + Probes.LONGEST,
+                        order.get(5),
+                        living,
+                        box,
+                        List.of(new Row(
+                                order.get(0), Row.BOX, box, 1, 3, now + Probes.LONGEST, new byte[] {Probes.UP})),
+                        s),
                 "one that says so for ever is not believed for ever");
     }
 
--- a/src/test/java/dockshed/fleet/MembershipTest.java
+++ b/src/test/java/dockshed/fleet/MembershipTest.java
@@ -57,11 +57,15 @@
         w.run(6 * S);
         w.nodes[4].news(new News.Leaving());
         w.run(3 * S);
-        long told = Arrays.stream(w.nodes).filter(n -> n.number != 4 && !n.view().living().contains(4)).count();
+        long told = Arrays.stream(w.nodes)
+                .filter(n -> n.number != 4 && !n.view().living().contains(4))
+                .count();
         assertTrue(told >= 3, "told of it: " + told);
         w.nodes[4].kill();
         w.run(20 * S);
-        assertTrue(Arrays.stream(w.nodes).filter(FleetWorld.Node::up).noneMatch(n -> n.view().living().contains(4)));
+        assertTrue(Arrays.stream(w.nodes)
+                .filter(FleetWorld.Node::up)
+                .noneMatch(n -> n.view().living().contains(4)));
     }
 
     @Test
@@ -75,7 +79,10 @@
         View first = n.view();
         assertFalse(first.steady(), "acts on what it knew");
         assertEquals(0, first.cut());
-        assertEquals(n.heart.shares().share(n.clock(), Shares.NEWCOMERS), FleetTerms.USUAL.floor() / 7, 1e-9,
+        assertEquals(
+                n.heart.shares().share(n.clock(), Shares.NEWCOMERS),
+                FleetTerms.USUAL.floor() / 7,
+                1e-9,
                 "a lease outlived the pause");
         w.run(4 * S, 50 * MS, () -> {
             for (int i = 0; i < 7; i++) {
@@ -112,7 +119,7 @@
         FleetWorld w = world(9, 6);
         w.run(8 * S);
         for (int to = 0; to < 9; to++) {
-            w.cut(8, to, true);         // it hears, and is not heard
+            w.cut(8, to, true); // it hears, and is not heard
         }
         w.run(25 * S);
         for (int by = 0; by < 8; by++) {
@@ -138,7 +145,7 @@
         w.run(8 * S);
         w.nodes[1].kill();
         w.run(2 * S);
-        w.nodes[1].offset -= 600 * S;       // started again with its clock ten minutes behind
+        w.nodes[1].offset -= 600 * S; // started again with its clock ten minutes behind
         w.nodes[1].start();
         w.run(10 * S);
         assertTrue(Arrays.stream(w.nodes).allMatch(n -> n.view().living().equals(all(5))));
@@ -158,16 +165,25 @@
         long life = liar.clock() / 1000 + 5000;
         w.run(40 * S, 5 * MS, () -> {
             for (int to = 0; to < 8; to++) {
-                Envelope.Bodies b = new Envelope.Bodies().u16(w.random.nextInt(9)).u8(2 + w.random.nextInt(3))
+                Envelope.Bodies b = new Envelope.Bodies()
+                        .u16(w.random.nextInt(9))
+                        .u8(2 + w.random.nextInt(3))
                         .u48(life + w.random.nextInt(100_000));
-                Row made = new Row(w.random.nextInt(9), 1 + w.random.nextInt(5), 7, life, serial[0], liar.clock(),
-                        new byte[] {2, 9, 9});
-                w.carry(8, to, new Envelope(8, life, serial[0]++, List.of(b.item(Envelope.MEMBER), made.write(liar.clock())))
-                        .write());
+                Row made = new Row(
+                        w.random.nextInt(9), 1 + w.random.nextInt(5), 7, life, serial[0], liar.clock(), new byte[] {
+                            2, 9, 9
+                        });
+                w.carry(
+                        8,
+                        to,
+                        new Envelope(8, life, serial[0]++, List.of(b.item(Envelope.MEMBER), made.write(liar.clock())))
+                                .write());
             }
             for (int by = 0; by < 8; by++) {
                 for (int of = 0; of < 8; of++) {
-                    assertTrue(seen(w, by, of) != State.DEAD && seen(w, by, of) != State.LEFT, by + " calls " + of + " dead");
+                    assertTrue(
+                            seen(w, by, of) != State.DEAD && seen(w, by, of) != State.LEFT,
+                            by + " calls " + of + " dead");
                 }
             }
         });
@@ -194,7 +210,8 @@
         w.run(60 * S);
         w.sentBy.clear();
         w.run(60 * S);
-        double mean = w.sentBy.values().stream().mapToLong(b -> b / 60).average().orElse(0);
+        double mean =
+                w.sentBy.values().stream().mapToLong(b -> b / 60).average().orElse(0);
         assertTrue(mean <= 1.5 * 150, "bytes a second, with leases: " + mean);
         assertTrue(Arrays.stream(w.nodes).allMatch(n -> n.view().living().size() == 9));
     }
--- a/src/test/java/dockshed/fleet/MutantsTest.java
+++ b/src/test/java/dockshed/fleet/MutantsTest.java
@@ -61,7 +61,10 @@
         w.nodes[3].news(new News.Leaving());
         w.nodes[3].kill();
         w.run(S);
-        return Arrays.stream(w.nodes).filter(n -> n.number != 3 && !n.view().living().contains(3)).count() >= 3;
+        return Arrays.stream(w.nodes)
+                        .filter(n -> n.number != 3 && !n.view().living().contains(3))
+                        .count()
+                >= 3;
     }
 
     /** A row that was relayed is as old as it is. */
@@ -130,7 +133,8 @@
     }
 
     enum Mutant {
-        WITNESSES_DO_NOT_TELL_LIVES_APART(MutantsTest::sharesHold, spoils(Envelope.LOCK, i -> at(i, 4, 0, 0, 0, 0, 0, 1))),
+        WITNESSES_DO_NOT_TELL_LIVES_APART(
+                MutantsTest::sharesHold, spoils(Envelope.LOCK, i -> at(i, 4, 0, 0, 0, 0, 0, 1))),
         LEASES_ARE_TWICE_WHAT_WAS_RECKONED(MutantsTest::sharesHold, spoils(Envelope.GRANT, i -> at(i, 6, 0xFF, 0xFF))),
         CLOCKS_RUN_APART_BY_MORE_THAN_THE_DRIFT(MutantsTest::sharesHold, w -> {
             for (FleetWorld.Node n : w.nodes) {
@@ -141,8 +145,9 @@
         AGES_DO_NOT_TRAVEL(MutantsTest::agesAreTold, spoils(Envelope.ROW, i -> at(i, 17, 0, 0))),
         NOTHING_IS_REPAIRED(MutantsTest::lateOnesHear, spoils(Envelope.DIGEST, MutantsTest::nothing)),
         NO_WORD_ON_MEMBERS(MutantsTest::leavesAreHeard, spoils(Envelope.MEMBER, MutantsTest::nothing)),
-        SERIALS_STAND_STILL(MutantsTest::nobodyIsAccused, w -> w.spoil = e -> new Envelope(e.sender(), e.incarnation(), 1,
-                e.items())),
+        SERIALS_STAND_STILL(
+                MutantsTest::nobodyIsAccused,
+                w -> w.spoil = e -> new Envelope(e.sender(), e.incarnation(), 1, e.items())),
         NO_WORDS_ON_BOXES(MutantsTest::fewFindOut, spoils(Envelope.ROW, i -> i.body()[2] == Row.BOX ? nothing(i) : i)),
         NO_PROBE_IS_ANSWERED(MutantsTest::nobodyIsAccused, spoils(Envelope.ACK, MutantsTest::nothing)),
         NO_WITNESS_ANSWERS(MutantsTest::theWholeIsUsed, spoils(Envelope.LOCKED, MutantsTest::nothing)),
@@ -160,7 +165,7 @@
     @ParameterizedTest
     @EnumSource(Mutant.class)
     void eachMutantIsFoundByWhatHoldsWithoutIt(Mutant m) {
-        assertTrue(m.holds.test(w -> { }), "does not hold by itself");
+        assertTrue(m.holds.test(w -> {}), "does not hold by itself");
         assertFalse(m.holds.test(m.spoiled), "not found");
     }
 }
--- a/src/test/java/dockshed/fleet/SharesTest.java
+++ b/src/test/java/dockshed/fleet/SharesTest.java
@@ -128,7 +128,7 @@
     @Test
     void noFaultMakesTheSharesHeldMoreThanTheWhole() {
         for (long seed = 1; seed <= 12; seed++) {
-            assertTrue(worst(seed, w -> { }) <= WHOLE, "seed " + seed);
+            assertTrue(worst(seed, w -> {}) <= WHOLE, "seed " + seed);
         }
     }
 
--- a/src/test/java/dockshed/hls/HlsPathTest.java
+++ b/src/test/java/dockshed/hls/HlsPathTest.java
@@ -107,7 +107,7 @@
     }
 
     private final Net net = new Net();
-    private final Stage module = new Stage();       // stands in for the decisions, which the tests script
+    private final Stage module = new Stage(); // stands in for the decisions, which the tests script
     private Director.Actions act;
     private LoopClock clock;
     private Deadlines deadlines;
@@ -119,7 +119,7 @@
     private final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
     private volatile int rung = 2;
-    private volatile long ahead;        // of the real time, for the front
+    private volatile long ahead; // of the real time, for the front
 
     @BeforeEach
     void start() throws Exception {
@@ -127,14 +127,18 @@
         net.call(() -> {
             clock = new LoopClock(net.loop());
             deadlines = new Deadlines(clock::wake);
-            broker = new Broker(module.settings, a -> {
-                act = a;
-                return module;
-            }, m -> { }, deadlines);
+            broker = new Broker(
+                    module.settings,
+                    a -> {
+                        act = a;
+                        return module;
+                    },
+                    m -> {},
+                    deadlines);
             clock.onDue(broker::tick);
-            origins = new Origins(broker, net, clock, 250,
-                    new LoadTeller(broker, deadlines, module.settings));
-            front = new HlsFront(broker, origins, () -> clock.now() + ahead, deadlines, module.settings, 60_000_000, 50, 1);
+            origins = new Origins(broker, net, clock, 250, new LoadTeller(broker, deadlines, module.settings));
+            front = new HlsFront(
+                    broker, origins, () -> clock.now() + ahead, deadlines, module.settings, 60_000_000, 50, 1);
             module.onRequest = r -> {
                 requests.add(r.id());
                 act.rate(r.id(), rung);
@@ -148,7 +152,9 @@
             list(State.UP);
             return null;
         });
-        listening = net.listen(new InetSocketAddress("127.0.0.1", 0), front::accept).sync().channel();
+        listening = net.listen(new InetSocketAddress("127.0.0.1", 0), front::accept)
+                .sync()
+                .channel();
     }
 
     @AfterEach
@@ -165,8 +171,8 @@
     private Headed fetch(String method, String target) throws Exception {
         try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
             s.setSoTimeout(20_000);
-            s.getOutputStream().write((method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")
-                    .getBytes(StandardCharsets.UTF_8));
+            s.getOutputStream()
+                    .write((method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.UTF_8));
             Headed m = read(s.getInputStream(), new HeadedDecoder(1 << 20));
             assertEquals(m.body().length, Integer.parseInt(m.header("content-length")), "a cut answer would show");
             return m;
@@ -202,7 +208,7 @@
 
     @Test
     void whatNobodyWaitsForAnyMoreIsNotTriedAnyMoreAndAPaidOneIsKeptForWhoComesBack() throws Exception {
-        module.onRequest = r -> requests.add(r.id());       // it waits
+        module.onRequest = r -> requests.add(r.id()); // it waits
         Socket safe = waits(lesson("safe", "v"));
         Socket again = waits(lesson("safe", "v"));
         String held = requests.take();
@@ -240,7 +246,8 @@
         keepsTerms(get(uris.get(0).replaceAll("[0-9]+\\.m3u8$", "master.m3u8")));
         assertEquals(uris, uris(get(lesson("paid", "v"))));
         assertEquals(1, requests.size());
-        assertEquals(1, box.asked.stream().filter(p -> p.endsWith("master.m3u8")).count());
+        assertEquals(
+                1, box.asked.stream().filter(p -> p.endsWith("master.m3u8")).count());
         // Another viewer's lesson is another session.
         assertNotEquals(uris, uris(get(lesson("paid", "w"))));
         assertEquals(2, requests.size());
@@ -322,8 +329,12 @@
 
     @Test
     void aBadUpstreamIsABadGateway() throws Exception {
-        for (String answer : List.of("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", ok("no playlist"), "garbage\r\n\r\n",
-                ok(MASTER).substring(0, 70), "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+        for (String answer : List.of(
+                "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n",
+                ok("no playlist"),
+                "garbage\r\n\r\n",
+                ok(MASTER).substring(0, 70),
+                "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
                 ok("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\nonly.m3u8\n"))) {
             box.answers = path -> answer;
             assertEquals(502, get(lesson("paid", "v")).status(), answer);
@@ -342,8 +353,13 @@
 
     @Test
     void badRequestsAreToldSo() throws Exception {
-        for (String bad : List.of("/lessons/t/master.m3u8", lesson("none", "v"), "/lessons/t/master.m3u8?class=paid",
-                lesson("paid", "v") + "&expires_ms=soon", lesson("paid", "v") + "&expires_ms=0", "/lessons/%zz/master.m3u8?class=paid&viewer=v")) {
+        for (String bad : List.of(
+                "/lessons/t/master.m3u8",
+                lesson("none", "v"),
+                "/lessons/t/master.m3u8?class=paid",
+                lesson("paid", "v") + "&expires_ms=soon",
+                lesson("paid", "v") + "&expires_ms=0",
+                "/lessons/%zz/master.m3u8?class=paid&viewer=v")) {
             assertEquals(400, get(bad).status(), bad);
         }
         assertEquals(404, get("/other").status());
@@ -355,8 +371,10 @@
     void pipelinedRequestsAreAnsweredInTurnAndGarbageEndsTheConnection() throws Exception {
         try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
             s.setSoTimeout(20_000);
-            s.getOutputStream().write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
-                    + "no header line\r\nat all\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+            s.getOutputStream()
+                    .write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
+                                    + "no header line\r\nat all\r\n\r\n")
+                            .getBytes(StandardCharsets.UTF_8));
             HeadedDecoder d = new HeadedDecoder(1 << 20);
             InputStream in = s.getInputStream();
             assertEquals(200, read(in, d).status());
@@ -381,8 +399,8 @@
         try (Socket s = new Socket("127.0.0.1", ((InetSocketAddress) listening.localAddress()).getPort())) {
             s.setSoTimeout(20_000);
             // The unknown path's answer shows that the front has taken the lesson's request before it.
-            s.getOutputStream().write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\n")
-                    .getBytes(StandardCharsets.UTF_8));
+            s.getOutputStream()
+                    .write(("GET " + lesson("paid", "v") + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.UTF_8));
             assertEquals(404, get("/other").status());
             may.complete(ok(MASTER));
             keepsTerms(read(s.getInputStream(), new HeadedDecoder(1 << 20)));
@@ -409,7 +427,7 @@
     void anIdleConnectionIsClosed() throws Exception {
         // Players on phones vanish without a word; their connections must not use up the descriptors.
         long[] at = {0};
-        Deadlines own = new Deadlines(t -> { });
+        Deadlines own = new Deadlines(t -> {});
         HlsFront f = new HlsFront(broker, origins, () -> at[0], own, module.settings, 60_000_000, 50, 1);
         EmbeddedChannel ch = new EmbeddedChannel(f.accept());
         at[0] = 20_000_000;
@@ -442,8 +460,13 @@
         int[] turn = {0};
         try (StandIn eureka = new StandIn(path -> turn[0] < script.size() ? ok(script.get(turn[0]++)) : null)) {
             net.call(() -> {
-                new EurekaClient(new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000), net, clock, deadlines,
-                        l -> sizes.add(l.size())).start();
+                new EurekaClient(
+                                new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000),
+                                net,
+                                clock,
+                                deadlines,
+                                l -> sizes.add(l.size()))
+                        .start();
                 return null;
             });
             List<Integer> seen = new ArrayList<>();
@@ -451,7 +474,8 @@
                 seen.add(sizes.poll(20, TimeUnit.SECONDS));
             }
             assertEquals(List.of(1, 2, 1), seen);
-            assertEquals(List.of("/eureka/apps", "/eureka/apps/delta", "/eureka/apps/delta", "/eureka/apps"),
+            assertEquals(
+                    List.of("/eureka/apps", "/eureka/apps/delta", "/eureka/apps/delta", "/eureka/apps"),
                     List.copyOf(eureka.asked).subList(0, 4));
         }
     }
@@ -461,8 +485,13 @@
         BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
         StandIn eureka = new StandIn(path -> ok(apps("")));
         net.call(() -> {
-            new EurekaClient(new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000), net, clock, deadlines,
-                    l -> sizes.add(l.size())).start();
+            new EurekaClient(
+                            new HlsConfig.Eureka(eureka.at(), "/eureka", "BOXES", 1000),
+                            net,
+                            clock,
+                            deadlines,
+                            l -> sizes.add(l.size()))
+                    .start();
             return null;
         });
         assertEquals(0, sizes.poll(20, TimeUnit.SECONDS));
@@ -478,7 +507,7 @@
     }
 
     private static String apps(String hash, String... instances) {
-        return "{\"applications\":{\"apps__hashcode\":\"" + hash + "\",\"application\":[{\"name\":\"BOXES\",\"instance\":["
-                + String.join(",", instances) + "]}]}}";
+        return "{\"applications\":{\"apps__hashcode\":\"" + hash
+                + "\",\"application\":[{\"name\":\"BOXES\",\"instance\":[" + String.join(",", instances) + "]}]}}";
     }
 }
--- a/src/test/java/dockshed/hls/PlaylistsTest.java
+++ b/src/test/java/dockshed/hls/PlaylistsTest.java
@@ -72,9 +72,15 @@
 
     @Test
     void whatIsNoMultivariantPlaylistIsUnfit() {
-        for (String bad : List.of("", "x", "#EXTM3U\n", "#EXTM3U\n#EXTINF:4,\na.ts\n",
-                "#EXTM3U\n#EXT-X-STREAM-INF:CODECS=\"x\"\na\n", "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\n",
-                "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=-1\na\n", "#EXTM3U\n#EXT-X-STREAM-INF:X=\"BANDWIDTH=1\na\n")) {
+        for (String bad : List.of(
+                "",
+                "x",
+                "#EXTM3U\n",
+                "#EXTM3U\n#EXTINF:4,\na.ts\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:CODECS=\"x\"\na\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=-1\na\n",
+                "#EXTM3U\n#EXT-X-STREAM-INF:X=\"BANDWIDTH=1\na\n")) {
             assertThrows(Unfit.class, () -> Multivariant.read(bad), bad);
         }
     }
@@ -98,16 +104,25 @@
     @Property(seed = "20261201", tries = 500)
     void everyListedVariantIsWithinTheTerms(
             @ForAll @Size(min = 1, max = 7) @UniqueElements List<@IntRange(min = 1, max = 9) Integer> rates,
-            @ForAll @IntRange(max = 3) int floor, @ForAll @IntRange(max = 3) int above) throws Exception {
+            @ForAll @IntRange(max = 3) int floor,
+            @ForAll @IntRange(max = 3) int above)
+            throws Exception {
         StringBuilder text = new StringBuilder("#EXTM3U\n");
-        rates.forEach(r -> text.append("#EXT-X-STREAM-INF:BANDWIDTH=").append(r).append("\n").append(r).append("\n"));
+        rates.forEach(r -> text.append("#EXT-X-STREAM-INF:BANDWIDTH=")
+                .append(r)
+                .append("\n")
+                .append(r)
+                .append("\n"));
         List<Integer> ladder = new ArrayList<>(rates);
         ladder.sort(null);
         Multivariant m = Multivariant.read(text.toString());
         assertEquals(floor < rates.size(), m.has(floor, floor + above));
         if (floor < rates.size()) {
-            List<Integer> listed = m.rewritten(floor, floor + above, BASE, n -> "n").lines()
-                    .filter(l -> l.startsWith("#EXT-X-STREAM-INF")).map(l -> Integer.valueOf(l.split("=")[1])).sorted()
+            List<Integer> listed = m.rewritten(floor, floor + above, BASE, n -> "n")
+                    .lines()
+                    .filter(l -> l.startsWith("#EXT-X-STREAM-INF"))
+                    .map(l -> Integer.valueOf(l.split("=")[1]))
+                    .sorted()
                     .toList();
             assertEquals(ladder.subList(floor, Math.min(floor + above + 1, ladder.size())), listed);
         }
--- a/src/test/java/dockshed/load/LoadTellerTest.java
+++ b/src/test/java/dockshed/load/LoadTellerTest.java
@@ -32,13 +32,13 @@
     private static final long MS = 1000, S = 1_000_000;
     private static final double LINK = 90_000, TOP = 900;
 
-    private final Map<String, Double> asked = new HashMap<>();      // kB a second by box, of all brokers
+    private final Map<String, Double> asked = new HashMap<>(); // kB a second by box, of all brokers
     private final List<Node> nodes = new ArrayList<>();
     private long now = 1_000 * S;
 
     /** One broker: its front only counts, its boxes answer at once. */
     private final class Node implements Front, Servers {
-        final Deadlines deadlines = new Deadlines(at -> { });
+        final Deadlines deadlines = new Deadlines(at -> {});
         final Map<String, Integer> rungs = new HashMap<>();
         final Map<String, String> at = new HashMap<>();
         final Settings s;
@@ -47,13 +47,18 @@
         int served, refused, topped;
 
         Node(int me, int of, int boxes, Scope scope, String kind, int streams, double uplink) {
-            s = new Settings(me, of, "east",
+            s = new Settings(
+                    me,
+                    of,
+                    "east",
                     List.of(new SessionClass("lesson", Effect.SAFE, S, 3 * S, 1, 1, 0, 1, 0)),
                     List.of(new Kind("std", streams)),
                     new Ladder(List.of(200.0, TOP), List.of(.2, 1.0), boxes * LINK, LINK, uplink, 1, 3, 0, 7, 500_000),
                     new Limits(3, false, true, 250 * MS, 2 * S, 500 * MS, 3 * S),
-                    new Rules(S, 0.4, 12 * S, 2.5, 2 * S, 0, 0, 0), new Prices(0, 0, 0, 0), List.of());
-            broker = new Broker(s, a -> new Choice(s, 7 + me, a), m -> { }, deadlines);
+                    new Rules(S, 0.4, 12 * S, 2.5, 2 * S, 0, 0, 0),
+                    new Prices(0, 0, 0, 0),
+                    List.of());
+            broker = new Broker(s, a -> new Choice(s, 7 + me, a), m -> {}, deadlines);
             loads = new LoadTeller(broker, deadlines, s);
             List<Server> list = new ArrayList<>();
             for (int i = 0; i < boxes; i++) {
@@ -69,8 +74,25 @@
         }
 
         void ask(int i) {
-            broker.request(now, 0, this, this, new Wish(i + "@" + nodes.indexOf(this), "lesson", "v" + i, "t", 3 * S,
-                    60 * S, 0, 3, 1, false, false, false, ""));
+            broker.request(
+                    now,
+                    0,
+                    this,
+                    this,
+                    new Wish(
+                            i + "@" + nodes.indexOf(this),
+                            "lesson",
+                            "v" + i,
+                            "t",
+                            3 * S,
+                            60 * S,
+                            0,
+                            3,
+                            1,
+                            false,
+                            false,
+                            false,
+                            ""));
         }
 
         private void put(String name, String server, int rung) {
@@ -112,22 +134,22 @@
         }
 
         @Override
-        public void giveUp(String server, String name) { }
+        public void giveUp(String server, String name) {}
 
         @Override
-        public void release(String server, String name) { }
+        public void release(String server, String name) {}
 
         @Override
-        public void hold(String server, boolean sessions) { }
+        public void hold(String server, boolean sessions) {}
 
         @Override
-        public void failed(long connection, String name, boolean late) { }
+        public void failed(long connection, String name, boolean late) {}
 
         @Override
-        public void over(long connection, String name, Outcome outcome) { }
+        public void over(long connection, String name, Outcome outcome) {}
 
         @Override
-        public void moved(long connection, String name) { }
+        public void moved(long connection, String name) {}
 
         @Override
         public boolean needsConnection() {
@@ -224,7 +246,7 @@
         ReckonedLoads loads = new ReckonedLoads(new Node(0, 1, 1, Scope.SNAPSHOT, "std", 5, LINK).settings());
         loads.members(List.of(new Server("a", "east", "std", 0, State.UP, 1, 0)));
         loads.stands(now, "a", "s", "lesson", 1);
-        loads.stands(now, "a", "s", "lesson", 1);       // told twice: counted once
+        loads.stands(now, "a", "s", "lesson", 1); // told twice: counted once
         assertEquals(TOP / LINK, loads.share(now, "a", now), 1e-9);
         assertEquals(0, loads.share(now, "a", now - S), 1e-9, "a second ago nothing was asked");
         loads.rate(now + S, "s", 0);
--- a/src/test/java/dockshed/load/OrcaReportTest.java
+++ b/src/test/java/dockshed/load/OrcaReportTest.java
@@ -9,18 +9,35 @@
 class OrcaReportTest {
     @Test
     void theMostParticularFieldCounts() {
-        assertEquals(0.4, OrcaReport.link("TEXT cpu_utilization=0.9, application_utilization=0.7,"
-                + "named_metrics.link=0.5, utilization.link=0.4").getAsDouble());
-        assertEquals(1.25, OrcaReport.link("JSON {\"cpu_utilization\":0.3,\"application_utilization\":0.1,"
-                + "\"named_metrics\":{\"link_utilization\":1.25}}").getAsDouble());
+        assertEquals(
+                0.4,
+                OrcaReport.link("TEXT cpu_utilization=0.9, application_utilization=0.7,"
+                                + "named_metrics.link=0.5, utilization.link=0.4")
+                        .getAsDouble());
+        assertEquals(
+                1.25,
+                OrcaReport.link("JSON {\"cpu_utilization\":0.3,\"application_utilization\":0.1,"
+                                + "\"named_metrics\":{\"link_utilization\":1.25}}")
+                        .getAsDouble());
         assertEquals(0.7, OrcaReport.link("TEXT application_utilization=7e-1").getAsDouble());
     }
 
     @Test
     void whatTellsNothingOfTheLinkOrCannotBeReadIsPassedOver() {
-        for (String bad : List.of("", "TEXT", "TEXT cpu_utilization=0.9", "TEXT utilization.link=NaN", "JSON {",
-                "TEXT utilization.link=-1", "TEXT utilization.link", "JSON [1]", "JSON {\"utilization\":7}", "BIN AAAA",
-                "JSON {\"utilization\":{\"link\":{}}}", "TEXT utilization.link=Infinity", "JSON ",
+        for (String bad : List.of(
+                "",
+                "TEXT",
+                "TEXT cpu_utilization=0.9",
+                "TEXT utilization.link=NaN",
+                "JSON {",
+                "TEXT utilization.link=-1",
+                "TEXT utilization.link",
+                "JSON [1]",
+                "JSON {\"utilization\":7}",
+                "BIN AAAA",
+                "JSON {\"utilization\":{\"link\":{}}}",
+                "TEXT utilization.link=Infinity",
+                "JSON ",
                 "TEXT utilization.link=0.4" + " ".repeat(5000))) {
             assertTrue(OrcaReport.link(bad).isEmpty(), bad);
         }
--- a/src/test/java/dockshed/names/DnsTest.java
+++ b/src/test/java/dockshed/names/DnsTest.java
@@ -71,7 +71,10 @@
         }
 
         Packet srv(String target, int priority, int weight, int port) {
-            return record(Names.SERVICE, Dns.SRV, () -> u16(priority).u16(weight).u16(port).name(target));
+            return record(
+                    Names.SERVICE,
+                    Dns.SRV,
+                    () -> u16(priority).u16(weight).u16(port).name(target));
         }
 
         Packet a(String name, int last) {
@@ -88,8 +91,21 @@
         }
 
         Packet soa(int serial) {
-            return record("fleet.local", Dns.SOA, () -> name("ns.fleet.local").name("admin.fleet.local")
-                    .u16(serial >> 16).u16(serial).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1).u16(0).u16(1));
+            return record(
+                    "fleet.local",
+                    Dns.SOA,
+                    () -> name("ns.fleet.local")
+                            .name("admin.fleet.local")
+                            .u16(serial >> 16)
+                            .u16(serial)
+                            .u16(0)
+                            .u16(1)
+                            .u16(0)
+                            .u16(1)
+                            .u16(0)
+                            .u16(1)
+                            .u16(0)
+                            .u16(1));
         }
 
         Packet code(int code) {
@@ -115,15 +131,20 @@
 
     private static byte[] fleet() {
         return new Packet(7, Names.SERVICE, Dns.SRV)
-                .srv("s-1.east.hosts", 0, 40, 5080).srv("s-2.west.hosts", 1, 15, 5081).soa(70_000)
-                .a("s-1.east.hosts", 9).a("s-2.west.hosts", 10)
+                .srv("s-1.east.hosts", 0, 40, 5080)
+                .srv("s-2.west.hosts", 1, 15, 5081)
+                .soa(70_000)
+                .a("s-1.east.hosts", 9)
+                .a("s-2.west.hosts", 10)
                 .txt("s-1.east.hosts", "kind=std", "cell=2", "started=0")
-                .txt("s-2.west.hosts", "kind=big", "cell=3", "started=1500.5").bytes();
+                .txt("s-2.west.hosts", "kind=big", "cell=3", "started=1500.5")
+                .bytes();
     }
 
     @Test
     void aQueryHasItsForm() {
-        assertArrayEquals(new byte[] {1, 2, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, 'a', 2, 'b', 'c', 0, 0, 33, 0, 1},
+        assertArrayEquals(
+                new byte[] {1, 2, 1, 0, 0, 1, 0, 0, 0, 0, 0, 0, 1, 'a', 2, 'b', 'c', 0, 0, 33, 0, 1},
                 Dns.query(0x0102, "a.bc", Dns.SRV));
     }
 
@@ -135,10 +156,15 @@
         FleetList list = new FleetList();
         Survey survey = new Survey(list, Names.SERVICE);
         assertEquals(2, survey.whole(a).size());
-        assertEquals(List.of(
-                new Listing(new Server("s-1", "east", "std", 2, State.UP, 4, 0), new InetSocketAddress("127.0.0.9", 5080)),
-                new Listing(new Server("s-2", "west", "big", 3, State.DRAINING, 1.5, 1_500_500),
-                        new InetSocketAddress("127.0.0.10", 5081))), list.all());
+        assertEquals(
+                List.of(
+                        new Listing(
+                                new Server("s-1", "east", "std", 2, State.UP, 4, 0),
+                                new InetSocketAddress("127.0.0.9", 5080)),
+                        new Listing(
+                                new Server("s-2", "west", "big", 3, State.DRAINING, 1.5, 1_500_500),
+                                new InetSocketAddress("127.0.0.10", 5081))),
+                list.all());
         assertNull(survey.next(0), "nothing is lacking");
     }
 
@@ -176,12 +202,18 @@
     @Test
     void aWholeListTellsOnlyWhatChangedAndLateAnswersNothing() {
         FleetList list = new FleetList();
-        list.known(3, Scope.DISK, List.of(listing("a", State.UP, 0), listing("b", State.UP, 0),
-                listing("c", State.UP, 0)));
-        assertEquals(List.of(), list.whole(3, List.of(listing("a", State.UP, 0), listing("b", State.UP, 0),
-                listing("c", State.UP, 0))), "the same list again changes nothing");
+        list.known(
+                3,
+                Scope.DISK,
+                List.of(listing("a", State.UP, 0), listing("b", State.UP, 0), listing("c", State.UP, 0)));
+        assertEquals(
+                List.of(),
+                list.whole(3, List.of(listing("a", State.UP, 0), listing("b", State.UP, 0), listing("c", State.UP, 0))),
+                "the same list again changes nothing");
         List<Server> changed = list.whole(5, List.of(listing("a", State.DRAINING, 0), listing("c", State.UP, 9)));
-        assertEquals(List.of("b GONE", "a DRAINING", "c UP"), changed.stream().map(s -> s.id() + " " + s.state()).toList());
+        assertEquals(
+                List.of("b GONE", "a DRAINING", "c UP"),
+                changed.stream().map(s -> s.id() + " " + s.state()).toList());
         assertEquals(List.of("a", "c"), List.copyOf(list.addresses().keySet()));
         // An answer that was overtaken on its way must not bring a drained server back.
         assertNull(list.whole(4, List.of(listing("a", State.UP, 0))));
--- a/src/test/java/dockshed/names/NamesTest.java
+++ b/src/test/java/dockshed/names/NamesTest.java
@@ -10,7 +10,6 @@
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -34,9 +33,15 @@
             LoopClock clock = new LoopClock(net.loop());
             Deadlines deadlines = new Deadlines(clock::wake);
             clock.onDue(deadlines::run);
-            names = new Names((scope, servers, addresses) -> news.add(scope + " "
-                    + servers.stream().map(s -> s.id() + " " + s.state()).toList() + " " + addresses.keySet()),
-                    clock, deadlines, new InetSocketAddress("127.0.0.1", server.getLocalPort()), 1);
+            names = new Names(
+                    (scope, servers, addresses) -> news.add(scope + " "
+                            + servers.stream()
+                                    .map(s -> s.id() + " " + s.state())
+                                    .toList() + " " + addresses.keySet()),
+                    clock,
+                    deadlines,
+                    new InetSocketAddress("127.0.0.1", server.getLocalPort()),
+                    1);
             names.start(net, new InetSocketAddress("127.0.0.1", 0));
             return null;
         });
@@ -89,13 +94,13 @@
 
     @Test
     void lostAnswersAreAskedForAgainAndOnesToNoQueryPassedOver() throws Exception {
-        query();                                        // lost
+        query(); // lost
         int id = query();
-        answer(list(id + 1 & 0xffff, 9, "x").bytes());  // to a query that was never sent
+        answer(list(id + 1 & 0xffff, 9, "x").bytes()); // to a query that was never sent
         answer(new byte[] {1, 2, 3});
         answer(list(id, 1, "a", "b").bytes());
         assertEquals("CHANGES [a UP, b UP] [a, b]", news());
-        answer(list(id, 5, "c").bytes());               // the same answer a second time
+        answer(list(id, 5, "c").bytes()); // the same answer a second time
         answer(list(query(), 2, "b").bytes());
         assertEquals("CHANGES [a GONE] [b]", news());
     }
@@ -124,7 +129,10 @@
 
     @Test
     void whatTheListLacksIsAskedForByName() throws Exception {
-        answer(new Packet(query(), Names.SERVICE, Dns.SRV).srv("a.east.hosts", 1, 10, 80).soa(1).bytes());
+        answer(new Packet(query(), Names.SERVICE, Dns.SRV)
+                .srv("a.east.hosts", 1, 10, 80)
+                .soa(1)
+                .bytes());
         for (int i = 0; i < 2; i++) {
             int id = query();
             boolean text = last.getData()[last.getLength() - 3] == Dns.TXT;
@@ -140,7 +148,7 @@
         assertEquals("CHANGES [a UP] [a]", news());
         DatagramSocket old = move();
         old.close();
-        answer(list(query(), 6, "old").bytes());        // older than what is known
+        answer(list(query(), 6, "old").bytes()); // older than what is known
         answer(list(query(), 8, "a", "b").bytes());
         assertEquals("CHANGES [b UP] [a, b]", news());
     }
@@ -149,14 +157,15 @@
     void aNameServerThatWasLeftEndsNobodyByAQuestionThatWasOut() throws Exception {
         answer(list(query(), 1, "a", "b").bytes());
         assertEquals("CHANGES [a UP, b UP] [a, b]", news());
-        answer(list(query(), 2, "a").cut(8000));        // b is left out: its address is asked for
+        answer(list(query(), 2, "a").cut(8000)); // b is left out: its address is asked for
         int out = query();
         while (last.getData()[last.getLength() - 3] != Dns.A) {
             out = query();
         }
         DatagramPacket asked = last;
         DatagramSocket old = move();
-        byte[] none = new Packet(out, "b.east.hosts", Dns.A).code(Dns.NO_SUCH_NAME).bytes();
+        byte[] none =
+                new Packet(out, "b.east.hosts", Dns.A).code(Dns.NO_SUCH_NAME).bytes();
         old.send(new DatagramPacket(none, none.length, asked.getSocketAddress()));
         old.close();
         answer(list(query(), 3, "a", "b", "c").bytes());
--- a/src/test/java/dockshed/names/SurveyTest.java
+++ b/src/test/java/dockshed/names/SurveyTest.java
@@ -30,7 +30,8 @@
     private void known(int count) {
         List<Listing> listings = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            listings.add(new Listing(new Server(String.format("s-%08x", i), "east", "std", i % 7, State.UP, 4, 0),
+            listings.add(new Listing(
+                    new Server(String.format("s-%08x", i), "east", "std", i % 7, State.UP, 4, 0),
                     new InetSocketAddress("127.0.0.1", 5000)));
         }
         list.known(5, Scope.DISK, listings);
@@ -71,7 +72,7 @@
         assertEquals("[s-00000003 DRAINING]", told(survey.whole(Dns.read(cut))));
         assertEquals(1024, list.all().size());
         assertEquals(6, list.serial());
-        for (int i = 20; i < cut.length; i += 97) {     // cut anywhere, also within a record
+        for (int i = 20; i < cut.length; i += 97) { // cut anywhere, also within a record
             byte[] shorter = services(0, 1024, 6, 3).cut(i);
             try {
                 survey.whole(Dns.read(shorter));
@@ -94,10 +95,17 @@
             asked += put.size();
             for (Survey.Question q : put) {
                 if (q.target().equals(target(200))) {
-                    gone.add(told(survey.reply(q, Dns.read(new Packet(1, q.target(), q.type()).code(3).bytes()))));
+                    gone.add(told(survey.reply(
+                            q,
+                            Dns.read(new Packet(1, q.target(), q.type()).code(3).bytes()))));
                 } else {
-                    assertEquals(List.of(), reply(q, "kind=std", "cell=" + Integer.parseInt(q.target().substring(2, 10),
-                            16) % 7, "started=0"));
+                    assertEquals(
+                            List.of(),
+                            reply(
+                                    q,
+                                    "kind=std",
+                                    "cell=" + Integer.parseInt(q.target().substring(2, 10), 16) % 7,
+                                    "started=0"));
                 }
             }
             survey.whole(Dns.read(services(0, 100, 6, -1).cut(LIMIT)));
@@ -119,13 +127,17 @@
             survey.whole(Dns.read(services(0, 100, 6, -1).cut(LIMIT)));
         }
         assertTrue(survey.settled());
-        assertEquals("[s-00000078 DRAINING]", told(survey.whole(Dns.read(services(100, 200, 6, 120).cut(LIMIT)))));
+        assertEquals(
+                "[s-00000078 DRAINING]",
+                told(survey.whole(Dns.read(services(100, 200, 6, 120).cut(LIMIT)))));
     }
 
     @Test
     void aCutAnswerWithoutItsSerialTakesNoDrainBack() throws Exception {
         known(3);
-        assertEquals("[s-00000001 DRAINING]", told(survey.whole(Dns.read(services(0, 3, 6, 1).bytes()))));
+        assertEquals(
+                "[s-00000001 DRAINING]",
+                told(survey.whole(Dns.read(services(0, 3, 6, 1).bytes()))));
         Packet undated = new Packet(1, Names.SERVICE, Dns.SRV);
         undated.srv(target(1), 0, 40, 5000).srv(target(2), 1, 40, 5000);
         assertEquals("[s-00000002 DRAINING]", told(survey.whole(Dns.read(undated.cut(LIMIT)))));
@@ -145,7 +157,8 @@
             for (Survey.Question q : put) {
                 reply(q, "kind=std", "cell=4", "started=0");
             }
-            survey.whole(Dns.read(services(0, 300, look < 50 ? 9 + look : 60, -1).bytes()));
+            survey.whole(
+                    Dns.read(services(0, 300, look < 50 ? 9 + look : 60, -1).bytes()));
         }
         assertEquals(300, list.all().size());
         assertEquals(4, list.all().get(299).server().cell());
@@ -155,7 +168,9 @@
     @Test
     void ofWhatIsKnownOnlyTheTextIsAskedForAndARestartIsTold() throws Exception {
         known(4);
-        assertEquals("[s-00000002 DRAINING]", told(survey.whole(Dns.read(services(0, 4, 6, 2).bytes()))),
+        assertEquals(
+                "[s-00000002 DRAINING]",
+                told(survey.whole(Dns.read(services(0, 4, 6, 2).bytes()))),
                 "a drain needs no further record");
         List<Survey.Question> put = questions();
         assertTrue(put.stream().allMatch(q -> q.type() == Dns.TXT), put.toString());
--- a/src/test/java/dockshed/net/HeadedDecoderTest.java
+++ b/src/test/java/dockshed/net/HeadedDecoderTest.java
@@ -45,7 +45,9 @@
     }
 
     private static void isThree(List<Headed> got) {
-        assertEquals(List.of("hallo", "", "abcde", ""), got.stream().map(Headed::text).toList());
+        assertEquals(
+                List.of("hallo", "", "abcde", ""),
+                got.stream().map(Headed::text).toList());
         assertEquals("3", got.get(1).header("cseq"));
         assertEquals(200, got.get(2).status());
         assertEquals("x", got.get(3).word(1));
@@ -55,7 +57,8 @@
     void everySplitGivesTheSameMessages() throws Exception {
         for (int i = 0; i <= THREE.length(); i++) {
             for (int j = i; j <= THREE.length(); j++) {
-                isThree(read(400, bytes(THREE.substring(0, i)), bytes(THREE.substring(i, j)), bytes(THREE.substring(j))));
+                isThree(read(
+                        400, bytes(THREE.substring(0, i)), bytes(THREE.substring(i, j)), bytes(THREE.substring(j))));
             }
         }
         byte[][] single = new byte[THREE.length()][];
@@ -67,9 +70,14 @@
 
     @Test
     void whatIsNoMessageIsMalformed() {
-        for (String bad : List.of("A b c\r\nno colon\r\n\r\n", "A b c\r\n: x\r\n\r\n", "A b c\r\nContent-Length: -1\r\n\r\n",
-                "A b c\r\nContent-Length: 1x\r\n\r\n", "A b c\r\n folded: x\r\n\r\n",
-                "A b c\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "A b c\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabcd")) {
+        for (String bad : List.of(
+                "A b c\r\nno colon\r\n\r\n",
+                "A b c\r\n: x\r\n\r\n",
+                "A b c\r\nContent-Length: -1\r\n\r\n",
+                "A b c\r\nContent-Length: 1x\r\n\r\n",
+                "A b c\r\n folded: x\r\n\r\n",
+                "A b c\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+                "A b c\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabcd")) {
             assertThrows(Headed.Malformed.class, () -> read(400, bytes(bad)), bad);
         }
     }
@@ -80,8 +88,8 @@
         assertEquals(1, read(head.length() + 40, bytes(head + "x".repeat(40))).size());
         assertThrows(Headed.Malformed.class, () -> read(head.length() + 39, bytes(head)));
         assertThrows(Headed.Malformed.class, () -> read(100, bytes("A".repeat(101))));
-        assertThrows(Headed.Malformed.class,
-                () -> read(100, bytes("A b c\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n")));
+        assertThrows(
+                Headed.Malformed.class, () -> read(100, bytes("A b c\r\nTransfer-Encoding: chunked\r\n\r\nfff\r\n")));
     }
 
     @Test
@@ -118,7 +126,19 @@
 
     @net.jqwik.api.Provide
     net.jqwik.api.Arbitrary<String> pieces() {
-        return net.jqwik.api.Arbitraries.of("\r\n", "\n", "A b c", "Content-Length: ", "3", "Transfer-Encoding: chunked",
-                ":", " ", "0", "xyz").list().ofMaxSize(20).map(l -> String.join("", l));
+        return net.jqwik.api.Arbitraries.of(
+                        "\r\n",
+                        "\n",
+                        "A b c",
+                        "Content-Length: ",
+                        "3",
+                        "Transfer-Encoding: chunked",
+                        ":",
+                        " ",
+                        "0",
+                        "xyz")
+                .list()
+                .ofMaxSize(20)
+                .map(l -> String.join("", l));
     }
 }
--- a/src/test/java/dockshed/net/HeldLoop.java
+++ b/src/test/java/dockshed/net/HeldLoop.java
@@ -4,7 +4,7 @@
 
 /** Holds a loop where it is, so that what crosses has all come before any of it is read. */
 public final class HeldLoop {
-    private HeldLoop() { }
+    private HeldLoop() {}
 
     /** Returns once the loop is held; it goes on when the latch is let go. */
     public static CountDownLatch hold(Net net) throws InterruptedException {
--- a/src/test/java/dockshed/net/SignalsTest.java
+++ b/src/test/java/dockshed/net/SignalsTest.java
@@ -35,15 +35,16 @@
         // Sessions were cut 0.8 s after SIGTERM though their viewers could have watched on for seconds.
         assertEquals(List.of("1850 TELL", "1860 TELL_AGAIN", "1910 HALT"), steps(1400, ms -> false, ms -> false));
         assertEquals("3450 TELL", steps(3000, ms -> false, ms -> false).get(0));
-        assertEquals("3450 TELL", steps(4000, ms -> false, ms -> false).get(0));    // counted as 3 s
-        assertEquals("800 TELL", steps(100, ms -> false, ms -> false).get(0));      // viewers still come
+        assertEquals("3450 TELL", steps(4000, ms -> false, ms -> false).get(0)); // counted as 3 s
+        assertEquals("800 TELL", steps(100, ms -> false, ms -> false).get(0)); // viewers still come
     }
 
     @Test
     void aTrickleOfRequestsKeepsNoSessionFromItsEnd() {
         // Sessions were told their ends only once nothing was unanswered: with a trickle of requests never, and SIGKILL
         // found them standing. Who still waits at the last moment is told a failure.
-        assertEquals(List.of("1850 TELL", "2000 FAIL", "2010 TELL_AGAIN", "2060 HALT"),
+        assertEquals(
+                List.of("1850 TELL", "2000 FAIL", "2010 TELL_AGAIN", "2060 HALT"),
                 steps(1400, ms -> ms <= 2000, ms -> false));
         assertEquals(List.of("1850 TELL", "2000 FAIL", "2080 HALT"), steps(1400, ms -> true, ms -> false));
     }
@@ -57,7 +58,8 @@
 
     @Test
     void aSetUpAnsweredAfterTheEndsWereToldIsToldItsEndToo() {
-        assertEquals(List.of("1850 TELL", "1930 TELL_AGAIN", "1980 HALT"),
+        assertEquals(
+                List.of("1850 TELL", "1930 TELL_AGAIN", "1980 HALT"),
                 steps(1400, ms -> ms >= 1840 && ms < 1930, ms -> false));
     }
 
