Split leased shares into voter, coordinator and holder

LeasedShares held three roles and their wire in one class of 360 lines, with double[] for what is two named amounts. Now LeaseVoter, LeaseCoordinator and LeaseHolder hold one role each, LeasedShares sends and reads their items, and ResourceAmounts with SharedResource stands in place of the arrays. Datagrams and decisions stay the same.

--- a/src/main/java/dockshed/fleet/GossipNode.java
+++ b/src/main/java/dockshed/fleet/GossipNode.java
@@ -141,7 +141,7 @@
 
     /** The part of the whole that this broker may use for new sessions now, for checks. */
     public double newSessionShare(long now) {
-        return leases.share(now, LeasedShares.NEW_SESSIONS);
+        return leases.share(now, SharedResource.NEW_SESSIONS);
     }
 
     Membership membership() {
@@ -484,8 +484,8 @@
                 now,
                 steady,
                 List.copyOf(membership.presentMembers()),
-                orUnshared(leases.share(now, LeasedShares.NEW_SESSIONS)),
-                orUnshared(leases.share(now, LeasedShares.RETRIES)),
+                orUnshared(leases.share(now, SharedResource.NEW_SESSIONS)),
+                orUnshared(leases.share(now, SharedResource.RETRIES)),
                 orUnshared(settings.guaranteedShare() / brokers),
                 leases.until(now),
                 settings.loadShedding() && steady ? SheddingThreshold.inForce(proposals) : 0,
--- /dev/null
+++ b/src/main/java/dockshed/fleet/LeaseCoordinator.java
@@ -0,0 +1,147 @@
+package dockshed.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * A broker as candidate and lease coordinator: it is one as long as a majority of votes run, and grants leases by demand.
+ * It never grants more than the leased part, counting all leases that may still run.
+ */
+final class LeaseCoordinator {
+    /** Part of the leased share that is reserved for brokers that join. */
+    private static final double RESERVED_PART = 0.1;
+    /** Part of the leased share that is split evenly; the rest follows the demand. */
+    private static final double EVEN_PART = 0.2;
+
+    /** Microseconds of the shortest lease that is worth granting. */
+    private static final long MIN_LEASE = LeasedShares.RETRY_AFTER;
+    /** Microseconds after which a broker that asks no more does not count. */
+    private static final long DEMAND_MAX_AGE = 2 * LeasedShares.MAX_LEASE;
+
+    /** A lease to be sent: its length in microseconds, and the shares. */
+    record Grant(long micros, ResourceAmounts shares) {}
+
+    private record RunningLease(ResourceAmounts shares, long until) {}
+
+    private record Demand(ResourceAmounts amounts, long reportedAt) {}
+
+    private final int quorum;
+    /** The whole that is leased, of 1. */
+    private final double leasable;
+    /** When each vote ends, by voter and by this broker's clock. */
+    private final Map<Integer, Long> votes = new HashMap<>();
+    /** The round of vote requests; votes of other rounds are void. */
+    private int round;
+
+    private long roundAt = Long.MIN_VALUE / 2;
+    private final Map<Integer, List<RunningLease>> running = new HashMap<>();
+    private final Map<Integer, Demand> demands = new HashMap<>();
+
+    /**
+     * @param leasable   what is leased of the whole, of 1
+     * @param firstRound differs from that of every earlier incarnation
+     */
+    LeaseCoordinator(int quorum, double leasable, int firstRound) {
+        this.quorum = quorum;
+        this.leasable = leasable;
+        round = firstRound;
+    }
+
+    // ---- Election.
+
+    /** When the next round of vote requests is due. */
+    long nextRoundAt() {
+        return roundAt + LeasedShares.VOTE_TERM / 4;
+    }
+
+    /** Begins a round of vote requests and returns its number. */
+    int startRound(long now) {
+        roundAt = now;
+        return ++round;
+    }
+
+    /** Makes votes under way void: this process stalled since it requested them. */
+    void voidRound() {
+        round++;
+    }
+
+    /** A voter's vote. It counts from when it was requested, so it ends before the voter's own term. */
+    void voted(long now, int voter, int votedRound) {
+        if (votedRound != round || now - roundAt >= LeasedShares.VOTE_TERM) {
+            return;
+        }
+        if (!isCoordinator(now)) {
+            running.clear(); // all leases of an earlier term ended with it
+        }
+        votes.put(voter, roundAt + LeasedShares.VOTE_TERM);
+    }
+
+    /** Whether a majority's votes run. */
+    boolean isCoordinator(long now) {
+        return termEnd(now) > now;
+    }
+
+    private long termEnd(long now) {
+        List<Long> ends = votes.values().stream()
+                .filter(end -> end > now)
+                .sorted(Comparator.reverseOrder())
+                .toList();
+        return ends.size() < quorum ? now : ends.get(quorum - 1);
+    }
+
+    // ---- Leases.
+
+    /** Grants a lease to a broker by its demand; null if the own term is nearly over. */
+    Grant grant(long now, int holder, ResourceAmounts wanted) {
+        long micros = (long) (Math.min(LeasedShares.MAX_LEASE, termEnd(now) - now) * (1 - 2 * LeasedShares.DRIFT));
+        if (micros < MIN_LEASE) {
+            return null;
+        }
+        demands.put(holder, new Demand(wanted, now));
+        demands.values().removeIf(demand -> now - demand.reportedAt() > DEMAND_MAX_AGE);
+        running.values().forEach(leases -> leases.removeIf(lease -> lease.until() <= now));
+        running.values().removeIf(List::isEmpty);
+        ResourceAmounts shares = ResourceAmounts.of(resource -> share(holder, wanted, resource));
+        long until = now + (long) (micros * (1 + 2 * LeasedShares.DRIFT));
+        running.computeIfAbsent(holder, x -> new ArrayList<>()).add(new RunningLease(shares, until));
+        return new Grant(micros, shares);
+    }
+
+    private double share(int holder, ResourceAmounts wanted, SharedResource resource) {
+        double free = leasable - heldByOthers(holder, resource);
+        double aim = part(wanted, resource) * leasable * (1 - RESERVED_PART);
+        boolean known = running.containsKey(holder);
+        double limit = known ? free - RESERVED_PART / 2 * leasable : free;
+        double share = Math.max(0, Math.min(aim, limit));
+        return Math.floor(share * ResourceAmounts.SHARE_UNIT) / ResourceAmounts.SHARE_UNIT;
+    }
+
+    /** The part of the leased share that a demand is worth. */
+    private double part(ResourceAmounts wanted, SharedResource resource) {
+        int holders = demands.size();
+        double all = demands.values().stream()
+                .mapToDouble(demand -> demand.amounts().get(resource))
+                .sum();
+        if (all <= 0) {
+            return 1.0 / holders;
+        }
+        return EVEN_PART / holders + (1 - EVEN_PART) * wanted.get(resource) / all;
+    }
+
+    /** What the others may hold: the largest running lease of each, since a later, smaller one may be lost. */
+    private double heldByOthers(int holder, SharedResource resource) {
+        double sum = 0;
+        for (Map.Entry<Integer, List<RunningLease>> other : running.entrySet()) {
+            if (other.getKey() != holder) {
+                sum += other.getValue().stream()
+                        .mapToDouble(lease -> lease.shares().get(resource))
+                        .max()
+                        .orElse(0);
+            }
+        }
+        return sum;
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/fleet/LeaseVoter.java
@@ -0,0 +1,68 @@
+package dockshed.fleet;
+
+import java.nio.ByteBuffer;
+
+/**
+ * A broker as voter for the lease coordinator. It votes for one incarnation of one candidate at a time, and for nobody in
+ * the first vote term after its start, as it does not know its earlier vote.
+ */
+final class LeaseVoter {
+    private static final int NOBODY = -1;
+    /** Bits of an incarnation in a replicated vote; the broker's number is above them. */
+    private static final int INCARNATION_BITS = 48;
+
+    private static final int VOTE_BYTES = 8;
+    /** A term as this clock counts it: longer than the candidate's, whichever clock is faster. */
+    private static final long OWN_TERM = (long) (LeasedShares.VOTE_TERM * (1 + 2 * LeasedShares.DRIFT));
+
+    private final int me;
+    private int votedFor = NOBODY;
+    /** Of that broker: a later incarnation knows nothing of the leases that still run. */
+    private long votedIncarnation;
+
+    private long votedUntil;
+
+    LeaseVoter(int me, long now) {
+        this.me = me;
+        votedUntil = now + OWN_TERM;
+    }
+
+    /** Votes for a candidate, or renews its vote; false while another vote runs. */
+    boolean vote(long now, int candidate, long incarnation) {
+        boolean renewal = votedFor == candidate && votedIncarnation == incarnation;
+        if (!renewal && now < votedUntil) {
+            return false;
+        }
+        votedFor = candidate;
+        votedIncarnation = incarnation;
+        votedUntil = now + OWN_TERM;
+        return true;
+    }
+
+    /** Replicates the running vote, if it is not replicated yet or was half a term ago. */
+    void publish(long now, EntryStore entries) {
+        if (votedFor == NOBODY || now >= votedUntil) {
+            return;
+        }
+        long vote = (long) votedFor << INCARNATION_BITS | votedIncarnation;
+        VersionedEntry published = entries.get(me, VersionedEntry.LEASE_COORDINATOR, 0);
+        boolean recent = published != null && now - published.writtenAt() < LeasedShares.VOTE_TERM / 2;
+        if (recent && ByteBuffer.wrap(published.value()).getLong() == vote) {
+            return;
+        }
+        byte[] value = ByteBuffer.allocate(VOTE_BYTES).putLong(vote).array();
+        entries.put(now, VersionedEntry.LEASE_COORDINATOR, 0, value);
+    }
+
+    /** The vote of a replicated entry, or null if it is none or its term is over. */
+    static Long published(long now, VersionedEntry entry) {
+        boolean running =
+                entry != null && entry.value().length >= VOTE_BYTES && now - entry.writtenAt() < LeasedShares.VOTE_TERM;
+        return running ? ByteBuffer.wrap(entry.value()).getLong() : null;
+    }
+
+    /** The broker that a published vote is for. */
+    static int candidateOf(long vote) {
+        return (int) (vote >>> INCARNATION_BITS);
+    }
+}
--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -50,7 +50,7 @@
             return node.snapshot(clock());
         }
 
-        double share(int resource) {
+        double share(SharedResource resource) {
             return node == null ? 0 : node.leases().share(clock(), resource);
         }
 
@@ -202,7 +202,7 @@
         }
     }
 
-    double sum(int resource) {
+    double sum(SharedResource resource) {
         double sum = 0;
         for (Node n : nodes) {
             sum += n.share(resource);
--- a/src/test/java/dockshed/fleet/LeasedSharesTest.java
+++ b/src/test/java/dockshed/fleet/LeasedSharesTest.java
@@ -12,8 +12,8 @@
     private static final double WHOLE = 1 + 1e-9;
 
     private static void check(FleetSimulation w) {
-        for (int k = 0; k < LeasedShares.RESOURCES; k++) {
-            double sum = w.sum(k);
+        for (SharedResource resource : SharedResource.values()) {
+            double sum = w.sum(resource);
             assertTrue(sum <= WHOLE, "shares add up to " + sum);
         }
     }
@@ -35,10 +35,11 @@
             }
             check(w);
         });
-        double hot = w.nodes[0].share(0);
-        double cool = w.nodes[3].share(0);
+        double hot = w.nodes[0].share(SharedResource.NEW_SESSIONS);
+        double cool = w.nodes[3].share(SharedResource.NEW_SESSIONS);
         assertTrue(hot > 2.5 * cool, hot + " and " + cool);
-        assertTrue(w.sum(0) > 0.85, "held of the whole: " + w.sum(0));
+        assertTrue(
+                w.sum(SharedResource.NEW_SESSIONS) > 0.85, "held of the whole: " + w.sum(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -48,12 +49,14 @@
         int dead = w.nodes[0].node.leases().isCoordinator(w.nodes[0].clock()) ? 1 : 0;
         w.nodes[dead].kill();
         w.run(8 * S, 50 * MS, () -> check(w));
-        double others = w.sum(0);
+        double others = w.sum(SharedResource.NEW_SESSIONS);
         assertTrue(others > 0.80, "of the dead one's part what was leased is used again: " + others);
         w.nodes[dead].start();
         w.run(S, 50 * MS, () -> check(w));
         assertTrue(w.nodes[dead].node.leases().leased(w.nodes[dead].clock()));
-        assertTrue(w.nodes[dead].share(0) > 0.9 / 8, "its share after a second: " + w.nodes[dead].share(0));
+        assertTrue(
+                w.nodes[dead].share(SharedResource.NEW_SESSIONS) > 0.9 / 8,
+                "its share after a second: " + w.nodes[dead].share(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -66,7 +69,7 @@
             }
         }
         w.run(14 * S, 50 * MS, () -> check(w));
-        assertTrue(w.sum(0) > 0.8, "held again: " + w.sum(0));
+        assertTrue(w.sum(SharedResource.NEW_SESSIONS) > 0.8, "held again: " + w.sum(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -75,11 +78,11 @@
         w.run(12 * S);
         w.partition(2, true);
         w.run(20 * S, 50 * MS, () -> check(w));
-        assertEquals(0.5 / 9, w.nodes[0].share(0), 1e-9);
-        assertTrue(w.sum(0) > 0.75, "held: " + w.sum(0));
+        assertEquals(0.5 / 9, w.nodes[0].share(SharedResource.NEW_SESSIONS), 1e-9);
+        assertTrue(w.sum(SharedResource.NEW_SESSIONS) > 0.75, "held: " + w.sum(SharedResource.NEW_SESSIONS));
         w.partition(2, false);
         w.run(14 * S, 50 * MS, () -> check(w));
-        assertTrue(w.nodes[0].share(0) > 0.5 / 9);
+        assertTrue(w.nodes[0].share(SharedResource.NEW_SESSIONS) > 0.5 / 9);
     }
 
     /** Faults at random: loss, duplicates, partitions, kills, pauses, clocks that are off and run at other rates. */
@@ -119,7 +122,8 @@
                         w.nodes[j].start();
                     }
                 }
-                worst[0] = Math.max(worst[0], Math.max(w.sum(0), w.sum(1)));
+                worst[0] =
+                        Math.max(worst[0], Math.max(w.sum(SharedResource.NEW_SESSIONS), w.sum(SharedResource.RETRIES)));
             });
         }
         return worst[0];
--- a/src/test/java/dockshed/fleet/MembershipTest.java
+++ b/src/test/java/dockshed/fleet/MembershipTest.java
@@ -80,7 +80,7 @@
         assertFalse(first.steady(), "acts on what it knew");
         assertEquals(0, first.sheddingThreshold());
         assertEquals(
-                n.node.leases().share(n.clock(), LeasedShares.NEW_SESSIONS),
+                n.node.leases().share(n.clock(), SharedResource.NEW_SESSIONS),
                 FleetSettings.DEFAULTS.guaranteedShare() / 7,
                 1e-9,
                 "a lease outlived the pause");
--- a/src/test/java/dockshed/fleet/MutantsTest.java
+++ b/src/test/java/dockshed/fleet/MutantsTest.java
@@ -117,7 +117,7 @@
     private static boolean theWholeIsUsed(Consumer<FleetSimulation> mutant) {
         FleetSimulation w = seven(mutant);
         w.run(6 * S);
-        return w.sum(LeasedShares.NEW_SESSIONS) > 0.8;
+        return w.sum(SharedResource.NEW_SESSIONS) > 0.8;
     }
 
     private static Consumer<FleetSimulation> tampers(int kind, java.util.function.UnaryOperator<Envelope.Item> change) {
