--- a/src/main/java/dockshed/fleet/Envelope.java
+++ b/src/main/java/dockshed/fleet/Envelope.java
@@ -116,10 +116,12 @@
         return List.copyOf(items);
     }
 
+    /** Writes the lowest six bytes. */
     static void putU48(ByteBuffer out, long value) {
         out.putShort((short) (value >>> 32)).putInt((int) value);
     }
 
+    /** Reads what {@link #putU48} wrote. */
     static long getU48(ByteBuffer in) {
         return (long) (in.getShort() & 0xFFFF) << 32 | in.getInt() & 0xFFFFFFFFL;
     }
--- a/src/main/java/dockshed/fleet/ResourceAmounts.java
+++ b/src/main/java/dockshed/fleet/ResourceAmounts.java
@@ -21,6 +21,7 @@
 
     private static final int MAX_U16 = 0xFFFF;
 
+    /** Asks for the amount of each resource. */
     static ResourceAmounts of(ToDoubleFunction<SharedResource> amount) {
         return new ResourceAmounts(
                 amount.applyAsDouble(SharedResource.NEW_SESSIONS), amount.applyAsDouble(SharedResource.RETRIES));
@@ -40,6 +41,7 @@
         out.u16(encode(newSessions, unit)).u16(encode(retries, unit));
     }
 
+    /** Reads what {@link #write} wrote with the same unit. */
     static ResourceAmounts read(ByteBuffer in, double unit) {
         double newSessions = (in.getShort() & MAX_U16) / unit;
         double retries = (in.getShort() & MAX_U16) / unit;
--- a/src/main/java/dockshed/fleet/SheddingThreshold.java
+++ b/src/main/java/dockshed/fleet/SheddingThreshold.java
@@ -59,6 +59,7 @@
         return Math.min(CLASS_LEVELS - 1, classLevel) << AGE_BITS | Math.min(MAX_AGE_VALUE, age);
     }
 
+    /** The priority of a client in a step: its hash orders it, and changes each {@link #HASH_ROTATION}. */
     static int priority(int step, int clientHash, long unixMicros) {
         int hash = StableHash.mix(clientHash, (int) (unixMicros / HASH_ROTATION)) >>> 32 - HASH_BITS;
         return step << HASH_BITS | hash;
--- a/src/main/java/dockshed/fleet/VersionedEntry.java
+++ b/src/main/java/dockshed/fleet/VersionedEntry.java
@@ -53,6 +53,7 @@
         return id(owner, kind, key);
     }
 
+    /** The id of an entry by its parts. */
     static long id(int owner, int kind, int key) {
         return (long) owner << 40 | (long) kind << 32 | key & 0xFFFFFFFFL;
     }
--- a/src/test/java/dockshed/fleet/LeasedSharesTest.java
+++ b/src/test/java/dockshed/fleet/LeasedSharesTest.java
@@ -20,9 +20,9 @@
 
     private static void ask(FleetSimulation w, int node, double perSecond) {
         if (w.nodes[node].up()) {
-            int[] tries = new int[SheddingThreshold.PRIORITY_STEPS];
-            tries[0] = (int) (perSecond * 10);
-            w.nodes[node].event(new LocalEvent.LoadSample(tries, tries[0], 0, tries[0] / 10, 10_000_000));
+            int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
+            requests[0] = (int) (perSecond * 10);
+            w.nodes[node].event(new LocalEvent.LoadSample(requests, requests[0], 0, requests[0] / 10, 10_000_000));
         }
     }
 
--- a/src/test/java/dockshed/fleet/MutantsTest.java
+++ b/src/test/java/dockshed/fleet/MutantsTest.java
@@ -85,15 +85,15 @@
     /** All brokers have the same shedding threshold in an overload. */
     private static boolean thresholdsAgree(Consumer<FleetSimulation> mutant) {
         FleetSimulation w = seven(mutant);
-        int[] tries = new int[SheddingThreshold.PRIORITY_STEPS];
-        tries[0] = 28;
+        int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
+        requests[0] = 28;
         // Each has room for another number; what is given to it is what lies over the threshold that it sees.
         w.run(30 * S, 500 * MS, () -> {
             for (FleetSimulation.Node n : w.nodes) {
                 double over = 1 - n.snapshot().sheddingThreshold() / (double) (1 << SheddingThreshold.HASH_BITS);
                 int given = (int) Math.round(28 * Math.max(0, Math.min(1, over)));
                 int room = Math.min(given, 6 + 2 * n.number);
-                n.event(new LocalEvent.LoadSample(tries, room, given - room, 0, 500_000));
+                n.event(new LocalEvent.LoadSample(requests, room, given - room, 0, 500_000));
             }
         });
         List<Integer> thresholds = Arrays.stream(w.nodes)
