--- a/src/main/java/dockshed/Main.java
+++ b/src/main/java/dockshed/Main.java
@@ -42,10 +42,14 @@
         }
         Signals.expectHangUps();
         try {
+            Config config = Config.load(System.getenv());
             Wiring.start(
-                    Config.load(System.getenv()),
+                    config,
                     files.containsKey("--hls") ? HlsConfig.load(files.get("--hls")) : null,
-                    files.containsKey("--conf") ? OperatorConfig.load(files.get("--conf")) : OperatorConfig.NONE);
+                    files.containsKey("--conf")
+                            ? OperatorConfig.load(
+                                    files.get("--conf"), config.peers().size())
+                            : OperatorConfig.NONE);
         } catch (Fields.Malformed e) {
             System.err.println("dockshed: " + e.getMessage());
             System.exit(2);
--- a/src/main/java/dockshed/config/ConfFile.java
+++ b/src/main/java/dockshed/config/ConfFile.java
@@ -34,11 +34,15 @@
     /** A directive with what follows it, or a section. */
     private record Entry(int line, List<String> values, Section section) {}
 
+    /** One line of a directive that may stand several times. */
+    record Line(int number, List<String> values) {}
+
     /** The directives between two braces, or of the whole file; each is asked for by name, and what is left is a fault. */
     final class Section {
         private final String name;
         private final int line;
         private final Map<String, Entry> entries = new LinkedHashMap<>();
+        private final Map<String, List<Entry>> repeats = new LinkedHashMap<>(); // further lines of a directive
         private final List<String> asked = new ArrayList<>();
         /** Keys that stand in the file under a name of an earlier version; their fault is recorded. */
         private final Set<String> outdated = new HashSet<>();
@@ -52,9 +56,44 @@
             return entries.containsKey(key);
         }
 
+        /** All lines of a directive that may stand several times, in their order. */
+        List<Line> lines(String key, String expected) {
+            asked.add(key);
+            List<Entry> all = new ArrayList<>();
+            if (entries.containsKey(key)) {
+                all.add(entries.get(key));
+                all.addAll(repeats.getOrDefault(key, List.of()));
+            }
+            List<Line> out = new ArrayList<>();
+            for (Entry e : all) {
+                if (e.section() != null) {
+                    fault(e.line(), key, expected, "a section");
+                } else {
+                    out.add(new Line(e.line(), e.values()));
+                }
+            }
+            return out;
+        }
+
+        /** A fault of one of a directive's lines. */
+        void faultAt(Line of, String key, String expected, String got) {
+            fault(of.number(), key, expected, got);
+        }
+
+        private void once(String key) {
+            for (Entry again : repeats.getOrDefault(key, List.of())) {
+                fault(
+                        again.line(),
+                        key,
+                        "it once, and it stands in line " + entries.get(key).line(),
+                        "it again");
+            }
+        }
+
         /** The section of that name, or an empty one. */
         Section section(String key) {
             asked.add(key);
+            once(key);
             Entry e = entries.get(key);
             if (e != null && e.section() == null) {
                 fault(e.line(), key, "a section: '" + key + " {'", String.join(" ", e.values()));
@@ -64,6 +103,7 @@
 
         private String value(String key, String expected) {
             asked.add(key);
+            once(key);
             Entry e = entries.get(key);
             if (e == null) {
                 return null;
@@ -187,6 +227,7 @@
         void end() {
             entries.forEach((key, e) -> {
                 if (!asked.contains(key) && !outdated.contains(key)) {
+                    once(key);
                     fault(
                             e.line(),
                             key,
@@ -279,9 +320,9 @@
                         words.size() != 2 ? "a name and a brace" : "at most " + MOST_DEPTH + " sections in sections",
                         lines[i].strip());
             }
-            Entry was = in.entries.putIfAbsent(key, new Entry(line, words.subList(1, words.size()), inner));
-            if (was != null) {
-                fault(line, key, "it once, and it stands in line " + was.line(), "it again");
+            Entry read = new Entry(line, words.subList(1, words.size()), inner);
+            if (in.entries.putIfAbsent(key, read) != null) {
+                in.repeats.computeIfAbsent(key, k -> new ArrayList<>()).add(read);
             }
             if (section) {
                 open.add(inner);
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -2,8 +2,15 @@
 
 import dockshed.fleet.FleetSettings;
 import dockshed.storm.Terms;
+import dockshed.topology.InvalidZonesException;
+import dockshed.topology.Zone;
+import dockshed.topology.ZoneMap;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** What the operator's file switches on and sets; {@code storm} or {@code fleet} null: without that part. */
 public record OperatorConfig(Terms storm, FleetSettings fleet) {
@@ -18,11 +25,28 @@
 
     public static final OperatorConfig NONE = new OperatorConfig(null, null);
 
+    /** Of a line of a zone. */
+    private static final String ZONE_LINE = "a name, a region and a range of broker numbers: 'zone north-1 north 0-72'";
+
+    private static final Pattern ZONE_NAME = Pattern.compile("[A-Za-z0-9][A-Za-z0-9._-]{0,31}");
+    private static final Pattern ZONE_RANGE = Pattern.compile("([0-9]{1,5})-([0-9]{1,5})");
+
+    /** For a file by itself, whatever the number of brokers. */
     public static OperatorConfig load(String file) {
-        return read(ConfFile.load(Path.of(file)));
+        return load(file, 0);
+    }
+
+    /** {@code brokers}: how many the configuration names; the file's zones have to be those of so many. */
+    public static OperatorConfig load(String file, int brokers) {
+        return read(ConfFile.load(Path.of(file)), brokers);
     }
 
+    /** Without a number of brokers: it is what the file's zones make. */
     static OperatorConfig read(ConfFile file) {
+        return read(file, 0);
+    }
+
+    static OperatorConfig read(ConfFile file, int brokers) {
         boolean named = file.root().has("storm");
         ConfFile.Section s = file.root().section("storm");
         boolean on = s.flag("enabled", true);
@@ -31,23 +55,65 @@
         boolean fleetNamed = file.root().has("fleet");
         ConfFile.Section f = file.root().section("fleet");
         boolean fleetOn = f.flag("enabled", true);
-        FleetSettings fleet = fleet(f);
+        FleetSettings fleet = fleet(f, brokers);
         f.end();
         file.root().end();
         file.check();
         return new OperatorConfig(named && on ? terms : null, fleetNamed && fleetOn ? fleet : null);
     }
 
-    private static FleetSettings fleet(ConfFile.Section s) {
+    private static List<Zone> zones(ConfFile.Section s, int brokers) {
+        List<ConfFile.Line> lines = s.lines("zone", ZONE_LINE);
+        List<ConfFile.Line> read = new ArrayList<>();
+        List<Zone> zones = new ArrayList<>();
+        for (ConfFile.Line line : lines) {
+            Zone zone = zone(line);
+            if (zone == null) {
+                s.faultAt(
+                        line, "zone", ZONE_LINE, line.values().isEmpty() ? "nothing" : String.join(" ", line.values()));
+            } else {
+                read.add(line);
+                zones.add(zone);
+            }
+        }
+        if (read.size() < lines.size()) {
+            return zones; // what is missing would only be told a second time
+        }
+        int highest = zones.stream().mapToInt(Zone::last).max().orElse(-1);
+        try {
+            ZoneMap.of(zones, brokers > 0 ? brokers : highest + 1);
+        } catch (InvalidZonesException e) {
+            s.faultAt(read.get(e.index()), "zone", e.expected(), e.got());
+        }
+        return zones;
+    }
+
+    private static Zone zone(ConfFile.Line line) {
+        if (line.values().size() != 3) {
+            return null;
+        }
+        String name = line.values().get(0);
+        String region = line.values().get(1);
+        Matcher range = ZONE_RANGE.matcher(line.values().get(2));
+        if (!ZONE_NAME.matcher(name).matches() || !ZONE_NAME.matcher(region).matches() || !range.matches()) {
+            return null;
+        }
+        return new Zone(name, region, Integer.parseInt(range.group(1)), Integer.parseInt(range.group(2)));
+    }
+
+    private static FleetSettings fleet(ConfFile.Section s, int brokers) {
         s.renamed(RENAMED_FLEET_DIRECTIVES);
         FleetSettings defaults = FleetSettings.DEFAULTS;
+        List<Zone> zones = zones(s, brokers);
+        double bytes = zones.isEmpty() ? defaults.bytesPerSecond() : FleetSettings.ZONED_BYTES_PER_SECOND;
         return new FleetSettings(
-                s.multiple("bytes_a_second", defaults.bytesPerSecond(), 100, 100_000),
+                s.multiple("bytes_a_second", bytes, 100, 100_000),
                 s.multiple("bytes_a_session", defaults.bytesPerSession(), 0, 100_000),
                 s.share("guaranteed_share", defaults.guaranteedShare(), 0, 1),
                 s.flag("leases", defaults.leases()),
                 s.flag("load_shedding", defaults.loadShedding()),
-                s.flag("health_probes", defaults.healthProbes()));
+                s.flag("health_probes", defaults.healthProbes()),
+                zones);
     }
 
     private static Terms storm(ConfFile.Section s) {
--- a/src/main/java/dockshed/fleet/EntryStore.java
+++ b/src/main/java/dockshed/fleet/EntryStore.java
@@ -1,5 +1,6 @@
 package dockshed.fleet;
 
+import dockshed.topology.Scope;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
@@ -46,7 +47,7 @@
     }
 
     private final int me;
-    private final int brokers;
+    private final Scope scope;
     private long incarnation;
     private final Map<Long, StoredEntry> stored = new LinkedHashMap<>();
     private final Map<Integer, Integer> entriesByOwner = new HashMap<>();
@@ -60,9 +61,9 @@
     /** When that happened, by relay. */
     private final Map<Integer, List<Long>> strikes = new HashMap<>();
 
-    EntryStore(int me, int brokers, long incarnation) {
+    EntryStore(int me, Scope scope, long incarnation) {
         this.me = me;
-        this.brokers = brokers;
+        this.scope = scope;
         this.incarnation = incarnation;
         Arrays.fill(timeToLive, DEFAULT_TIME_TO_LIVE);
     }
@@ -155,9 +156,9 @@
         return false;
     }
 
-    /** Whether it is of another known broker, of its latest incarnation, and not expired. */
+    /** Whether it is of another broker of the scope, of its latest incarnation, and not expired. */
     private boolean accepts(long now, VersionedEntry received) {
-        return received.owner() < brokers
+        return scope.contains(received.owner())
                 && received.owner() != me
                 && now - received.writtenAt() <= timeToLive[received.kind()]
                 && received.incarnation() >= latestIncarnations.getOrDefault(received.owner(), 0L);
--- a/src/main/java/dockshed/fleet/Envelope.java
+++ b/src/main/java/dockshed/fleet/Envelope.java
@@ -48,9 +48,16 @@
     /** Kind of item: a lease; request number, milliseconds, share by resource. */
     static final int LEASE_GRANT = 10;
 
+    /** Kind of item: a {@link ScopeSummary}. */
+    static final int SCOPE_SUMMARY = 11;
+    /** Kind of item: a body of the {@link GossipExtension}. */
+    static final int EXTENSION = 12;
+    /** Kind of item: an announcement of the {@link GossipExtension}. */
+    static final int ANNOUNCEMENT = 13;
+
     private static final int MAX_BODY_BYTES = 255;
     /** An item's kind and length. */
-    private static final int ITEM_HEADER_BYTES = 2;
+    static final int ITEM_HEADER_BYTES = 2;
 
     /** One item; the class that handles a kind decodes its body. */
     record Item(int kind, byte[] body) {
@@ -87,6 +94,11 @@
         return datagram.length >= HEADER_BYTES && datagram[0] == MAGIC;
     }
 
+    /** The sender that a datagram names, or -1 if it is no envelope. */
+    static int sender(byte[] datagram) {
+        return isEnvelope(datagram) ? (datagram[2] & 0xFF) << 8 | datagram[3] & 0xFF : -1;
+    }
+
     /** Returns null if the datagram cannot be decoded. */
     static Envelope read(byte[] datagram) {
         if (!isEnvelope(datagram) || datagram.length > MAX_BYTES || datagram[1] < VERSION) {
--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -1,11 +1,15 @@
 package dockshed.fleet;
 
 import dockshed.core.Peers;
+import dockshed.fleet.FleetSnapshot.ScopeStatus;
 import dockshed.net.Clock;
 import dockshed.net.Net;
 import dockshed.peers.UdpPeers;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
+import java.util.Map;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -26,6 +30,9 @@
     private static final long LOG_PERIOD = 10_000_000;
 
     private static final long MIN_TICK_DELAY = 1000;
+    /** Microseconds between two snapshots at least. */
+    private static final long MIN_PUBLISH_GAP = 20_000;
+
     private static final Logger LOG = LoggerFactory.getLogger(FleetHost.class);
 
     private final Net net = new Net("fleet");
@@ -42,6 +49,9 @@
     private boolean loggedCoordinator;
     private boolean loggedShedding;
     private long loggedLeaseUntil;
+    private final Map<Integer, ScopeStatus> loggedScopes = new HashMap<>();
+    private long publishedAt = Long.MIN_VALUE / 2;
+    private boolean publishDue;
 
     /**
      * @param me    this broker's number, and place in {@code peers}
@@ -57,7 +67,7 @@
     /** Begins to listen and to gossip. Throws IllegalStateException if the address cannot be listened on. */
     public void start(InetSocketAddress at) {
         nextLogAt = clock.now() + LOG_PERIOD;
-        peers.listen(net, at, (from, message) -> guarded(() -> node.receive(clock.now(), message, peers::tell)));
+        peers.listen(net, at, (from, message) -> guarded(() -> receive(from, message)));
         net.loop().execute(this::tick);
     }
 
@@ -83,6 +93,24 @@
         offer(new LocalEvent.StormNote(message.clone()));
     }
 
+    /** Carries another protocol along in the gossip's datagrams; to be called before {@link #start}. */
+    public void extend(GossipExtension extension) {
+        node.extend(extension);
+    }
+
+    /** Queues a body of the extension; on the fleet's loop only, from where the extension is called. */
+    public boolean sendExtension(int to, byte[] body) {
+        return node.sendExtension(to, body);
+    }
+
+    private void receive(int from, byte[] message) {
+        if (Envelope.isEnvelope(message) && Envelope.sender(message) != from) {
+            node.counts().spoofed++;
+            return;
+        }
+        node.receive(clock.now(), message, peers::tell);
+    }
+
     private void handlePending() {
         wakeUpScheduled.set(false);
         for (LocalEvent event = pending.poll(); event != null; event = pending.poll()) {
@@ -94,10 +122,14 @@
         guarded(() -> {
             handlePending();
             node.tick(clock.now(), peers::tell);
-            publish();
+            publishIfDue();
         });
         long now = clock.now();
-        net.loop().schedule(this::tick, Math.max(MIN_TICK_DELAY, node.next(now) - now), TimeUnit.MICROSECONDS);
+        long due = node.next(now);
+        if (publishDue) {
+            due = Math.min(due, publishedAt + MIN_PUBLISH_GAP);
+        }
+        net.loop().schedule(this::tick, Math.max(MIN_TICK_DELAY, due - now), TimeUnit.MICROSECONDS);
     }
 
     /** An internal error does not end the loop; if no snapshot comes of it any more, the broker serves alone. */
@@ -110,15 +142,26 @@
         }
     }
 
+    /** In a fleet with zones there are a hundred ticks a second; nobody needs as many snapshots. */
+    private void publishIfDue() {
+        publishDue = clock.now() - publishedAt < MIN_PUBLISH_GAP;
+        if (!publishDue) {
+            publishedAt = clock.now();
+            publish();
+        }
+    }
+
     private void publish() {
         long now = clock.now();
         FleetSnapshot current = node.snapshot(now);
         snapshot = current;
         logChanges(now, current);
         logLease(now, current);
+        logScopeChanges(current);
         if (now >= nextLogAt) {
             nextLogAt = now + LOG_PERIOD;
             logFigures(now, current);
+            logZones(current);
         }
     }
 
@@ -162,7 +205,9 @@
                 .addKeyValue("sent", counts.sent)
                 .addKeyValue("bytes", counts.bytes)
                 .addKeyValue("received", counts.received)
+                .addKeyValue("bytes_received", counts.bytesReceived)
                 .addKeyValue("discarded", counts.discarded)
+                .addKeyValue("spoofed", counts.spoofed)
                 .addKeyValue("forged", counts.forged)
                 .addKeyValue("stalls", counts.stalls)
                 .addKeyValue("events_dropped", droppedEvents.get())
@@ -172,6 +217,48 @@
                 .log();
     }
 
+    /** A line for each scope that has become known or unknown. */
+    private void logScopeChanges(FleetSnapshot current) {
+        for (ScopeStatus status : current.otherScopes()) {
+            ScopeStatus logged = loggedScopes.put(status.scope(), status);
+            if (logged == null ? status.isKnown() : logged.isKnown() != status.isKnown()) {
+                LOG.atInfo()
+                        .setMessage("fleet zone")
+                        .addKeyValue("zone", status.zone())
+                        .addKeyValue("scope", status.scope())
+                        .addKeyValue("known", status.isKnown())
+                        .addKeyValue("present", status.present())
+                        .addKeyValue("of", status.configured())
+                        .log();
+            }
+        }
+    }
+
+    private void logZones(FleetSnapshot current) {
+        if (current.otherScopes().isEmpty()) {
+            return;
+        }
+        GossipNode.Counts counts = node.counts();
+        LOG.atInfo()
+                .setMessage("fleet zones")
+                .addKeyValue("own", node.scope().zone().name())
+                .addKeyValue("present", current.presentBrokers().size())
+                .addKeyValue("of", node.scope().size())
+                .addKeyValue("requests_s", Math.round(current.requestsPerSecond()))
+                .addKeyValue("refused_summaries", counts.summariesRefused)
+                .addKeyValue("extension_dropped", counts.extensionDropped)
+                .addKeyValue(
+                        "others",
+                        current.otherScopes().stream().map(FleetHost::brief).toList())
+                .log();
+    }
+
+    /** Zone, present brokers of those configured, and how old that figure is: {@code north-2:73/73:0.8s}. */
+    private static String brief(ScopeStatus status) {
+        String age = status.isKnown() ? String.format(Locale.ROOT, "%.1fs", status.age() / 1e6) : "unknown";
+        return status.zone() + ":" + status.present() + "/" + status.configured() + ":" + age;
+    }
+
     private static List<Integer> without(List<Integer> all, List<Integer> excluded) {
         return all.stream().filter(i -> !excluded.contains(i)).toList();
     }
--- a/src/main/java/dockshed/fleet/FleetSnapshot.java
+++ b/src/main/java/dockshed/fleet/FleetSnapshot.java
@@ -18,6 +18,8 @@
  * @param requestsPerSecond of the whole fleet, as replicated
  * @param healthReports     on edge servers, by the hash of the server's id
  * @param stormNotes        of the retry-storm part, by broker
+ * @param otherScopes       what is known of the other scopes of a divided fleet; all else is of the own scope, but for
+ *     {@code sheddingThreshold} and {@code requestsPerSecond}
  */
 public record FleetSnapshot(
         long takenAt,
@@ -30,7 +32,8 @@
         int sheddingThreshold,
         double requestsPerSecond,
         Map<Integer, List<VersionedEntry>> healthReports,
-        Map<Integer, VersionedEntry> stormNotes) {
+        Map<Integer, VersionedEntry> stormNotes,
+        List<ScopeStatus> otherScopes) {
     /** Microseconds after which a snapshot counts as none: the fleet's loop has stalled. */
     public static final long MAX_AGE = 1_500_000;
 
@@ -49,7 +52,53 @@
             0,
             0,
             Map.of(),
-            Map.of());
+            Map.of(),
+            List.of());
+
+    /**
+     * Another scope as this broker knows it.
+     *
+     * @param scope      its number
+     * @param zone       the name of its zone
+     * @param region     of its zone
+     * @param configured brokers in it
+     * @param present    brokers that are present there; 0: nothing is known of it
+     * @param age        of that figure, in microseconds
+     */
+    public record ScopeStatus(int scope, String zone, String region, int configured, int present, long age) {
+        /** Whether anything is known of it that is young enough. */
+        public boolean isKnown() {
+            return present > 0;
+        }
+    }
+
+    /** A snapshot of an undivided fleet. */
+    public FleetSnapshot(
+            long takenAt,
+            boolean steady,
+            List<Integer> presentBrokers,
+            double newSessionShare,
+            double retryShare,
+            double guaranteedShare,
+            long leasedUntil,
+            int sheddingThreshold,
+            double requestsPerSecond,
+            Map<Integer, List<VersionedEntry>> healthReports,
+            Map<Integer, VersionedEntry> stormNotes) {
+        this(
+                takenAt,
+                steady,
+                presentBrokers,
+                newSessionShare,
+                retryShare,
+                guaranteedShare,
+                leasedUntil,
+                sheddingThreshold,
+                requestsPerSecond,
+                healthReports,
+                stormNotes,
+                List.of());
+    }
 
     /** Whether it is young enough to be used. */
     public boolean isFresh(long now) {
--- a/src/main/java/dockshed/fleet/GossipNode.java
+++ b/src/main/java/dockshed/fleet/GossipNode.java
@@ -2,8 +2,13 @@
 
 import dockshed.fleet.Envelope.BodyWriter;
 import dockshed.fleet.Envelope.Item;
+import dockshed.fleet.FleetSnapshot.ScopeStatus;
+import dockshed.fleet.ScopeSummaryStore.Estimate;
+import dockshed.topology.Scope;
+import dockshed.topology.ZoneMap;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -28,6 +33,20 @@
     private static final long MIN_PUSH_GAP = 100_000;
     /** Bytes a second that allow probes at their usual pace, a third of them for the probes themselves. */
     private static final double PROBE_BYTES = 900;
+    /** Part of the byte budget that pushing takes in a fleet with zones. */
+    private static final double ZONED_PUSH_PART = 0.85;
+    /** Bytes that a push takes in a fleet with zones, about, until some were sent. */
+    private static final double ZONED_PUSH_BYTES = 110;
+    /** How much a push changes the average of their bytes. */
+    private static final double PUSH_BYTES_SMOOTHING = 0.05;
+    /** Microseconds in which each peer of the scope is pushed to at most once. */
+    private static final long MIN_PUSH_ROUND = 500_000;
+    /** Microseconds between two changes of the own load figures in a fleet with zones. */
+    private static final long LOAD_PERIOD = 200_000;
+    /** Part of the pushes that relay another scope's summary: each peer has several a second of each scope by that. */
+    private static final double RELAY_PART = 0.5;
+    /** Bytes of the budget that extension messages leave to the gossip. */
+    private static final int EXTENSION_RESERVE = 1024;
     /** Microseconds between two rounds of anti-entropy. */
     private static final long REPAIR_PERIOD = 2_000_000;
     /** Microseconds between two answers to digests at least. */
@@ -67,6 +86,14 @@
         public long bytes;
         /** Datagrams that arrived. */
         public long received;
+        /** Bytes that arrived. */
+        public long bytesReceived;
+        /** Datagrams that named another sender than the address that they came from. */
+        public long spoofed;
+        /** Summaries of other scopes that were refused. */
+        public long summariesRefused;
+        /** Messages of the extension that found the queue full. */
+        public long extensionDropped;
         /** Datagrams that were not read. */
         public long discarded;
         /** Times that the process did not run for over a second. */
@@ -78,12 +105,22 @@
     private final FleetSettings settings;
     private final int me;
     private final int brokers;
+    private final ZoneMap zones;
+    private final Scope scope;
     private final SplittableRandom random;
     private final Membership membership;
     private final EntryStore entries;
     private final LeasedShares leases;
     private final SheddingThreshold threshold = new SheddingThreshold();
+    private final ScopeSummaryStore summaries;
+    private final ContactSchedule contacts;
+    private final OutsideSenders outside;
+    private final ExtensionQueue extensionQueue = new ExtensionQueue();
     private final Counts counts = new Counts();
+    private GossipExtension extension = GossipExtension.NONE;
+    private double pushBytes = ZONED_PUSH_BYTES;
+    private long loadWrittenAt = Long.MIN_VALUE / 2;
+    private long summaryVersion;
     private long incarnation;
     private long lastCalledAt;
     private long discardUntil = Long.MIN_VALUE;
@@ -115,14 +152,18 @@
         this.settings = settings;
         this.me = me;
         this.brokers = brokers;
+        zones = settings.zoneMap(brokers);
+        scope = zones.scopeOf(me);
         random = new SplittableRandom(seed);
         incarnation = unixMs;
         double stretch = Math.max(1, PROBE_BYTES / settings.bytesPerSecond());
-        membership = new Membership(me, brokers, incarnation, now, stretch, random.split());
-        entries = new EntryStore(me, brokers, incarnation);
-        leases =
-                new LeasedShares(me, brokers, settings.guaranteedShare(), incarnation, now, membership, random.split());
-        entries.setTimeToLive(VersionedEntry.LOAD, LOAD_ROUNDS * (pushInterval() * brokers + LOAD_MARGIN));
+        membership = new Membership(me, scope, incarnation, now, stretch, random.split());
+        entries = new EntryStore(me, scope, incarnation);
+        leases = new LeasedShares(me, zones, settings.guaranteedShare(), incarnation, now, membership, random.split());
+        summaries = new ScopeSummaryStore(zones, scope);
+        contacts = new ContactSchedule(zones, scope, now, new SplittableRandom(seed + 1));
+        outside = new OutsideSenders(brokers, now);
+        entries.setTimeToLive(VersionedEntry.LOAD, LOAD_ROUNDS * (pushInterval() * scope.size() + LOAD_MARGIN));
         entries.setTimeToLive(VersionedEntry.STORM_NOTE, STORM_NOTE_LIFE);
         entries.setTimeToLive(VersionedEntry.HEALTH_REPORT, 4 * HealthProbeSchedule.REPORT_MAX_AGE);
         entries.setTimeToLive(VersionedEntry.LEASE_COORDINATOR, LeasedShares.VOTE_TERM);
@@ -136,9 +177,21 @@
     /** Counts since the start; they go on changing. */
     public Counts counts() {
         counts.forged = entries.forged;
+        counts.summariesRefused = summaries.refused;
+        counts.extensionDropped = extensionQueue.dropped;
         return counts;
     }
 
+    /** Carries another protocol along; to be called before the first datagram. */
+    public void extend(GossipExtension other) {
+        extension = other;
+    }
+
+    /** Queues a body of the extension for a broker of the fleet; false if it is too long, or too many wait. */
+    public boolean sendExtension(int to, byte[] body) {
+        return zones.contains(to) && to != me && extensionQueue.offer(to, body);
+    }
+
     /** The part of the whole that this broker may use for new sessions now, for checks. */
     public double newSessionShare(long now) {
         return leases.share(now, LeasedShares.NEW_SESSIONS);
@@ -156,13 +209,26 @@
         return leases;
     }
 
+    Scope scope() {
+        return scope;
+    }
+
+    ScopeSummaryStore summaries() {
+        return summaries;
+    }
+
     private long pushInterval() {
+        if (zones.zoned()) {
+            double gap = pushBytes / (settings.bytesPerSecond() * ZONED_PUSH_PART) * 1e6;
+            return Math.max(MIN_PUSH_ROUND / scope.size(), (long) gap);
+        }
         return Math.max(MIN_PUSH_GAP, (long) (PUSH_BYTES / (settings.bytesPerSecond() * PUSH_PART) * 1e6));
     }
 
     /** When {@link #tick} is to be called at the latest. */
     public long next(long now) {
         long due = Math.min(membership.next(), Math.min(pushAt, leases.next(now)));
+        due = Math.min(due, Math.min(contacts.dueAt(), extension.next(now)));
         return Math.min(now + MAX_TICK_GAP, Math.max(now + 1000, due));
     }
 
@@ -189,6 +255,7 @@
         }
         Membership.Out out = (to, items) -> send(now, to, items, sink);
         entries.expire(now);
+        summaries.expire(now);
         membership.tick(now, out);
         if (settings.leases()) {
             double requests = sum(demand);
@@ -204,6 +271,11 @@
                 out.send(to, List.of(digest(true)));
             }
         }
+        if (now >= contacts.dueAt()) {
+            contactOtherScope(now, sink);
+        }
+        extension.tick(now);
+        sendExtensionMessages(now, sink);
     }
 
     private static double sum(double[] all) {
@@ -220,10 +292,13 @@
     private void push(long now, Sink sink) {
         pushAt = now + pushInterval();
         writeLoadFigures(now);
-        for (int i = 0; i < brokers; i++) {
-            pushTo = (pushTo + 1) % brokers;
-            if (pushTo != me && membership.member(pushTo).isPresent()) {
-                send(now, pushTo, pushedItems(now), sink);
+        for (int i = 0; i < scope.size(); i++) {
+            pushTo = (pushTo + 1) % scope.size();
+            int peer = scope.first() + pushTo;
+            if (peer != me && membership.member(peer).isPresent()) {
+                long before = counts.bytes;
+                send(now, peer, pushedItems(now), sink);
+                pushBytes += PUSH_BYTES_SMOOTHING * (counts.bytes - before - pushBytes);
                 return;
             }
         }
@@ -237,15 +312,119 @@
                 items.add(entry.write(now));
             }
         }
+        ScopeSummary relayed =
+                zones.zoned() && random.nextDouble() < RELAY_PART ? summaries.nextToRelay(now, scope) : null;
+        if (relayed != null && sizeOf(items) + relayed.write(now).size() <= Envelope.MAX_BYTES) {
+            items.add(relayed.write(now));
+        }
         return items;
     }
 
+    /** Bytes of a datagram with these items. */
+    private static int sizeOf(List<Item> items) {
+        return Envelope.HEADER_BYTES + items.stream().mapToInt(Item::size).sum();
+    }
+
+    // ---- Other scopes.
+
+    /** Sends the own scope's summary to a broker of another one, and what was heard of further ones first hand. */
+    private void contactOtherScope(long now, Sink sink) {
+        int to = contacts.next(now);
+        Scope theirs = zones.scopeOf(to);
+        List<Item> items = new ArrayList<>(List.of(summarize(now).write(now)));
+        int room = Envelope.MAX_BYTES - announcementBytes() - sizeOf(items);
+        for (int i = 2; i < zones.scopes().size(); i++) {
+            ScopeSummary relayed = summaries.nextToRelay(now, theirs);
+            Item item = relayed == null ? null : relayed.write(now);
+            if (item == null || item.size() > room || items.contains(item)) {
+                break;
+            }
+            items.add(item);
+            room -= item.size();
+        }
+        refill(now);
+        sendAsIs(now, to, items, sink);
+    }
+
+    private ScopeSummary summarize(long now) {
+        LoadFigures own = new LoadFigures(demand.clone(), accepted, rejected, proposal);
+        LoadFigures load = SheddingThreshold.scopeLoad(own, loadFigures(false));
+        summaryVersion = Math.max(summaryVersion + 1, now / 1000);
+        return new ScopeSummary(
+                me, summaryVersion, now, membership.presentMembers().size(), load);
+    }
+
+    /** A datagram of a broker outside the scope makes no member of it. */
+    private void receiveFromOutside(long now, Envelope envelope, Sink sink) {
+        int from = envelope.sender();
+        if (!zones.contains(from) || !outside.admits(now, from)) {
+            counts.discarded++;
+            return;
+        }
+        for (Item item : envelope.items()) {
+            if (item.kind() == Envelope.PING && item.body().length >= 2) {
+                // Of a broker that is not told of the zones: without an answer it would take this one for dead.
+                refill(now);
+                sendAsIs(now, from, List.of(new Item(Envelope.ACK, Arrays.copyOf(item.body(), 2))), sink);
+            } else {
+                fleetItem(now, from, item);
+            }
+        }
+        sendExtensionMessages(now, sink);
+    }
+
+    /** Handles an item of a kind that brokers of all scopes send one another. */
+    private void fleetItem(long now, int from, Item item) {
+        switch (item.kind()) {
+            case Envelope.SCOPE_SUMMARY -> {
+                if (zones.zoned()) {
+                    summaries.offer(now, ScopeSummary.read(item, now), from, latestIncarnation(now));
+                }
+            }
+            case Envelope.EXTENSION -> extension.receive(now, from, item.body());
+            case Envelope.ANNOUNCEMENT -> extension.heardAnnouncement(now, from, item.body());
+            default -> {}
+        }
+    }
+
+    // ---- The extension.
+
+    private Item announcement() {
+        byte[] body = extension.announcement();
+        if (body.length > GossipExtension.MAX_ANNOUNCEMENT_BYTES) {
+            throw new IllegalStateException("announcement of " + body.length + " bytes");
+        }
+        return new Item(Envelope.ANNOUNCEMENT, body);
+    }
+
+    /** Bytes that the announcement takes in a datagram. */
+    private int announcementBytes() {
+        Item item = announcement();
+        return item.body().length == 0 ? 0 : item.size();
+    }
+
+    private void sendExtensionMessages(long now, Sink sink) {
+        refill(now);
+        for (ExtensionQueue.Message next = extensionQueue.peek(); next != null; next = extensionQueue.peek()) {
+            Item item = new Item(Envelope.EXTENSION, next.body());
+            if (tokens < EXTENSION_RESERVE + Envelope.HEADER_BYTES + item.size()) {
+                return;
+            }
+            extensionQueue.remove();
+            sendAsIs(now, next.to(), List.of(item), sink);
+        }
+    }
+
     private void writeLoadFigures(long now) {
         if (!settings.loadShedding()) {
             return;
         }
+        if (zones.zoned() && now - loadWrittenAt < LOAD_PERIOD) {
+            return;
+        }
+        loadWrittenAt = now;
         LoadFigures own = new LoadFigures(demand.clone(), accepted, rejected, proposal);
-        proposal = threshold.propose(now, own, loadFigures(false));
+        proposal = threshold.propose(now, own, loadFigures(false), summaries.estimates(now));
         LoadFigures proposed = new LoadFigures(own.demand(), accepted, rejected, proposal);
         entries.put(now, VersionedEntry.LOAD, 0, proposed.write());
     }
@@ -270,7 +449,12 @@
     public void receive(long now, byte[] datagram, Sink sink) {
         begin(now);
         counts.received++;
+        counts.bytesReceived += datagram.length;
         Envelope envelope = left || now < discardUntil ? null : Envelope.read(datagram);
+        if (envelope != null && !scope.contains(envelope.sender())) {
+            receiveFromOutside(now, envelope, sink);
+            return;
+        }
         if (envelope != null && membership.isBehind(envelope)) {
             // It does not know what was said of it: an earlier datagram of its incarnation, or a clock that went back.
             send(now, envelope.sender(), List.of(membership.updateOn(envelope.sender())), sink);
@@ -287,6 +471,7 @@
         for (Item item : envelope.items()) {
             item(now, envelope.sender(), item, sink, out);
         }
+        sendExtensionMessages(now, sink);
     }
 
     private static long latestIncarnation(long now) {
@@ -297,6 +482,7 @@
         switch (item.kind()) {
             case Envelope.ENTRY -> mergeEntry(now, from, item);
             case Envelope.DIGEST -> answerDigest(now, from, item, sink);
+            case Envelope.SCOPE_SUMMARY, Envelope.EXTENSION, Envelope.ANNOUNCEMENT -> fleetItem(now, from, item);
             case Envelope.VOTE_REQUEST, Envelope.VOTE, Envelope.LEASE_REQUEST, Envelope.LEASE_GRANT -> {
                 if (settings.leases()) {
                     leases.item(now, from, item, out);
@@ -440,7 +626,7 @@
     private void send(long now, int to, List<Item> items, Sink sink) {
         refill(now);
         List<Item> all = new ArrayList<>(items);
-        int size = Envelope.HEADER_BYTES + items.stream().mapToInt(Item::size).sum();
+        int size = sizeOf(items) + announcementBytes();
         int room = (int) Math.min(Envelope.MAX_BYTES, Math.max(0, tokens)) - size;
         if (room > 0) {
             List<Item> updates = membership.gossip(room);
@@ -461,7 +647,13 @@
     }
 
     private void sendAsIs(long now, int to, List<Item> items, Sink sink) {
-        byte[] datagram = new Envelope(me, membership.incarnation(), ++serial, items).write();
+        Item announcement = announcement();
+        List<Item> all = items;
+        if (announcement.body().length > 0 && sizeOf(items) + announcement.size() <= Envelope.MAX_BYTES) {
+            all = new ArrayList<>(items);
+            all.add(announcement);
+        }
+        byte[] datagram = new Envelope(me, membership.incarnation(), ++serial, all).write();
         tokens -= datagram.length;
         counts.sent++;
         counts.bytes += datagram.length;
@@ -479,6 +671,11 @@
             proposals.add(figures.proposal());
             requests += figures.totalDemand();
         }
+        List<Estimate> estimates = summaries.estimates(now);
+        for (Estimate estimate : estimates) {
+            requests += estimate.load().totalDemand();
+        }
+        int inForce = SheddingThreshold.inForce(SheddingThreshold.inForce(proposals), proposals.size(), estimates);
         boolean steady = now >= steadyAt;
         return new FleetSnapshot(
                 now,
@@ -488,10 +685,30 @@
                 orUnshared(leases.share(now, LeasedShares.RETRIES)),
                 orUnshared(settings.guaranteedShare() / brokers),
                 leases.until(now),
-                settings.loadShedding() && steady ? SheddingThreshold.inForce(proposals) : 0,
+                settings.loadShedding() && steady ? inForce : 0,
                 requests,
                 healthReports(),
-                stormNotes());
+                stormNotes(),
+                otherScopes(estimates));
+    }
+
+    private List<ScopeStatus> otherScopes(List<Estimate> estimates) {
+        Map<Integer, Estimate> known = new HashMap<>();
+        estimates.forEach(estimate -> known.put(estimate.scope().number(), estimate));
+        List<ScopeStatus> out = new ArrayList<>();
+        for (Scope other : zones.scopes()) {
+            if (!other.equals(scope)) {
+                Estimate estimate = known.get(other.number());
+                out.add(new ScopeStatus(
+                        other.number(),
+                        other.zone().name(),
+                        other.zone().region(),
+                        other.size(),
+                        estimate == null ? 0 : estimate.present(),
+                        estimate == null ? ScopeSummaryStore.MAX_AGE : estimate.age()));
+            }
+        }
+        return List.copyOf(out);
     }
 
     private Map<Integer, List<VersionedEntry>> healthReports() {
--- a/src/main/java/dockshed/fleet/LeasedShares.java
+++ b/src/main/java/dockshed/fleet/LeasedShares.java
@@ -2,6 +2,8 @@
 
 import dockshed.fleet.Envelope.BodyWriter;
 import dockshed.fleet.Envelope.Item;
+import dockshed.topology.Scope;
+import dockshed.topology.ZoneMap;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -14,11 +16,15 @@
 /**
  * Shares of what all brokers may use together: each server's room and cold pace ({@link #NEW_SESSIONS}), and retries ({@link
  * #RETRIES}). The whole is 1. Of it the guaranteed share is split evenly among all configured brokers for good; the rest is
- * leased by demand, by one broker at a time, the lease coordinator.
+ * leased by demand, by one broker at a time, the lease coordinator. Where the fleet is divided into scopes, each has a
+ * coordinator and voters of its own, and leases the part of the whole that is its part of the configured brokers.
  *
  * <p>Why the shares held never add up to more than the whole:
  * <ul>
  * <li>Even parts of the guaranteed share add up to it, whoever is present.
+ * <li>Every broker is in one scope, so the leased parts of all scopes add up to the leased part of the whole, and it is
+ * enough that no scope leases more than its own. What follows is of one scope. A voter votes only for candidates that
+ * divide the fleet as it does, since a broker with other zones counts on other voters and another part.
  * <li>A voter votes for one candidate at a time, and for nobody in the first vote term after its start, as it does not know
  * its earlier vote. A coordinator needs a majority of the voters, which are the same at every broker, so any two
  * coordinators have one in common, and the later one got its vote only when the earlier one's had ended. A candidate counts
@@ -58,7 +64,14 @@
 
     private record Lease(double[] share, long until) {}
 
-    private final int me, brokers;
+    private final int me;
+    private final int brokers;
+    private final Scope scope;
+    private final boolean zoned;
+    private final int layoutHash;
+    /** Of the whole, what this scope leases. */
+    private final double leasable;
+
     private final double guaranteed;
     private final long incarnation;
     private final List<Integer> voters;
@@ -87,7 +100,7 @@
     /** {@code incarnation}: differs from every earlier one of this broker. */
     LeasedShares(
             int me,
-            int brokers,
+            ZoneMap zones,
             double guaranteed,
             long incarnation,
             long now,
@@ -98,16 +111,17 @@
         // An answer to a request of an earlier incarnation must not pass for one to a request of this one.
         asked = random.nextInt();
         request = random.nextInt();
-        this.brokers = brokers;
+        brokers = zones.brokers();
+        scope = zones.scopeOf(me);
+        zoned = zones.zoned();
+        layoutHash = zones.layoutHash();
+        leasable = (1 - guaranteed) * scope.size() / brokers;
         this.guaranteed = guaranteed;
         this.membership = membership;
-        List<Integer> order = new ArrayList<>();
-        for (int i = 0; i < brokers; i++) {
-            order.add(i);
-        }
+        List<Integer> order = new ArrayList<>(scope.brokers().boxed().toList());
         order.sort(Comparator.comparingInt((Integer i) -> StableHash.mix(i, 0x5ee7))
                 .thenComparing(i -> i));
-        voters = List.copyOf(order.subList(0, Math.min(VOTERS, brokers)));
+        voters = List.copyOf(order.subList(0, Math.min(VOTERS, scope.size())));
         preference = order.stream().mapToInt(i -> i).toArray();
         // How this broker voted in an earlier incarnation is not known any more; that vote has ended by then.
         votedUntil = now + (long) (VOTE_TERM * (1 + 2 * DRIFT));
@@ -152,7 +166,7 @@
         }
         for (Map.Entry<Long, Integer> v : votes.entrySet()) {
             int number = (int) (v.getKey() >>> 48);
-            if (v.getValue() >= quorum() && number < brokers) {
+            if (v.getValue() >= quorum() && scope.contains(number)) {
                 return number;
             }
         }
@@ -239,7 +253,11 @@
     private void ask(long now, Membership.Out out) {
         asked++;
         askedAt = now;
-        Item item = new BodyWriter().u32(asked).u48(incarnation).item(Envelope.VOTE_REQUEST);
+        BodyWriter body = new BodyWriter().u32(asked).u48(incarnation);
+        if (zoned) {
+            body.u32(layoutHash);
+        }
+        Item item = body.item(Envelope.VOTE_REQUEST);
         for (int w : voters) {
             if (w == me) {
                 item(now, me, item, out);
@@ -284,7 +302,7 @@
             boolean known = given.containsKey(to);
             double all = demands.values().stream().mapToDouble(d -> d[kind]).sum();
             double part = all > 0 ? 0.2 / demands.size() + 0.8 * wants[k] / all : 1.0 / demands.size();
-            double whole = 1 - guaranteed;
+            double whole = leasable;
             double others = 0;
             for (Map.Entry<Integer, List<Lease>> e : given.entrySet()) {
                 others += e.getKey() == to
@@ -324,6 +342,9 @@
                 }
                 int number = b.getInt();
                 long whose = Envelope.getU48(b);
+                if (zoned && (b.remaining() < 4 || b.getInt() != layoutHash)) {
+                    return;
+                }
                 if (votedFor == from && votedIncarnation == whose || now >= votedUntil) {
                     votedFor = from;
                     votedIncarnation = whose;
@@ -362,8 +383,7 @@
                     heldSince = requestAt;
                     heldUntil = requestAt + Math.min(lease, MAX_LEASE);
                     held = new double[] {(b.getShort() & 0xFFFF) / SHARE_UNIT, (b.getShort() & 0xFFFF) / SHARE_UNIT};
-                    double most = 1 - guaranteed;
-                    held = Arrays.stream(held).map(x -> Math.min(most, x)).toArray();
+                    held = Arrays.stream(held).map(x -> Math.min(leasable, x)).toArray();
                 }
             }
             default -> {}
--- a/src/main/java/dockshed/fleet/LoadFigures.java
+++ b/src/main/java/dockshed/fleet/LoadFigures.java
@@ -17,6 +17,9 @@
     private static final int PROPOSAL_SHIFT = 4;
 
     private static final int MAX_U16 = 0xFFFF;
+    /** The highest rate that one broker can tell. */
+    static final double MAX_RATE = MAX_U16 / RATE_UNIT;
+
     /** A mask of the steps with any demand, two rates and the proposal. */
     private static final int HEADER_BYTES = 4 + 2 + 2 + 2;
 
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -3,6 +3,7 @@
 import dockshed.fleet.Envelope.BodyWriter;
 import dockshed.fleet.Envelope.Item;
 import dockshed.fleet.Member.State;
+import dockshed.topology.Scope;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -74,7 +75,10 @@
     }
 
     final int me;
+    private final Scope scope;
+    /** The brokers of the scope, by their places in it. */
     private final Member[] members;
+
     private final SplittableRandom random;
     /** What is left of the current round of probes, last first. */
     private final List<Integer> probeOrder = new ArrayList<>();
@@ -99,24 +103,29 @@
     /**
      * @param stretch how many times longer its periods are, 1 or more, where the byte budget is small
      */
-    Membership(int me, int brokers, long incarnation, long now, double stretch, SplittableRandom random) {
+    Membership(int me, Scope scope, long incarnation, long now, double stretch, SplittableRandom random) {
         this.me = me;
         basePeriod = (long) (PROBE_PERIOD * stretch);
         this.incarnation = incarnation;
         this.random = random;
-        members = new Member[brokers];
-        for (int i = 0; i < brokers; i++) {
-            members[i] = new Member(i);
+        this.scope = scope;
+        members = new Member[scope.size()];
+        for (int i = 0; i < members.length; i++) {
+            members[i] = new Member(scope.first() + i);
             members[i].tokensAt = now;
         }
-        members[me].state = State.ALIVE;
-        members[me].incarnation = incarnation;
+        member(me).state = State.ALIVE;
+        member(me).incarnation = incarnation;
         nextProbeAt = now + random.nextLong(PROBE_PERIOD / 4);
         nextDeadProbeAt = now + DEAD_RETRY_PERIOD;
     }
 
+    Scope scope() {
+        return scope;
+    }
+
     Member member(int number) {
-        return members[number];
+        return members[number - scope.first()];
     }
 
     long incarnation() {
@@ -277,7 +286,7 @@
             }
             shuffleRound();
             if (!probeOrder.isEmpty() && isAlone()) {
-                return members[probeOrder.remove(probeOrder.size() - 1)];
+                return member(probeOrder.remove(probeOrder.size() - 1));
             }
         }
         return null;
@@ -285,7 +294,7 @@
 
     private Member restOfRound() {
         while (!probeOrder.isEmpty()) {
-            Member member = members[probeOrder.remove(probeOrder.size() - 1)];
+            Member member = member(probeOrder.remove(probeOrder.size() - 1));
             if (member.isPresent() && probes.values().stream().noneMatch(p -> p.target == member)) {
                 return member;
             }
@@ -332,12 +341,12 @@
      * @param latestIncarnation the latest that is plausible
      */
     boolean admits(long now, Envelope envelope, long latestIncarnation) {
-        if (envelope.sender() >= members.length
+        if (!scope.contains(envelope.sender())
                 || envelope.sender() == me
                 || envelope.incarnation() > latestIncarnation) {
             return false;
         }
-        Member sender = members[envelope.sender()];
+        Member sender = member(envelope.sender());
         if (!takeToken(now, sender) || envelope.incarnation() < sender.incarnation) {
             return false;
         }
@@ -365,19 +374,19 @@
 
     /** Whether a datagram's sender does not know yet under which incarnation the others speak of it. */
     boolean isBehind(Envelope envelope) {
-        return envelope.sender() < members.length
+        return scope.contains(envelope.sender())
                 && envelope.sender() != me
-                && envelope.incarnation() < members[envelope.sender()].incarnation;
+                && envelope.incarnation() < member(envelope.sender()).incarnation;
     }
 
     /** The state held of a member, so that it can refute it. */
     Item updateOn(int number) {
-        return update(members[number]);
+        return update(member(number));
     }
 
     /** A datagram of the sender's own arrived: whatever others say, it is present. True if it was not, or started anew. */
     boolean heard(long now, Envelope envelope) {
-        Member sender = members[envelope.sender()];
+        Member sender = member(envelope.sender());
         boolean later = envelope.incarnation() > sender.incarnation;
         boolean joined = later || !sender.heard || !sender.isPresent();
         recordSerial(sender, envelope.serial(), later || !sender.heard);
@@ -437,7 +446,7 @@
     }
 
     private void relayProbe(long now, int requester, int number, int target, Out out) {
-        if (target >= members.length || target == me || relayedProbes.size() >= MAX_RELAYED_PROBES) {
+        if (!scope.contains(target) || target == me || relayedProbes.size() >= MAX_RELAYED_PROBES) {
             return;
         }
         int own = nextProbeNumber();
@@ -460,7 +469,7 @@
         if (from == probe.target.number) {
             probes.remove(number);
             healthScore = Math.max(0, healthScore - 1);
-        } else if (probe.indirect && members[from].distrustedUntil < now) {
+        } else if (probe.indirect && member(from).distrustedUntil < now) {
             probes.remove(number); // a relay reached it: it is present, though not heard here
             healthScore = Math.max(0, healthScore - 1);
             if (probe.target.state == State.SUSPECT) {
@@ -472,11 +481,11 @@
     /** A member's state as sent by another broker or by the member itself. */
     private void applyUpdate(long now, int from, int number, int stateNumber, long updatedIncarnation) {
         State[] states = State.values();
-        if (number >= members.length || stateNumber >= states.length || members[from].distrustedUntil > now) {
+        if (!scope.contains(number) || stateNumber >= states.length || member(from).distrustedUntil > now) {
             return;
         }
         State state = states[stateNumber];
-        Member member = members[number];
+        Member member = member(number);
         if (number == me) {
             refute(state, updatedIncarnation);
         } else if (updatedIncarnation >= member.incarnation) {
@@ -507,8 +516,8 @@
     private void refute(State state, long updatedIncarnation) {
         if (isNegative(state) && updatedIncarnation >= incarnation && !leaving) {
             incarnation = updatedIncarnation + 1;
-            members[me].incarnation = incarnation;
-            members[me].timesSent = 0;
+            member(me).incarnation = incarnation;
+            member(me).timesSent = 0;
             refutations++;
             healthScore = Math.min(MAX_HEALTH_SCORE, healthScore + 1);
         }
@@ -535,7 +544,7 @@
 
     /** A relay was caught forging: for {@link #DISTRUST_TIME} it is not believed about others. */
     void distrust(long now, int number) {
-        members[number].distrustedUntil = now + DISTRUST_TIME;
+        member(number).distrustedUntil = now + DISTRUST_TIME;
     }
 
     // ---- Gossip.
@@ -577,9 +586,9 @@
     /** A graceful shutdown begins: announced to some at once, and gossiped by them. */
     void leave(long now, Out out) {
         leaving = true;
-        members[me].state = State.LEFT;
+        member(me).state = State.LEFT;
         for (int to : randomPresent(2 * INDIRECT_PROBES, me)) {
-            out.send(to, List.of(update(members[me])));
+            out.send(to, List.of(update(member(me))));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/dockshed/fleet/OutsideSenders.java
@@ -0,0 +1,29 @@
+package dockshed.fleet;
+
+/** Bounds the datagrams that are read of each broker outside the own scope; of these no other state is kept. */
+final class OutsideSenders {
+    /** Datagrams a second that are read of one broker; a sound one sends less than one on average. */
+    static final double MAX_DATAGRAM_RATE = 10;
+    /** Datagrams at once. */
+    static final double MAX_DATAGRAM_BURST = 30;
+
+    private final float[] tokens;
+    private final long[] tokensAt;
+
+    OutsideSenders(int brokers, long now) {
+        tokens = new float[brokers];
+        tokensAt = new long[brokers];
+        java.util.Arrays.fill(tokens, (float) MAX_DATAGRAM_BURST);
+        java.util.Arrays.fill(tokensAt, now);
+    }
+
+    /** Whether a datagram of that broker is read. */
+    boolean admits(long now, int broker) {
+        double refilled = tokens[broker] + (now - tokensAt[broker]) * MAX_DATAGRAM_RATE / 1e6;
+        double available = Math.min(MAX_DATAGRAM_BURST, refilled);
+        boolean admitted = available >= 1;
+        tokens[broker] = (float) (admitted ? available - 1 : available);
+        tokensAt[broker] = now;
+        return admitted;
+    }
+}
--- a/src/main/java/dockshed/fleet/SheddingThreshold.java
+++ b/src/main/java/dockshed/fleet/SheddingThreshold.java
@@ -1,7 +1,9 @@
 package dockshed.fleet;
 
+import dockshed.fleet.ScopeSummaryStore.Estimate;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.List;
 
 /**
@@ -83,6 +85,39 @@
             return new FleetLoad(demand, accepted, rejected);
         }
 
+        /** With the other scopes' loads, each bounded as a broker's is, by the median scope's load of a broker. */
+        FleetLoad plus(int ownPresent, List<Estimate> scopes) {
+            if (scopes.isEmpty()) {
+                return this;
+            }
+            List<Double> perBroker = new ArrayList<>(List.of(sum(demand) / ownPresent));
+            scopes.forEach(s -> perBroker.add(s.load().totalDemand() / s.present()));
+            Collections.sort(perBroker);
+            double limit = 1 + MAX_WEIGHT * perBroker.get(perBroker.size() / 2);
+            double[] total = demand.clone();
+            double allAccepted = accepted;
+            double allRejected = rejected;
+            for (Estimate scope : scopes) {
+                LoadFigures load = scope.load();
+                double claimed = Math.max(load.totalDemand(), load.admitted()) / scope.present();
+                double weight = Math.min(1, limit / Math.max(1e-9, claimed));
+                for (int step = 0; step < PRIORITY_STEPS; step++) {
+                    total[step] += weight * load.demand()[step];
+                }
+                allAccepted += weight * load.accepted();
+                allRejected += weight * load.rejected();
+            }
+            return new FleetLoad(total, allAccepted, allRejected);
+        }
+
+        private static double sum(double[] all) {
+            double sum = 0;
+            for (double rate : all) {
+                sum += rate;
+            }
+            return sum;
+        }
+
         double admitted() {
             return accepted + rejected;
         }
@@ -115,10 +150,11 @@
      * retry again and again and their requests do not tell how many would come if they were admitted.
      *
      * @param own    this broker's figures
-     * @param others the figures of the other brokers that are present
+     * @param others the figures of the other brokers of the scope that are present
+     * @param scopes what is known of the other scopes
      */
-    int propose(long now, LoadFigures own, List<LoadFigures> others) {
-        FleetLoad load = FleetLoad.sum(own, others);
+    int propose(long now, LoadFigures own, List<LoadFigures> others, List<Estimate> scopes) {
+        FleetLoad load = FleetLoad.sum(own, others).plus(1 + others.size(), scopes);
         long elapsed = Math.min(SECOND, now - movedAt);
         movedAt = now;
         capacity = Math.max(load.accepted(), capacity * (1 - CAPACITY_DECAY * elapsed / 1e6));
@@ -183,7 +219,32 @@
         return 0;
     }
 
-    /** The threshold in force: the median of the proposals. */
+    /** The load of a scope, with the median of its proposals; no broker counts for more than it may in a proposal. */
+    static LoadFigures scopeLoad(LoadFigures own, List<LoadFigures> others) {
+        FleetLoad load = FleetLoad.sum(own, others);
+        List<Integer> proposals = new ArrayList<>(List.of(own.proposal()));
+        others.forEach(figures -> proposals.add(figures.proposal()));
+        return new LoadFigures(load.demand(), load.accepted(), load.rejected(), inForce(proposals));
+    }
+
+    /** The threshold in force in a fleet of several scopes: the median of their proposals, by their present brokers. */
+    static int inForce(int ownProposal, int ownPresent, List<Estimate> scopes) {
+        List<Estimate> byProposal = new ArrayList<>(scopes);
+        LoadFigures own = new LoadFigures(new double[PRIORITY_STEPS], 0, 0, ownProposal);
+        byProposal.add(new Estimate(null, 0, ownPresent, own));
+        byProposal.sort(Comparator.comparingInt(scope -> scope.load().proposal()));
+        int all = byProposal.stream().mapToInt(Estimate::present).sum();
+        int below = 0;
+        for (Estimate scope : byProposal) {
+            below += scope.present();
+            if (2 * below >= all) {
+                return scope.load().proposal();
+            }
+        }
+        return ownProposal;
+    }
+
+    /** The threshold in force in one scope: the median of the proposals. */
     static int inForce(List<Integer> proposals) {
         if (proposals.isEmpty()) {
             return 0;
--- a/src/test/java/dockshed/fleet/EntryStoreTest.java
+++ b/src/test/java/dockshed/fleet/EntryStoreTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import dockshed.topology.ZoneMap;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -65,10 +66,10 @@
             @ForAll("entries") VersionedEntry r4,
             @ForAll long salt) {
         List<VersionedEntry> received = new ArrayList<>(List.of(r1, r2, r3, r4, r2, r1));
-        EntryStore one = new EntryStore(0, 9, 1);
+        EntryStore one = new EntryStore(0, ZoneMap.undivided(9).scopeOf(0), 1);
         received.forEach(r -> one.merge(NOW, r, 8, forger -> {}));
         Collections.shuffle(received, new Random(salt));
-        EntryStore other = new EntryStore(0, 9, 1);
+        EntryStore other = new EntryStore(0, ZoneMap.undivided(9).scopeOf(0), 1);
         received.forEach(r -> other.merge(NOW, r, 8, forger -> {}));
         assertArrayEquals(one.digest(), other.digest());
         for (VersionedEntry r : one.all()) {
@@ -78,7 +79,7 @@
 
     @Example
     void anEntryOfAnEarlierIncarnationNeverWinsAndAnOldOneExpiresHoweverOftenItIsReceived() {
-        EntryStore store = new EntryStore(0, 9, 1);
+        EntryStore store = new EntryStore(0, ZoneMap.undivided(9).scopeOf(0), 1);
         store.setTimeToLive(VersionedEntry.HEALTH_REPORT, 1_000_000);
         store.merge(
                 NOW, new VersionedEntry(1, VersionedEntry.HEALTH_REPORT, 5, 20, 1, NOW, new byte[] {1}), 1, l -> {});
@@ -97,7 +98,7 @@
 
     @Example
     void whatARelayForgedGoesWithTheOwnersNextVersionAndTheRelayIsNamed() {
-        EntryStore store = new EntryStore(0, 9, 1);
+        EntryStore store = new EntryStore(0, ZoneMap.undivided(9).scopeOf(0), 1);
         List<Integer> forgers = new ArrayList<>();
         for (int i = 0; i < EntryStore.MAX_STRIKES; i++) {
             assertEquals(List.of(), forgers, "a datagram may be overtaken");
@@ -118,7 +119,7 @@
 
     @Example
     void oneOwnersEntriesAreBounded() {
-        EntryStore store = new EntryStore(0, 9, 1);
+        EntryStore store = new EntryStore(0, ZoneMap.undivided(9).scopeOf(0), 1);
         for (int key = 0; key < 1000; key++) {
             store.merge(
                     NOW,
--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -1,5 +1,6 @@
 package dockshed.fleet;
 
+import dockshed.topology.Scope;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -7,6 +8,7 @@
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
+import java.util.function.IntFunction;
 import java.util.function.UnaryOperator;
 
 /**
@@ -59,7 +61,12 @@
             waiting.clear();
             pausedUntil = -1;
             node = new GossipNode(
-                    settings, number, nodes.length, startMillis.apply(clock() / 1000), clock(), random.nextLong());
+                    settingsOf.apply(number),
+                    number,
+                    nodes.length,
+                    startMillis.apply(clock() / 1000),
+                    clock(),
+                    random.nextLong());
             started.accept(this);
             tick(starts);
         }
@@ -104,6 +111,7 @@
             if (node == null) {
                 return;
             }
+            receivedBy[number] += datagram.length;
             if (pausedUntil >= 0) {
                 waiting.add(datagram);
             } else {
@@ -126,13 +134,22 @@
     final Map<Integer, Long> sentBy = new HashMap<>();
     private boolean[][] blocked;
     /** Mutants: what happens to a datagram on its way, and what a start takes for its time. */
-    UnaryOperator<Envelope> tamper = e -> e;
+    UnaryOperator<Envelope> tamper = UNTOUCHED;
+
+    private static final UnaryOperator<Envelope> UNTOUCHED = e -> e;
+    /** Settings by broker, where some run with others. */
+    IntFunction<FleetSettings> settingsOf;
+
+    /** Bytes that arrived, by broker. */
+    final long[] receivedBy;
 
     java.util.function.Function<Long, Long> startMillis = ms -> ms;
     Consumer<Node> started = n -> {};
 
     FleetSimulation(int brokers, FleetSettings settings, long seed) {
         this.settings = settings;
+        settingsOf = number -> settings;
+        receivedBy = new long[brokers];
         random = new SplittableRandom(seed);
         nodes = new Node[brokers];
         blocked = new boolean[brokers][brokers];
@@ -158,6 +175,11 @@
         blocked[a][b] = is;
     }
 
+    /** Blocks, or joins again, what goes from the brokers of one scope to those of another. */
+    void block(Scope from, Scope to, boolean is) {
+        from.brokers().forEach(a -> to.brokers().forEach(b -> block(a, b, is)));
+    }
+
     /** Partitions the first brokers from the others, both ways, or heals the partition. */
     void partition(int first, boolean is) {
         for (int a = 0; a < nodes.length; a++) {
@@ -176,7 +198,7 @@
         if (blocked[from][to] || random.nextDouble() < loss) {
             return;
         }
-        Envelope e = Envelope.read(datagram);
+        Envelope e = tamper == UNTOUCHED ? null : Envelope.read(datagram);
         byte[] goes = e == null ? datagram : tamper.apply(e).write();
         int times = random.nextDouble() < duplication ? 2 : 1;
         for (int i = 0; i < times; i++) {
--- a/src/test/java/dockshed/fleet/MembershipTest.java
+++ b/src/test/java/dockshed/fleet/MembershipTest.java
@@ -7,6 +7,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import dockshed.fleet.Member.State;
+import dockshed.topology.ZoneMap;
 import java.util.Arrays;
 import java.util.List;
 import java.util.stream.IntStream;
@@ -208,7 +209,7 @@
     @Test
     void whatIsOvertakenOnItsWayIsReadAndWhatComesTwiceIsNot() {
         // A probe overtaken by the figures sent with it was discarded, and its sender suspected for it.
-        Membership who = new Membership(0, 2, 5, 0, 1, new java.util.SplittableRandom(1));
+        Membership who = new Membership(0, ZoneMap.undivided(2).scopeOf(0), 5, 0, 1, new java.util.SplittableRandom(1));
         for (int serial : new int[] {10, 12, 11, 100, 50, 37}) {
             Envelope e = new Envelope(1, 7, serial, List.of());
             assertTrue(who.admits(S, e, 100), "serial " + serial);
