Split the decision module by concern into package choice, its state and arithmetic apart

The arithmetic is our own package rather than a library: Commons Math and Commons Statistics have no Erlang B for all numbers of slots at once, which is what Method II goes through, and would fatten the jar.

--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -163,7 +163,7 @@
          * The mean of set-ups in a window of a cold server's fall, of many senders who decide for themselves, that exceeds a
          * budget by over 2 x its root + 2 with the chance 1e-5 at most; by Chernoff's bound, so for any of them.
          */
-        static double borne(double budget) {
+        public static double borne(double budget) {
             double over = Math.floor(budget + 2 * Math.sqrt(budget) + 2) + 1;
             double low = 0;
             double high = over;
--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -3,6 +3,7 @@
 import dockshed.Director.Scope;
 import dockshed.Director.Server;
 import dockshed.Director.State;
+import dockshed.choice.Choice;
 import dockshed.config.Config;
 import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
--- /dev/null
+++ b/src/main/java/dockshed/choice/SlowStart.java
@@ -0,0 +1,44 @@
+package dockshed.choice;
+
+import dockshed.Director.Pace;
+import dockshed.Director.Rules;
+import dockshed.model.EdgeServer;
+
+/** Slow start of edge servers that are cold (rule 4; docs/design/cold-ramp.md). */
+record SlowStart(Context context) {
+    private static final double NO_CHANCE = 1e-6; // of standing open: not worth a draw
+    private static final double LEAST_CHANCE = 1e-9; // of a try to go there, so as not to divide by 0
+
+    /**
+     * Whether a cold server stands open to a try that would go there with that chance. Few directors keep to their part
+     * of its pace; of many, each may be expected to send its part.
+     */
+    boolean open(long now, EdgeServer server, double chance) {
+        Pace pace = context.actions().pace(server.id());
+        if (pace != Pace.UNKNOWN) {
+            return pace == Pace.WITHIN;
+        }
+        Rules rules = context.settings().rules();
+        int directors = context.settings().balancers();
+        long sinceSent = now - server.lastSentAt();
+        double takes = server.streams() * server.warmth(now) / Math.max(1, rules.warmUp());
+        double budget = rules.tipMultiple() * takes * rules.fall();
+        if (budget > 0 && directors <= budget) {
+            return sinceSent * Math.max(1, Math.floor(takes * rules.fall() / directors)) >= rules.fall();
+        }
+        if (sinceSent * takes <= Math.min(2, directors)) {
+            return false; // its own rush
+        }
+        return budget <= 0 || drawn(now, server, chance, Rules.borne(budget) / directors); // 0: no fall is told
+    }
+
+    private boolean drawn(long now, EdgeServer server, double chance, double part) {
+        double left = part - server.expectedSetUps().sum(now);
+        double open = Math.min(1, left / Math.max(LEAST_CHANCE, chance));
+        if (open < NO_CHANCE) {
+            return false;
+        }
+        server.expectedSetUps().add(now, open * chance);
+        return context.random().nextDouble() < open;
+    }
+}
--- a/src/test/java/dockshed/Bench.java
+++ b/src/test/java/dockshed/Bench.java
@@ -16,6 +16,7 @@
 import dockshed.Director.Settings;
 import dockshed.Director.State;
 import dockshed.Director.Topic;
+import dockshed.choice.Choice;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/dockshed/CapacityTest.java
+++ b/src/test/java/dockshed/CapacityTest.java
@@ -5,6 +5,7 @@
 
 import dockshed.Director.Scope;
 import dockshed.Director.Server;
+import dockshed.choice.Choice;
 import dockshed.config.Config;
 import dockshed.config.ConfigTest;
 import dockshed.core.Broker;
--- a/src/test/java/dockshed/ScriptedDay.java
+++ b/src/test/java/dockshed/ScriptedDay.java
@@ -17,6 +17,7 @@
 import dockshed.Director.Settings;
 import dockshed.Director.State;
 import dockshed.Director.Topic;
+import dockshed.choice.Choice;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.LinkedHashMap;
--- a/src/test/java/dockshed/load/LoadTellerTest.java
+++ b/src/test/java/dockshed/load/LoadTellerTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import dockshed.Choice;
 import dockshed.Director.Effect;
 import dockshed.Director.Kind;
 import dockshed.Director.Ladder;
@@ -16,6 +15,7 @@
 import dockshed.Director.SessionClass;
 import dockshed.Director.Settings;
 import dockshed.Director.State;
+import dockshed.choice.Choice;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
 import dockshed.core.Front;
--- a/src/test/java/dockshed/rig/World.java
+++ b/src/test/java/dockshed/rig/World.java
@@ -1,6 +1,5 @@
 package dockshed.rig;
 
-import dockshed.Choice;
 import dockshed.Director;
 import dockshed.Director.Effect;
 import dockshed.Director.Field;
@@ -17,6 +16,7 @@
 import dockshed.Director.Settings;
 import dockshed.Director.State;
 import dockshed.Director.Topic;
+import dockshed.choice.Choice;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
 import dockshed.core.Front;
