--- a/src/test/java/dockshed/SameDecisionsTest.java
+++ b/src/test/java/dockshed/SameDecisionsTest.java
@@ -153,6 +153,27 @@
             day.attemptsWindow = 2 * S;
             day.cells = 2;
         });
+        day("uplinks that all but fail, sessions past their told length", "2e25c7f234c3514abd3d6f42", day -> {
+            day.uplinkKb = 5_000;
+            day.foreign = 0.15;
+            day.racks = 4;
+            day.balancers = 2;
+            day.knownLength = true;
+            day.arrivals = 3;
+            day.openAtStart = 30;
+            day.seconds = 240;
+        });
+        day("links that give next to nothing", "f729051aee90bb9ab87bfcf1", day -> {
+            day.failures = true;
+            day.failing = 0.02;
+            day.balancers = 1;
+            day.arrivals = 1;
+            day.foreign = 0.02;
+            day.troubles = 0.2;
+            day.attemptsWindow = S / 4;
+            day.knownLength = true;
+            day.seconds = 300;
+        });
         day("one rack, weak links", "aa5b1df2ebe902af3d8be356", day -> {
             day.racks = 1;
             day.linkKb = 2_000;
--- a/src/test/java/dockshed/ScriptedDay.java
+++ b/src/test/java/dockshed/ScriptedDay.java
@@ -61,6 +61,7 @@
     boolean knownLength = false;
     boolean unlikeWeights = false;
     boolean failures = false; // links collapse and come back
+    double failing = 0.3; // share that a collapsed link gives
     long reportsEvery = READINGS_EVERY;
     long attemptsWindow = 0;
     double newcomers = -1;
@@ -257,7 +258,7 @@
             box.foreign += 0.05 * (foreign - box.foreign) + 0.02 * random.nextGaussian();
             box.foreign = Math.max(0, box.foreign);
             if (failures && random.nextInt(1500) == 0) {
-                box.gives = box.gives < 1 ? 1 : 0.3;
+                box.gives = box.gives < 1 ? 1 : failing;
             }
         }
     }
