--- a/src/test/java/dockshed/rig/Fabric.java
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -74,6 +74,18 @@
         }
     }
 
+    /** Cuts, or joins again, what goes from any of some brokers to any of others: one way only. */
+    void cut(int[] from, int[] to, boolean is) {
+        net.call(() -> {
+            for (int a : from) {
+                for (int b : to) {
+                    cut[a][b] = is;
+                }
+            }
+            return null;
+        });
+    }
+
     /** Cuts the first brokers off from the others, both ways, or joins them again. */
     void halve(int first, boolean is) {
         net.call(() -> {
