--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -52,7 +52,7 @@
             return node.snapshot(clock());
         }
 
-        double share(int resource) {
+        double share(SharedResource resource) {
             return node == null ? 0 : node.leases().share(clock(), resource);
         }
 
@@ -224,7 +224,7 @@
         }
     }
 
-    double sum(int resource) {
+    double sum(SharedResource resource) {
         double sum = 0;
         for (Node n : nodes) {
             sum += n.share(resource);
--- a/src/test/java/dockshed/fleet/LeasedSharesTest.java
+++ b/src/test/java/dockshed/fleet/LeasedSharesTest.java
@@ -15,17 +15,17 @@
     private static final double WHOLE = 1 + 1e-9;
 
     private static void check(FleetSimulation w) {
-        for (int k = 0; k < LeasedShares.RESOURCES; k++) {
-            double sum = w.sum(k);
+        for (SharedResource resource : SharedResource.values()) {
+            double sum = w.sum(resource);
             assertTrue(sum <= WHOLE, "shares add up to " + sum);
         }
     }
 
     private static void ask(FleetSimulation w, int node, double perSecond) {
         if (w.nodes[node].up()) {
-            int[] tries = new int[SheddingThreshold.PRIORITY_STEPS];
-            tries[0] = (int) (perSecond * 10);
-            w.nodes[node].event(new LocalEvent.LoadSample(tries, tries[0], 0, tries[0] / 10, 10_000_000));
+            int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
+            requests[0] = (int) (perSecond * 10);
+            w.nodes[node].event(new LocalEvent.LoadSample(requests, requests[0], 0, requests[0] / 10, 10_000_000));
         }
     }
 
@@ -38,10 +38,11 @@
             }
             check(w);
         });
-        double hot = w.nodes[0].share(0);
-        double cool = w.nodes[3].share(0);
+        double hot = w.nodes[0].share(SharedResource.NEW_SESSIONS);
+        double cool = w.nodes[3].share(SharedResource.NEW_SESSIONS);
         assertTrue(hot > 2.5 * cool, hot + " and " + cool);
-        assertTrue(w.sum(0) > 0.85, "held of the whole: " + w.sum(0));
+        assertTrue(
+                w.sum(SharedResource.NEW_SESSIONS) > 0.85, "held of the whole: " + w.sum(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -51,12 +52,14 @@
         int dead = w.nodes[0].node.leases().isCoordinator(w.nodes[0].clock()) ? 1 : 0;
         w.nodes[dead].kill();
         w.run(8 * S, 50 * MS, () -> check(w));
-        double others = w.sum(0);
+        double others = w.sum(SharedResource.NEW_SESSIONS);
         assertTrue(others > 0.80, "of the dead one's part what was leased is used again: " + others);
         w.nodes[dead].start();
         w.run(S, 50 * MS, () -> check(w));
         assertTrue(w.nodes[dead].node.leases().leased(w.nodes[dead].clock()));
-        assertTrue(w.nodes[dead].share(0) > 0.9 / 8, "its share after a second: " + w.nodes[dead].share(0));
+        assertTrue(
+                w.nodes[dead].share(SharedResource.NEW_SESSIONS) > 0.9 / 8,
+                "its share after a second: " + w.nodes[dead].share(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -69,7 +72,7 @@
             }
         }
         w.run(14 * S, 50 * MS, () -> check(w));
-        assertTrue(w.sum(0) > 0.8, "held again: " + w.sum(0));
+        assertTrue(w.sum(SharedResource.NEW_SESSIONS) > 0.8, "held again: " + w.sum(SharedResource.NEW_SESSIONS));
     }
 
     @Test
@@ -78,11 +81,11 @@
         w.run(12 * S);
         w.partition(2, true);
         w.run(20 * S, 50 * MS, () -> check(w));
-        assertEquals(0.5 / 9, w.nodes[0].share(0), 1e-9);
-        assertTrue(w.sum(0) > 0.75, "held: " + w.sum(0));
+        assertEquals(0.5 / 9, w.nodes[0].share(SharedResource.NEW_SESSIONS), 1e-9);
+        assertTrue(w.sum(SharedResource.NEW_SESSIONS) > 0.75, "held: " + w.sum(SharedResource.NEW_SESSIONS));
         w.partition(2, false);
         w.run(14 * S, 50 * MS, () -> check(w));
-        assertTrue(w.nodes[0].share(0) > 0.5 / 9);
+        assertTrue(w.nodes[0].share(SharedResource.NEW_SESSIONS) > 0.5 / 9);
     }
 
     /** Faults at random: loss, duplicates, partitions, kills, pauses, clocks that are off and run at other rates. */
@@ -125,7 +128,8 @@
                         w.nodes[j].start();
                     }
                 }
-                worst[0] = Math.max(worst[0], Math.max(w.sum(0), w.sum(1)));
+                worst[0] =
+                        Math.max(worst[0], Math.max(w.sum(SharedResource.NEW_SESSIONS), w.sum(SharedResource.RETRIES)));
             });
         }
         return worst[0];
@@ -153,7 +157,7 @@
         for (Zone zone : zoned.zones()) {
             double held = 0;
             for (int i = zone.first(); i <= zone.last(); i++) {
-                held += w.nodes[i].share(LeasedShares.NEW_SESSIONS);
+                held += w.nodes[i].share(SharedResource.NEW_SESSIONS);
             }
             double part = zone.size() / 12.0;
             assertTrue(held <= part + 1e-9 && held > 0.85 * part, zone.name() + " holds " + held + " of " + part);
--- a/src/test/java/dockshed/fleet/ZonedFleetTest.java
+++ b/src/test/java/dockshed/fleet/ZonedFleetTest.java
@@ -101,11 +101,11 @@
     void regionsThatAreCutApartGoOnAndFindOneAnotherAgain() {
         ZonedFleet fleet = new ZonedFleet(24, 4, 15).start();
         fleet.simulation.partition(12, true);
-        run(fleet, 20 * S, () -> assertTrue(fleet.simulation.sum(LeasedShares.NEW_SESSIONS) <= 1 + 1e-9));
+        run(fleet, 20 * S, () -> assertTrue(fleet.simulation.sum(SharedResource.NEW_SESSIONS) <= 1 + 1e-9));
         assertTrue(known(fleet, 0, 1));
         assertFalse(known(fleet, 0, 2));
         assertFalse(known(fleet, 20, 0));
-        assertTrue(fleet.simulation.sum(LeasedShares.NEW_SESSIONS) > 0.85, "each scope goes on leasing its part");
+        assertTrue(fleet.simulation.sum(SharedResource.NEW_SESSIONS) > 0.85, "each scope goes on leasing its part");
         fleet.simulation.partition(12, false);
         run(fleet, 4 * S);
         for (FleetSimulation.Node node : fleet.simulation.nodes) {
@@ -178,7 +178,7 @@
                 }
             }
         });
-        assertTrue(w.sum(LeasedShares.NEW_SESSIONS) <= 1 + 1e-9);
+        assertTrue(w.sum(SharedResource.NEW_SESSIONS) <= 1 + 1e-9);
         for (FleetSimulation.Node node : w.nodes) {
             if (node.number != liar) {
                 double sent = w.sentBy.get(node.number) / 20.0;
