--- a/src/main/java/dockshed/fleet/LeasedShares.java
+++ b/src/main/java/dockshed/fleet/LeasedShares.java
@@ -54,6 +54,9 @@
 
     private static final int VOTE_REQUEST_BYTES = 4 + 6;
     private static final int LAYOUT_HASH_BYTES = 4;
+    /** Stands for the layout of a fleet without zones, whose requests for votes name none. */
+    private static final int UNDIVIDED = 0;
+
     private static final int VOTE_BYTES = 4;
     private static final int LEASE_REQUEST_BYTES = 4 + ResourceAmounts.BYTES;
     private static final int LEASE_GRANT_BYTES = 4 + 2 + ResourceAmounts.BYTES;
@@ -61,8 +64,9 @@
     private final int me;
     private final int brokers;
     private final Scope scope;
-    private final boolean zoned;
+    /** How the fleet is divided into scopes; goes with requests for votes if it is. */
     private final int layoutHash;
+
     private final double guaranteed;
     private final long incarnation;
     private final Membership membership;
@@ -90,8 +94,7 @@
         this.me = me;
         brokers = zones.brokers();
         scope = zones.scopeOf(me);
-        zoned = zones.zoned();
-        layoutHash = zones.layoutHash();
+        layoutHash = zones.zoned() ? zones.layoutHash() : UNDIVIDED;
         this.guaranteed = guaranteed;
         this.incarnation = incarnation;
         this.membership = membership;
@@ -212,7 +215,7 @@
     private void requestVotes(long now, Membership.Out out) {
         int round = coordinator.startRound(now);
         BodyWriter body = new BodyWriter().u32(round).u48(incarnation);
-        if (zoned) {
+        if (layoutHash != UNDIVIDED) {
             body.u32(layoutHash);
         }
         Item request = body.item(Envelope.VOTE_REQUEST);
@@ -278,7 +281,8 @@
 
     /** Whether a candidate divides the fleet into the same scopes as this broker. */
     private boolean sameLayout(ByteBuffer rest) {
-        return !zoned || rest.remaining() >= LAYOUT_HASH_BYTES && rest.getInt() == layoutHash;
+        int layout = rest.remaining() >= LAYOUT_HASH_BYTES ? rest.getInt() : UNDIVIDED;
+        return layout == layoutHash;
     }
 
     private void voteRequested(long now, int candidate, int round, long candidateIncarnation, Membership.Out out) {
