--- /dev/null
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -0,0 +1,4 @@
+package dockshed.rollout;
+
+/** Learns. */
+final class Learner {}
--- /dev/null
+++ b/src/main/java/dockshed/rollout/Proposer.java
@@ -0,0 +1,4 @@
+package dockshed.rollout;
+
+/** Proposes. */
+final class Proposer {}
--- /dev/null
+++ b/src/main/java/dockshed/rollout/RolloutListener.java
@@ -0,0 +1,6 @@
+package dockshed.rollout;
+
+/** Hears of events, in the order in which they happen, on the thread that calls {@link RolloutNode}. */
+public interface RolloutListener {
+    void happened(long now, RolloutEvent event);
+}
--- /dev/null
+++ b/src/main/java/dockshed/rollout/Voter.java
@@ -0,0 +1,4 @@
+package dockshed.rollout;
+
+/** Votes. */
+final class Voter {}
