Spread of configuration: voters, proposer, learners and their simulation

Write-once votes per version with a durable record, confirmation by a majority, chunks from several sources.

--- a/src/main/java/dockshed/rollout/Learner.java
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -1,4 +1,300 @@
 package dockshed.rollout;
 
-/** Learns. */
-final class Learner {}
+import dockshed.rollout.RolloutMessage.Chunk;
+import dockshed.rollout.RolloutMessage.Report;
+import dockshed.rollout.RolloutMessage.ReportRequest;
+import dockshed.rollout.RolloutMessage.Unavailable;
+import dockshed.rollout.VoteStorage.StorageException;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Learns which configuration is chosen and puts it in force. What it hears by the gossip only makes it ask; what a
+ * majority of the voters answers it fetches, checks and applies.
+ *
+ * <p>What always holds: the configuration in force was chosen by a majority of the voters, has the digest that they voted
+ * for, and is of a higher version than every one in force here before, in this life or by {@link VoteStorage}.
+ */
+final class Learner {
+    /** A first question waits for up to so long, as all brokers hear of a change at about the same time. */
+    static final long SPREAD = 300_000;
+    /** Between two rounds without a result: from the first to at most the second; the third where nobody announces more. */
+    static final long PAUSE = 300_000, LONGEST_PAUSE = 2_000_000, IDLE_PAUSE = 20_000_000;
+
+    private final NodeContext context;
+    private final SourceTable sources;
+    private final Set<Integer> voterSources = new LinkedHashSet<>(); // voters that reported the target
+    private Configuration inForce; // null: none
+    private Configuration before; // the one before it, still served
+    private ConfigurationId refused; // the highest that this program cannot use; null: none
+    private VoterRound round;
+    private Download download;
+    private long askAt, pause = PAUSE, heardAt = Long.MIN_VALUE;
+
+    Learner(NodeContext context, SourceTable sources, long now) {
+        this.context = context;
+        this.sources = sources;
+        loadInForce(now);
+        askAt = now + context.jitter(SPREAD); // whatever happened while this broker was away
+    }
+
+    private void loadInForce(long now) {
+        try {
+            Optional<Configuration> loaded = context.storage().loadInForce();
+            if (loaded.isPresent()) {
+                apply(now, loaded.get());
+            }
+        } catch (StorageException e) {
+            context.tell(now, new RolloutEvent.StorageFailed(e.getMessage()));
+        }
+    }
+
+    ConfigurationId inForceId() {
+        return inForce == null ? null : inForce.id();
+    }
+
+    ConfigurationId refusedId() {
+        return refused;
+    }
+
+    /** The contents that it can serve to others. */
+    List<Configuration> contents() {
+        List<Configuration> out = new ArrayList<>();
+        if (inForce != null) {
+            out.add(inForce);
+        }
+        if (before != null) {
+            out.add(before);
+        }
+        return out;
+    }
+
+    long version() {
+        return inForce == null ? 0 : inForce.version();
+    }
+
+    /** The version above which something is to be learnt. */
+    private long settled() {
+        return Math.max(version(), refused == null ? 0 : refused.version());
+    }
+
+    Announcement announcement() {
+        long prefix = inForce == null ? 0 : inForce.id().digest().prefix();
+        long chosen = Math.max(settled(), download == null ? 0 : download.id().version());
+        return new Announcement(version(), prefix, chosen, settled() > version());
+    }
+
+    // ---- What is heard.
+
+    void heard(long now, int from, Announcement announcement) {
+        if (sources.avoided(now, from)) {
+            return;
+        }
+        sources.heard(now, from, announcement);
+        if (inForce != null && announcement.version() == version() && !announcement.names(inForce.id())) {
+            context.counts().conflicts++;
+        }
+        if (announcement.highest() > settled()) {
+            newer(now);
+        }
+    }
+
+    private void newer(long now) {
+        if (heardAt == Long.MIN_VALUE) {
+            heardAt = now;
+        }
+        if (round == null && download == null && askAt > now + LONGEST_PAUSE) {
+            askAt = now + context.random().nextLong(SPREAD);
+        }
+    }
+
+    /** This broker's own proposal was chosen. */
+    void chosen(long now, Configuration configuration) {
+        if (configuration.version() > settled()) {
+            if (heardAt == Long.MIN_VALUE) {
+                heardAt = now;
+            }
+            take(now, configuration);
+        }
+    }
+
+    // ---- Time.
+
+    long next() {
+        if (download != null) {
+            return download.next();
+        }
+        return round != null ? round.next() : askAt;
+    }
+
+    void tick(long now) {
+        if (download != null) {
+            download.tick(now);
+            if (download.givenUp(now)) {
+                download = null;
+                askAgain(now);
+            }
+        } else if (round != null) {
+            tickRound(now);
+        } else if (now >= askAt) {
+            ask(now);
+        }
+    }
+
+    private void ask(long now) {
+        askAt = Long.MAX_VALUE;
+        context.counts().rounds++;
+        round = new VoterRound(
+                context.settings(), context.random(), now, context.settings().majority() + 1, this::askVoter);
+    }
+
+    private void askVoter(long now, int voter, int number) {
+        context.sender().send(now, voter, new ReportRequest(number, settled()));
+    }
+
+    private void tickRound(long now) {
+        if (!round.over(now)) {
+            round.tick(now);
+            return;
+        }
+        round = null;
+        context.counts().fruitlessRounds++;
+        askAgain(now);
+    }
+
+    private void askAgain(long now) {
+        boolean announced = !sources.announcersAbove(now, settled()).isEmpty();
+        pause = Math.min(pause, announced ? LONGEST_PAUSE : IDLE_PAUSE);
+        askAt = now + context.jitter(pause);
+        pause *= 2;
+    }
+
+    // ---- What the voters answer.
+
+    /** Takes a voter's answer; false: it was not asked for here. */
+    boolean answered(long now, int from, Report report) {
+        if (round == null || !round.answered(now, from, report)) {
+            return false;
+        }
+        ConfigurationId chosen = round.chosenAbove(settled());
+        if (chosen != null) {
+            pause = PAUSE;
+            fetch(now, chosen);
+        } else if (round.voting() >= context.settings().majority()) {
+            nothingNew(now);
+        }
+        return true;
+    }
+
+    /** A majority of the voters answered, and nothing newer is chosen yet. */
+    private void nothingNew(long now) {
+        long highest = round.highest();
+        for (int announcer : sources.announcersAbove(now, Math.max(highest, settled()))) {
+            sources.avoid(now, announcer);
+            context.tell(now, new RolloutEvent.SourceAvoided(announcer, "announces a version that no voter knows"));
+        }
+        if (sources.announcersAbove(now, settled()).isEmpty()) {
+            round = null;
+            heardAt = Long.MIN_VALUE;
+            askAt = Long.MAX_VALUE;
+            pause = PAUSE;
+        }
+        // Otherwise the other voters' answers are waited for until the round is over.
+    }
+
+    private void fetch(long now, ConfigurationId id) {
+        voterSources.clear();
+        round.reports().forEach((voter, report) -> {
+            if (report.known().contains(id) && voter != context.settings().me()) {
+                voterSources.add(voter);
+            }
+        });
+        round = null;
+        if (heardAt == Long.MIN_VALUE) {
+            heardAt = now;
+        }
+        download = new Download(context, now, id, t -> sourcesOf(t, id), this::bad);
+    }
+
+    /** Brokers that announce it, and voters that reported it: these have it from the first, and are asked least. */
+    private List<Integer> sourcesOf(long now, ConfigurationId id) {
+        Set<Integer> all = new LinkedHashSet<>(sources.sourcesOf(now, id));
+        all.addAll(voterSources);
+        List<Integer> trusted =
+                all.stream().filter(b -> !sources.avoided(now, b)).toList();
+        return trusted.isEmpty() ? List.copyOf(voterSources) : trusted;
+    }
+
+    private void bad(long now, int source) {
+        sources.avoid(now, source);
+        context.tell(now, new RolloutEvent.SourceAvoided(source, "served a content with another digest"));
+    }
+
+    // ---- The content.
+
+    /** A content that this broker has already, as a voter; true: it was the one being fetched. */
+    boolean offer(long now, Configuration configuration) {
+        if (download == null || !download.id().equals(configuration.id())) {
+            return false;
+        }
+        take(now, configuration);
+        return true;
+    }
+
+    void chunk(long now, int from, Chunk chunk) {
+        Configuration whole = download == null ? null : download.chunk(now, from, chunk);
+        if (whole != null) {
+            take(now, whole);
+        }
+    }
+
+    void unavailable(long now, int from, Unavailable message) {
+        if (download != null) {
+            download.unavailable(now, from, message);
+        }
+    }
+
+    private void take(long now, Configuration configuration) {
+        download = null;
+        round = null;
+        long after = now - heardAt;
+        heardAt = Long.MIN_VALUE;
+        if (apply(now, configuration)) {
+            save(now, configuration);
+            context.tell(now, new RolloutEvent.InForce(configuration.id(), after));
+        }
+        boolean more = !sources.announcersAbove(now, settled()).isEmpty();
+        askAt = Long.MAX_VALUE;
+        if (more) {
+            newer(now);
+        }
+    }
+
+    /** Puts it in force if this program can use it; else it is refused, and what was in force stays. */
+    private boolean apply(long now, Configuration configuration) {
+        if (configuration.version() <= version()) {
+            return false;
+        }
+        Optional<String> reason = context.applier().validate(configuration);
+        if (reason.isPresent()) {
+            refused = configuration.id();
+            context.tell(now, new RolloutEvent.Refused(configuration.id(), reason.get()));
+            return false;
+        }
+        context.applier().apply(configuration);
+        before = inForce;
+        inForce = configuration;
+        return true;
+    }
+
+    private void save(long now, Configuration configuration) {
+        try {
+            context.storage().saveInForce(configuration);
+        } catch (StorageException e) {
+            context.tell(now, new RolloutEvent.StorageFailed(e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/rollout/RolloutSimulation.java
@@ -0,0 +1,348 @@
+package dockshed.rollout;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.function.BiPredicate;
+
+/**
+ * Many brokers' parts in the spread of configuration on a simulated network and clock: zones, loss, delay, cuts, kills,
+ * pauses, and brokers that lie. The gossip is reduced to what it does here: it carries announcements, to a random broker of
+ * the own zone every so often and to one of another zone every second. Merged histories of what was in force are checked.
+ */
+final class RolloutSimulation {
+    static final long MS = 1000, S = 1_000_000;
+    /** Bytes of the envelope round a body: the gossip's head and the item's. */
+    static final int ENVELOPE = 16;
+
+    /** What was put in force, by whom, when; {@code life} counts its starts, {@code disk} the disks it had. */
+    record Applied(int broker, int life, int disk, long at, ConfigurationId id) {}
+
+    record Ended(int broker, long at, ConfigurationId id, ProposalOutcome outcome) {}
+
+    private record Event(long at, long order, Runnable what) implements Comparable<Event> {
+        @Override
+        public int compareTo(Event o) {
+            return at != o.at ? Long.compare(at, o.at) : Long.compare(order, o.order);
+        }
+    }
+
+    final class Broker {
+        final int number;
+        MemoryStorage storage = new MemoryStorage();
+        RolloutNode node; // null: not running
+        int life, disk;
+        long stillUntil = -1;
+        final List<Runnable> mail = new ArrayList<>();
+        boolean oldProgram; // refuses documents with the word "new"
+        final List<RolloutEvent> events = new ArrayList<>();
+        long sentBytes, receivedBytes;
+
+        Broker(int number) {
+            this.number = number;
+        }
+
+        void start() {
+            life++;
+            int of = life;
+            stillUntil = -1;
+            mail.clear();
+            node = new RolloutNode(
+                    new RolloutSettings(number, brokers.length, voters),
+                    now,
+                    random.split(),
+                    (to, body) -> carry(number, to, body),
+                    storage,
+                    new ConfigurationApplier() {
+                        @Override
+                        public Optional<String> validate(Configuration c) {
+                            boolean unknown = oldProgram && text(c).contains("new");
+                            return unknown ? Optional.of("2: new: an unknown directive") : Optional.empty();
+                        }
+
+                        @Override
+                        public void apply(Configuration c) {
+                            history.add(new Applied(number, of, disk, now, c.id()));
+                        }
+                    },
+                    (at, event) -> {
+                        events.add(event);
+                        if (event instanceof RolloutEvent.ProposalEnded e) {
+                            ended.add(new Ended(number, at, e.id(), e.outcome()));
+                        }
+                    });
+            tick(of);
+            gossip(of, gossipEvery, true);
+            gossip(of, otherZoneEvery, false);
+        }
+
+        void kill() {
+            node = null;
+            life++;
+        }
+
+        void still(long micros) {
+            stillUntil = now + micros;
+            int of = life;
+            at(stillUntil, () -> {
+                if (of == life) {
+                    stillUntil = -1;
+                    List.copyOf(mail).forEach(Runnable::run);
+                    mail.clear();
+                    tick(of);
+                }
+            });
+        }
+
+        /** Its disk is replaced by an empty one. */
+        void loseDisk() {
+            storage.loseAll();
+            disk++;
+        }
+
+        private void tick(int of) {
+            if (of != life || node == null || stillUntil >= 0) {
+                return;
+            }
+            node.tick(now);
+            if (node != null) {
+                at(Math.max(now + MS, node.next(now)), () -> tick(of));
+            }
+        }
+
+        private void gossip(int of, long every, boolean ownZone) {
+            if (every <= 0) {
+                return;
+            }
+            at(now + every / 2 + random.nextLong(every), () -> {
+                if (of != life || node == null) {
+                    return;
+                }
+                if (stillUntil < 0) {
+                    int to = peer(ownZone);
+                    if (to >= 0) {
+                        announce(number, to, node.announcement());
+                    }
+                }
+                gossip(of, every, ownZone);
+            });
+        }
+
+        private int peer(boolean ownZone) {
+            for (int i = 0; i < 20; i++) {
+                int to = random.nextInt(brokers.length);
+                if (to != number && zone(to) == zone(number) == ownZone) {
+                    return to;
+                }
+            }
+            return -1;
+        }
+
+        private void take(Runnable what) {
+            if (node != null) {
+                if (stillUntil >= 0) {
+                    mail.add(what);
+                } else {
+                    what.run();
+                }
+            }
+        }
+
+        ConfigurationId inForce() {
+            return node == null ? null : node.status(now).inForce();
+        }
+
+        long version() {
+            return inForce() == null ? 0 : inForce().version();
+        }
+    }
+
+    final Broker[] brokers;
+    final List<Integer> voters;
+    final int zones;
+    final SplittableRandom random;
+    final List<Applied> history = new ArrayList<>();
+    final List<Ended> ended = new ArrayList<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>();
+    private long order;
+    long now = 1_000 * S;
+    double loss, twice;
+    long least = MS / 2, most = 5 * MS; // delays
+    long gossipEvery = 15 * MS, otherZoneEvery = S;
+    /** Whether nothing comes through from one broker to another now. */
+    BiPredicate<Integer, Integer> cut = (a, b) -> false;
+
+    RolloutSimulation(int count, int zones, List<Integer> voters, long seed) {
+        this.zones = zones;
+        this.voters = voters;
+        random = new SplittableRandom(seed);
+        brokers = new Broker[count];
+        for (int i = 0; i < count; i++) {
+            brokers[i] = new Broker(i);
+        }
+    }
+
+    int zone(int broker) {
+        return broker % zones;
+    }
+
+    static String text(Configuration c) {
+        return new String(c.content(), StandardCharsets.UTF_8);
+    }
+
+    /** A document of that version; with more than its text, so many bytes in all. */
+    static Configuration document(long version, String text, int bytes) {
+        byte[] content = new byte[Math.max(bytes, text.length() + 20)];
+        Arrays.fill(content, (byte) '#');
+        byte[] head = ("version " + version + "\n" + text + "\n").getBytes(StandardCharsets.UTF_8);
+        System.arraycopy(head, 0, content, 0, head.length);
+        return new Configuration(version, content);
+    }
+
+    RolloutSimulation startAll() {
+        for (Broker b : brokers) {
+            at(now + random.nextLong(300 * MS), b::start);
+        }
+        run(10 * S);
+        return this;
+    }
+
+    void at(long when, Runnable what) {
+        events.add(new Event(when, order++, what));
+    }
+
+    void propose(int broker, Configuration c) {
+        brokers[broker].node.propose(now, c);
+    }
+
+    private void carry(int from, int to, byte[] body) {
+        if (body.length > RolloutNode.MOST_BODY) {
+            throw new AssertionError("body of " + body.length + " bytes");
+        }
+        if (brokers[from].node == null) {
+            return; // killed at this very point
+        }
+        brokers[from].sentBytes += body.length + ENVELOPE;
+        deliver(from, to, b -> {
+            b.receivedBytes += body.length + ENVELOPE;
+            b.node.receive(now, from, body);
+        });
+    }
+
+    /** An announcement goes from one to another, as if it were its sender's. */
+    void announce(int from, int to, byte[] announcement) {
+        deliver(from, to, b -> b.node.heardAnnouncement(now, from, announcement));
+    }
+
+    /** A body goes from one to another, as if it were its sender's. */
+    void send(int from, int to, byte[] body) {
+        deliver(from, to, b -> b.node.receive(now, from, body));
+    }
+
+    private interface Delivery {
+        void to(Broker broker);
+    }
+
+    private void deliver(int from, int to, Delivery delivery) {
+        if (cut.test(from, to) || random.nextDouble() < loss) {
+            return;
+        }
+        int times = random.nextDouble() < twice ? 2 : 1;
+        for (int i = 0; i < times; i++) {
+            Broker b = brokers[to];
+            at(now + least + random.nextLong(most - least + 1), () -> b.take(() -> delivery.to(b)));
+        }
+    }
+
+    void run(long micros) {
+        long end = now + micros;
+        while (!events.isEmpty() && events.peek().at() <= end) {
+            Event e = events.poll();
+            now = Math.max(now, e.at());
+            e.what().run();
+        }
+        now = end;
+    }
+
+    /** Runs until every broker that runs has that version or a higher one in force; returns the time taken, or fails. */
+    long runUntilInForce(long version, long most) {
+        long began = now;
+        while (now - began < most) {
+            if (everywhere(version)) {
+                return now - began;
+            }
+            run(50 * MS);
+        }
+        if (!everywhere(version)) {
+            List<Integer> without = Arrays.stream(brokers)
+                    .filter(b -> b.node != null && b.version() < version)
+                    .map(b -> b.number)
+                    .limit(20)
+                    .toList();
+            throw new AssertionError("version " + version + " not in force within " + most + " us at " + without);
+        }
+        return now - began;
+    }
+
+    boolean everywhere(long version) {
+        return Arrays.stream(brokers).allMatch(b -> b.node == null || b.version() >= version);
+    }
+
+    /** Times from a moment until a version, or a later one, came in force at each broker that runs; sorted. */
+    long[] delays(long version, long since) {
+        Map<Integer, Long> first = new HashMap<>();
+        for (Applied a : history) {
+            if (a.id().version() >= version) {
+                first.merge(a.broker(), a.at() - since, Math::min);
+            }
+        }
+        return Arrays.stream(brokers)
+                .filter(b -> b.node != null)
+                .mapToLong(b -> first.getOrDefault(b.number, Long.MAX_VALUE))
+                .sorted()
+                .toArray();
+    }
+
+    static long p99(long[] sorted) {
+        return sorted[(int) Math.ceil(0.99 * sorted.length) - 1];
+    }
+
+    /** Two contents in force under one version, or an older one after a newer one at a broker with its disk. */
+    Optional<String> violation() {
+        Map<Long, ConfigurationId> content = new HashMap<>();
+        Map<List<Integer>, Applied> latest = new HashMap<>();
+        for (Applied a : history) {
+            ConfigurationId other = content.putIfAbsent(a.id().version(), a.id());
+            if (other != null && !other.equals(a.id())) {
+                return Optional.of("two contents of version " + a.id().version() + ": " + a + " and " + other);
+            }
+            Applied before = latest.put(List.of(a.broker(), a.disk()), a);
+            boolean again =
+                    before != null && before.life() != a.life() && before.id().equals(a.id());
+            if (before != null && !again && before.id().version() >= a.id().version()) {
+                return Optional.of("an older version over a newer one: " + a + " after " + before);
+            }
+        }
+        return Optional.empty();
+    }
+
+    void check() {
+        violation().ifPresent(v -> {
+            throw new AssertionError(v);
+        });
+    }
+
+    ProposalOutcome outcome(ConfigurationId id) {
+        return ended.stream()
+                .filter(e -> e.id().equals(id))
+                .reduce((a, b) -> b)
+                .map(Ended::outcome)
+                .orElse(null);
+    }
+}
