--- a/src/main/java/dockshed/rollout/Download.java
+++ b/src/main/java/dockshed/rollout/Download.java
@@ -24,6 +24,8 @@
     static final long SOURCE_PATIENCE = 4_000_000;
     /** After a busy or missing source, another is asked after at most so long; the pause doubles up to the second one. */
     static final long PAUSE = 120_000, LONGEST_PAUSE = 500_000;
+    /** Without a chunk for so long it gives way to another download. */
+    static final long STALLED = 500_000;
     /** A download without a whole content after so long is given up. */
     static final long LONGEST = 12_000_000;
 
@@ -47,7 +49,7 @@
     private int length;
     private boolean alone; // take all chunks from one source
     private int source = -1, lastSource = -1, request, asked, arrived;
-    private long sourceSince, actAt, pause = PAUSE;
+    private long sourceSince, actAt, progressAt, pause = PAUSE;
 
     Download(NodeContext context, long now, ConfigurationId id, Sources sources, Blame blame) {
         this.context = context;
@@ -55,6 +57,7 @@
         this.sources = sources;
         this.blame = blame;
         began = now;
+        progressAt = now;
         actAt = now;
         tick(now);
     }
@@ -67,6 +70,11 @@
         return now - began >= LONGEST;
     }
 
+    /** Whether nothing came for a while: what else is to be fetched need not wait for it. */
+    boolean stalled(long now) {
+        return now - progressAt >= STALLED;
+    }
+
     long next() {
         return Math.min(actAt, began + LONGEST);
     }
@@ -142,6 +150,7 @@
         chunks[chunk.index()] = chunk.bytes();
         contributors.add(from);
         arrived++;
+        progressAt = now;
         pause = PAUSE;
         if (missing().isEmpty()) {
             return whole(now);
--- a/src/main/java/dockshed/rollout/Learner.java
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -16,7 +16,8 @@
  * majority of the voters answers it fetches, checks and applies.
  *
  * <p>What always holds: the configuration in force was chosen by a majority of the voters, has the digest that they voted
- * for, and is of a higher version than every one in force here before, in this life or by {@link VoteStorage}.
+ * for, and is of a higher version than every one in force here before, in this life or by {@link VoteStorage}. A broker that
+ * restarts while its storage takes nothing may begin with an older one, and asks the voters at once.
  */
 final class Learner {
     /** A first question waits for up to so long, as all brokers hear of a change at about the same time. */
@@ -24,6 +25,9 @@
     /** Between two rounds without a result: from the first to at most the second; the third where nobody announces more. */
     static final long PAUSE = 300_000, LONGEST_PAUSE = 2_000_000, IDLE_PAUSE = 20_000_000;
 
+    /** What could not be saved is tried again after so long. */
+    static final long SAVE_AGAIN = 10_000_000;
+
     private final NodeContext context;
     private final SourceTable sources;
     private final Set<Integer> voterSources = new LinkedHashSet<>(); // voters that reported the target
@@ -32,6 +36,8 @@
     private ConfigurationId refused; // the highest that this program cannot use; null: none
     private VoterRound round;
     private Download download;
+    private Configuration unsaved; // in force, and the storage did not take it yet
+    private long saveAt;
     private long askAt, pause = PAUSE, heardAt = Long.MIN_VALUE;
 
     Learner(NodeContext context, SourceTable sources, long now) {
@@ -131,6 +137,9 @@
     }
 
     void tick(long now) {
+        if (unsaved != null && now >= saveAt) {
+            save(now, unsaved);
+        }
         if (download != null) {
             download.tick(now);
             if (download.givenUp(now)) {
@@ -290,9 +299,13 @@
         return true;
     }
 
+    /** A change does not wait for a full disk: it is in force, and saved as soon as that can be done. */
     private void save(long now, Configuration configuration) {
+        unsaved = configuration;
+        saveAt = now + SAVE_AGAIN;
         try {
             context.storage().saveInForce(configuration);
+            unsaved = null;
         } catch (StorageException e) {
             context.tell(now, new RolloutEvent.StorageFailed(e.getMessage()));
         }
--- a/src/main/java/dockshed/rollout/Voter.java
+++ b/src/main/java/dockshed/rollout/Voter.java
@@ -230,15 +230,19 @@
             report(now, from, p.round(), p.above(), open);
         } else if (content(p.id()) != null) {
             vote(now, from, p);
-        } else if (from != context.settings().me()
-                && download == null
-                && pausedUntil.getOrDefault(from, Long.MIN_VALUE) <= now) {
-            fetch(now, from, p);
         } else if (download != null && download.id().equals(p.id()) && from == proposer) {
             proposal = p; // a later round of the same
+        } else if (from != context.settings().me() && mayFetch(now, from)) {
+            fetch(now, from, p);
         }
     }
 
+    /** One content is fetched at a time; a proposer that falls silent holds no other up. */
+    private boolean mayFetch(long now, int from) {
+        boolean free = download == null || download.stalled(now);
+        return free && pausedUntil.getOrDefault(from, Long.MIN_VALUE) <= now;
+    }
+
     private void fetch(long now, int from, Proposal p) {
         proposer = from;
         proposal = p;
--- a/src/test/java/dockshed/rollout/MemoryStorage.java
+++ b/src/test/java/dockshed/rollout/MemoryStorage.java
@@ -7,6 +7,9 @@
     private VoterRecord voter;
     private Configuration inForce;
     boolean full, torn;
+    /** Whether what was in force last could not be saved: the next life cannot know of it. */
+    boolean behind;
+
     int saves;
     /** Runs after a voter's record is durable and before the vote is answered: a place to be killed at. */
     Runnable afterSave = () -> {};
@@ -37,6 +40,7 @@
 
     @Override
     public void saveInForce(Configuration configuration) throws StorageException {
+        behind = full;
         if (full) {
             throw new StorageException("in_force: no space left", null);
         }
--- /dev/null
+++ b/src/test/java/dockshed/rollout/RolloutMutantsTest.java
@@ -0,0 +1,157 @@
+package dockshed.rollout;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.StringWriter;
+import java.lang.reflect.Method;
+import java.net.URL;
+import java.net.URLClassLoader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import javax.tools.JavaCompiler;
+import javax.tools.ToolProvider;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Programs in which one rule is spoilt: the scenarios have to find each. A mutant is the package's sources with one text
+ * replaced, compiled together with the simulation and loaded by a class loader of its own.
+ */
+class RolloutMutantsTest {
+    private static final Path MAIN = Path.of("src/main/java/dockshed/rollout");
+    private static final Path TEST = Path.of("src/test/java/dockshed/rollout");
+    private static final List<String> SIMULATION =
+            List.of("MemoryStorage.java", "RolloutSimulation.java", "RolloutScenarios.java");
+    /** Seeds that are tried until one shows the fault. */
+    private static final int SEEDS = 60;
+
+    @TempDir
+    Path dir;
+
+    record Change(String file, String sound, String spoilt) {}
+
+    record Mutant(String name, List<Change> changes) {
+        @Override
+        public String toString() {
+            return name;
+        }
+    }
+
+    private static Mutant mutant(String name, String file, String sound, String spoilt) {
+        return new Mutant(name, List.of(new Change(file, sound, spoilt)));
+    }
+
+    static Stream<Mutant> mutants() {
+        return Stream.of(
+                mutant("a voter votes twice", "Voter", "&& p.id().version() > highest()", ""),
+                mutant("less than a majority decides", "RolloutSettings", "voters.size() / 2 + 1", "voters.size() / 2"),
+                mutant("the digest is not checked", "Download", "configuration.id().equals(id)", "true"),
+                new Mutant(
+                        "an older version over a newer one",
+                        List.of(
+                                new Change("Learner", "configuration.version() <= version()", "false"),
+                                new Change("Learner", "configuration.version() > settled()", "true"),
+                                new Change("Learner", "chosenAbove(settled())", "chosenAbove(0)"),
+                                new Change("Learner", "(number, settled())", "(number, 0)"))),
+                mutant(
+                        "a vote is answered and not made durable",
+                        "Voter",
+                        "context.storage().saveVoter(next);",
+                        "if (next.votes().isEmpty()) { context.storage().saveVoter(next); }"),
+                mutant(
+                        "a vote is answered though it could not be saved",
+                        "Voter",
+                        "return false;\n        }\n    }\n}",
+                        "record = next;\n return true;\n        }\n    }\n}"),
+                mutant(
+                        "a voter without its record votes at once",
+                        "Voter",
+                        "phase = VoterPhase.RECOVERING;",
+                        "phase = VoterPhase.VOTING;"),
+                mutant(
+                        "a recovering voter does not wait",
+                        "Voter",
+                        "(VoterRound.LONGEST * (1 + 2 * VoterRound.DRIFT))",
+                        "0"),
+                mutant(
+                        "a recovered voter votes as if it had heard nothing",
+                        "Voter",
+                        "Math.max(highest(), recovery.highest())",
+                        "highest()"));
+    }
+
+    @ParameterizedTest
+    @MethodSource("mutants")
+    void eachIsFound(Mutant mutant) throws Exception {
+        Method all = compiled(mutant.changes());
+        for (long seed = 0; seed < SEEDS; seed++) {
+            if (played(all, seed).isPresent()) {
+                return;
+            }
+        }
+        throw new AssertionError("no scenario finds: " + mutant.name());
+    }
+
+    @Test
+    void theSoundProgramPassesTheSameWay() throws Exception {
+        Method all = compiled(List.of());
+        for (long seed = 0; seed < 3; seed++) {
+            assertEquals(Optional.empty(), played(all, seed));
+        }
+    }
+
+    private static Optional<?> played(Method all, long seed) throws ReflectiveOperationException {
+        return (Optional<?>) all.invoke(null, seed);
+    }
+
+    /** The scenarios, over a program with some texts replaced. */
+    private Method compiled(List<Change> changes) throws IOException, ReflectiveOperationException {
+        List<String> sources = new ArrayList<>();
+        try (Stream<Path> files = Files.list(MAIN)) {
+            for (Path file : files.sorted().toList()) {
+                sources.add(copied(file, changes));
+            }
+        }
+        for (String file : SIMULATION) {
+            sources.add(copied(TEST.resolve(file), List.of()));
+        }
+        Path classes = Files.createDirectories(dir.resolve("classes"));
+        JavaCompiler compiler = ToolProvider.getSystemJavaCompiler();
+        StringWriter faults = new StringWriter();
+        try (var manager = compiler.getStandardFileManager(null, null, null)) {
+            boolean compiled = compiler.getTask(
+                            faults,
+                            manager,
+                            null,
+                            List.of("-d", classes.toString(), "-proc:none"),
+                            null,
+                            manager.getJavaFileObjects(sources.toArray(String[]::new)))
+                    .call();
+            assertTrue(compiled, "the mutant does not compile: " + faults);
+        }
+        URLClassLoader loader =
+                new URLClassLoader(new URL[] {classes.toUri().toURL()}, ClassLoader.getPlatformClassLoader());
+        return loader.loadClass("dockshed.rollout.RolloutScenarios").getMethod("all", long.class);
+    }
+
+    private String copied(Path file, List<Change> changes) throws IOException {
+        String text = Files.readString(file);
+        for (Change change : changes) {
+            if (file.getFileName().toString().equals(change.file() + ".java")) {
+                assertTrue(text.contains(change.sound()), change.file() + " has no " + change.sound());
+                text = text.replace(change.sound(), change.spoilt());
+            }
+        }
+        Path copy = dir.resolve(file.getFileName().toString());
+        Files.writeString(copy, text);
+        return copy.toString();
+    }
+}
