--- /dev/null
+++ b/src/main/java/dockshed/fleet/LeasedShares.java
@@ -0,0 +1,274 @@
+package dockshed.fleet;
+
+import dockshed.fleet.Envelope.BodyWriter;
+import dockshed.fleet.Envelope.Item;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * Shares of what all brokers may use together: each server's room and cold pace ({@link
+ * SharedResource#NEW_SESSIONS}), and retries ({@link SharedResource#RETRIES}). The whole is 1. Of it the guaranteed share is split evenly among all configured brokers for good; the rest is
+ * leased by demand, by one broker at a time, the lease coordinator.
+ *
+ * <p>Why the shares held never add up to more than the whole:
+ * <ul>
+ * <li>Even parts of the guaranteed share add up to it, whoever is present.
+ * <li>A voter votes for one candidate at a time, and for nobody in the first vote term after its start, as it does not know
+ * its earlier vote. A coordinator needs a majority of the voters, which are the same at every broker, so any two
+ * coordinators have one in common, and the later one got its vote only when the earlier one's had ended. A candidate counts
+ * a vote's term from when it requested it, a voter from when it gave it, which is later.
+ * <li>A lease ends before its coordinator's own term: the holder counts it from its request, the coordinator from its grant.
+ * <li>A coordinator grants a lease only if it and all granted ones that may still run add up to the leased part. What it
+ * counts for a holder is the largest of that holder's running leases, as a later, smaller one may be lost.
+ * <li>Each of these compares two times of one process's own clock, so the clocks' settings have no part in it; their rates
+ * may differ by {@link #DRIFT}. A process that stalled compares the time again before it uses a share.
+ * </ul>
+ */
+final class LeasedShares {
+    /** Of 1: how much faster one clock may run than another. */
+    static final double DRIFT = 0.01;
+    /** Microseconds of a vote's term. */
+    static final long VOTE_TERM = 4_000_000;
+    /** Microseconds of a lease at most. */
+    static final long MAX_LEASE = 3_000_000;
+    /** Voters; a majority of them makes a coordinator. */
+    static final int VOTERS = 5;
+    /** Microseconds between two requests for a lease that was not granted. */
+    static final long RETRY_AFTER = 300_000;
+
+    private static final int NOBODY = -1;
+    /** Keeps the order of candidates apart from other orders by hash. */
+    private static final int CANDIDATE_SALT = 0x5ee7;
+
+    private static final int VOTE_REQUEST_BYTES = 4 + 6;
+    private static final int VOTE_BYTES = 4;
+    private static final int LEASE_REQUEST_BYTES = 4 + ResourceAmounts.BYTES;
+    private static final int LEASE_GRANT_BYTES = 4 + 2 + ResourceAmounts.BYTES;
+
+    private final int me;
+    private final int brokers;
+    private final double guaranteed;
+    private final long incarnation;
+    private final Membership membership;
+    /** All brokers; the first present one is the candidate. */
+    private final List<Integer> preference;
+    /** The first brokers of the preference: the same at every broker. */
+    private final List<Integer> voters;
+
+    private final LeaseVoter voter;
+    private final LeaseCoordinator coordinator;
+    private final LeaseHolder holder;
+
+    /**
+     * @param guaranteed  part of the whole that is split evenly for good, of 1
+     * @param incarnation differs from every earlier one of this broker
+     */
+    LeasedShares(
+            int me,
+            int brokers,
+            double guaranteed,
+            long incarnation,
+            long now,
+            Membership membership,
+            SplittableRandom random) {
+        this.me = me;
+        this.brokers = brokers;
+        this.guaranteed = guaranteed;
+        this.incarnation = incarnation;
+        this.membership = membership;
+        preference = preference(brokers);
+        voters = preference.subList(0, Math.min(VOTERS, brokers));
+        voter = new LeaseVoter(me, now);
+        // Numbers start at random: an answer to an earlier incarnation must not pass for one to this one.
+        coordinator = new LeaseCoordinator(quorum(), 1 - guaranteed, random.nextInt());
+        holder = new LeaseHolder(1 - guaranteed, random.nextInt());
+    }
+
+    private static List<Integer> preference(int brokers) {
+        List<Integer> order = new ArrayList<>();
+        for (int i = 0; i < brokers; i++) {
+            order.add(i);
+        }
+        order.sort(Comparator.comparingInt((Integer i) -> StableHash.mix(i, CANDIDATE_SALT))
+                .thenComparing(i -> i));
+        return List.copyOf(order);
+    }
+
+    private int quorum() {
+        return voters.size() / 2 + 1;
+    }
+
+    // ---- What is asked for and read.
+
+    /** Sets what this broker wants a second of each resource. */
+    void demand(double newSessions, double retries) {
+        holder.demand(new ResourceAmounts(newSessions, retries));
+    }
+
+    /** Its part of the guaranteed share and what it holds by a lease, of 1. */
+    double share(long now, SharedResource resource) {
+        return guaranteed / brokers + holder.held(now, resource);
+    }
+
+    /** Until when {@link #share} holds as it is; what is used later must be the guaranteed part. */
+    long until(long now) {
+        return leased(now) ? holder.leasedUntil() : now;
+    }
+
+    /** Whether this broker holds a lease. */
+    boolean leased(long now) {
+        return holder.isLeased(now);
+    }
+
+    /** Whether this broker is the lease coordinator. */
+    boolean isCoordinator(long now) {
+        return coordinator.isCoordinator(now);
+    }
+
+    // ---- Time.
+
+    /** When {@link #tick} is due. */
+    long next(long now) {
+        long request = holder.nextRequestAt();
+        long round = coordinator.nextRoundAt();
+        // What is due and could not be done, for want of a coordinator or of a reason, waits for the next regular tick.
+        return Math.min(request > now ? request : Long.MAX_VALUE, round > now ? round : Long.MAX_VALUE);
+    }
+
+    /** Does what is due: requests votes, replicates the own vote, requests a lease. */
+    void tick(long now, EntryStore entries, Membership.Out out) {
+        int current = currentCoordinator(now, entries);
+        if (shouldStand(current) && now >= coordinator.nextRoundAt()) {
+            requestVotes(now, out);
+        }
+        voter.publish(now, entries);
+        if (current != NOBODY && now >= holder.nextRequestAt()) {
+            requestLease(now, current, out);
+        }
+    }
+
+    /** This process stalled: answers to what it asked for before say nothing of now. */
+    void resumed() {
+        holder.voidRequest();
+        coordinator.voidRound();
+    }
+
+    /** The broker that a majority of the voters report to have voted for; one report alone makes nobody coordinator. */
+    private int currentCoordinator(long now, EntryStore entries) {
+        if (isCoordinator(now)) {
+            return me;
+        }
+        Map<Long, Integer> counts = new HashMap<>();
+        for (int number : voters) {
+            Long vote = LeaseVoter.published(now, entries.get(number, VersionedEntry.LEASE_COORDINATOR, 0));
+            if (vote != null) {
+                counts.merge(vote, 1, Integer::sum);
+            }
+        }
+        for (Map.Entry<Long, Integer> count : counts.entrySet()) {
+            int candidate = LeaseVoter.candidateOf(count.getKey());
+            if (count.getValue() >= quorum() && candidate < brokers) {
+                return candidate;
+            }
+        }
+        return NOBODY;
+    }
+
+    /** Whether this broker stands for election: it is the coordinator, or the candidate while there is none. */
+    private boolean shouldStand(int current) {
+        if (current == me) {
+            return true;
+        }
+        boolean taken = current != NOBODY && membership.member(current).isPresent();
+        return !taken && candidate() == me;
+    }
+
+    private int candidate() {
+        for (int number : preference) {
+            if (membership.member(number).isPresent()) {
+                return number;
+            }
+        }
+        return me;
+    }
+
+    private void requestVotes(long now, Membership.Out out) {
+        int round = coordinator.startRound(now);
+        Item request = new BodyWriter().u32(round).u48(incarnation).item(Envelope.VOTE_REQUEST);
+        for (int number : voters) {
+            if (number == me || membership.member(number).isPresent()) {
+                send(now, number, request, out);
+            }
+        }
+    }
+
+    private void requestLease(long now, int from, Membership.Out out) {
+        BodyWriter request = new BodyWriter().u32(holder.startRequest(now, from));
+        holder.demand().write(request, ResourceAmounts.DEMAND_UNIT);
+        send(now, from, request.item(Envelope.LEASE_REQUEST), out);
+    }
+
+    /** Sends an item; one to this broker itself is handled at once. */
+    private void send(long now, int to, Item item, Membership.Out out) {
+        if (to == me) {
+            item(now, me, item, out);
+        } else {
+            out.send(to, List.of(item));
+        }
+    }
+
+    // ---- What arrives.
+
+    /** Handles an item of a kind that is about leases; others, and those too short, are ignored. */
+    void item(long now, int from, Item item, Membership.Out out) {
+        ByteBuffer in = item.read();
+        switch (item.kind()) {
+            case Envelope.VOTE_REQUEST -> {
+                if (in.remaining() >= VOTE_REQUEST_BYTES) {
+                    voteRequested(now, from, in.getInt(), Envelope.getU48(in), out);
+                }
+            }
+            case Envelope.VOTE -> {
+                if (in.remaining() >= VOTE_BYTES && voters.contains(from)) {
+                    coordinator.voted(now, from, in.getInt());
+                }
+            }
+            case Envelope.LEASE_REQUEST -> {
+                if (in.remaining() >= LEASE_REQUEST_BYTES && isCoordinator(now)) {
+                    int request = in.getInt();
+                    leaseRequested(now, from, request, ResourceAmounts.read(in, ResourceAmounts.DEMAND_UNIT), out);
+                }
+            }
+            case Envelope.LEASE_GRANT -> {
+                if (in.remaining() >= LEASE_GRANT_BYTES) {
+                    int request = in.getInt();
+                    long micros = (in.getShort() & 0xFFFF) * 1000L;
+                    ResourceAmounts shares = ResourceAmounts.read(in, ResourceAmounts.SHARE_UNIT);
+                    holder.granted(from, request, new LeaseCoordinator.Grant(micros, shares));
+                }
+            }
+            default -> {}
+        }
+    }
+
+    private void voteRequested(long now, int candidate, int round, long candidateIncarnation, Membership.Out out) {
+        if (voters.contains(me) && voter.vote(now, candidate, candidateIncarnation)) {
+            send(now, candidate, new BodyWriter().u32(round).item(Envelope.VOTE), out);
+        }
+    }
+
+    private void leaseRequested(long now, int from, int request, ResourceAmounts wanted, Membership.Out out) {
+        LeaseCoordinator.Grant grant = coordinator.grant(now, from, wanted);
+        if (grant == null) {
+            return;
+        }
+        BodyWriter answer = new BodyWriter().u32(request).u16((int) (grant.micros() / 1000));
+        grant.shares().write(answer, ResourceAmounts.SHARE_UNIT);
+        send(now, from, answer.item(Envelope.LEASE_GRANT), out);
+    }
+}
