--- a/src/main/java/dockshed/config/ConfFile.java
+++ b/src/main/java/dockshed/config/ConfFile.java
@@ -1,6 +1,7 @@
 package dockshed.config;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -144,6 +145,70 @@
             return (int) read;
         }
 
+        /** A whole number that may be larger than an {@code int}. */
+        long number(String key, long absent, long least, long most) {
+            String expected = "a whole number from " + least + " to " + most;
+            String text = value(key, expected);
+            if (text == null) {
+                return absent;
+            }
+            long read = text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
+            if (read < least || read > most) {
+                fault(entries.get(key).line(), key, expected, text);
+                return absent;
+            }
+            return read;
+        }
+
+        /** Several whole numbers on one line; empty where the directive does not stand. */
+        List<Integer> counts(String key, int least, int most, String expected) {
+            asked.add(key);
+            Entry e = entries.get(key);
+            List<Integer> out = new ArrayList<>();
+            if (e == null) {
+                return out;
+            }
+            for (String text : e.values()) {
+                int read = text.matches("[0-9]{1,9}") ? Integer.parseInt(text) : -1;
+                if (read < least || read > most) {
+                    fault(e.line(), key, expected, text);
+                    return List.of();
+                }
+                out.add(read);
+            }
+            return out;
+        }
+
+        /** One value as it stands; null where the directive does not. */
+        String text(String key, String expected) {
+            return value(key, expected);
+        }
+
+        /** An address and port in figures; null where the directive does not stand. */
+        InetSocketAddress address(String key) {
+            String expected = "an address and a port: '127.0.0.1:53'";
+            String text = value(key, expected);
+            if (text == null) {
+                return null;
+            }
+            try {
+                return Config.address(text, key);
+            } catch (Fields.Malformed e) {
+                fault(entries.get(key).line(), key, expected, text);
+                return null;
+            }
+        }
+
+        /** Whether a directive stands before all others. */
+        boolean first(String key) {
+            return !entries.isEmpty() && entries.keySet().iterator().next().equals(key);
+        }
+
+        /** The line of a directive, or of the section where it does not stand. */
+        int line(String key) {
+            return has(key) ? entries.get(key).line() : line;
+        }
+
         boolean flag(String key, boolean absent) {
             String text = value(key, "yes or no");
             if (text != null && !text.equals("yes") && !text.equals("no")) {
--- a/src/main/java/dockshed/config/Config.java
+++ b/src/main/java/dockshed/config/Config.java
@@ -141,7 +141,7 @@
         return address(c.text(key), c.owner() + ": member '" + key + "'");
     }
 
-    private static InetSocketAddress address(String text, String what) {
+    static InetSocketAddress address(String text, String what) {
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
--- /dev/null
+++ b/src/main/java/dockshed/config/RolloutConfig.java
@@ -0,0 +1,45 @@
+package dockshed.config;
+
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * The {@code rollout} section of the operator's file.
+ *
+ * @param voters         numbers of the brokers that decide, the same in every broker's file
+ * @param stateDirectory where this broker keeps its votes and what is in force
+ * @param file           the document that a SIGHUP proposes; null: none can be proposed here
+ */
+public record RolloutConfig(List<Integer> voters, Path stateDirectory, Path file) {
+    private static final Set<Integer> COUNTS = Set.of(3, 5, 7);
+    private static final String VOTERS = "3, 5 or 7 different numbers of brokers";
+    /** Brokers' numbers take two bytes. */
+    private static final int MOST_NUMBER = 65_534;
+
+    public RolloutConfig {
+        voters = List.copyOf(voters);
+    }
+
+    /** Reads the section; null where it does not stand in the file, or is switched off. */
+    static RolloutConfig read(ConfFile.Section root) {
+        boolean named = root.has("rollout");
+        ConfFile.Section s = root.section("rollout");
+        boolean on = s.flag("enabled", true);
+        List<Integer> voters = s.counts("voters", 0, MOST_NUMBER, VOTERS);
+        String directory = s.text("state_directory", "the path of a directory");
+        String file = s.text("file", "the path of a file");
+        if (named && (!COUNTS.contains(voters.size()) || new HashSet<>(voters).size() != voters.size())) {
+            s.contradicts("voters", VOTERS);
+        }
+        if (named && directory == null) {
+            s.contradicts("state_directory", "the path of a directory");
+        }
+        s.end();
+        if (!named || !on || directory == null) {
+            return null;
+        }
+        return new RolloutConfig(voters, Path.of(directory), file == null ? null : Path.of(file));
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/config/RolloutDocument.java
@@ -0,0 +1,59 @@
+package dockshed.config;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.CharacterCodingException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+
+/**
+ * A document that is spread to all brokers: its version and what may be changed while the program runs.
+ *
+ * @param version     of the document
+ * @param versionLine where that stands
+ * @param names       the name server's address; null: it stays as it is
+ */
+public record RolloutDocument(long version, int versionLine, InetSocketAddress names) {
+    private static final long MOST_VERSION = 1_000_000_000_000L;
+
+    /** The bytes of a document's file, at most so many. */
+    public static byte[] load(Path file, int mostBytes) {
+        try {
+            if (Files.size(file) > mostBytes) {
+                throw new Fields.Malformed(file + ": longer than " + mostBytes + " bytes");
+            }
+            return Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new Fields.Malformed(file + ": cannot be read: " + e.getMessage());
+        }
+    }
+
+    /** Reads a document; complaints are an {@link Fields.Malformed} with file, line and key. */
+    public static RolloutDocument read(String name, byte[] content) {
+        ConfFile file = ConfFile.read(name, text(name, content));
+        ConfFile.Section root = file.root();
+        long version = root.number("version", 0, 1, MOST_VERSION);
+        if (!root.has("version")) {
+            root.contradicts("version", "the document's version in its first directive");
+        } else if (!root.first("version")) {
+            root.contradicts("version", "to be the first directive");
+        }
+        InetSocketAddress names = root.address("names");
+        root.end();
+        file.check();
+        return new RolloutDocument(version, root.line("version"), names);
+    }
+
+    private static String text(String name, byte[] content) {
+        try {
+            return StandardCharsets.UTF_8
+                    .newDecoder()
+                    .decode(ByteBuffer.wrap(content))
+                    .toString();
+        } catch (CharacterCodingException e) {
+            throw new Fields.Malformed(name + ": not UTF-8, perhaps cut off");
+        }
+    }
+}
--- a/src/main/java/dockshed/rollout/Proposer.java
+++ b/src/main/java/dockshed/rollout/Proposer.java
@@ -20,6 +20,9 @@
     /** Microseconds for which it looks whether its number is the next, and for which it asks for votes. */
     static final long CHECKING_PATIENCE = 6_000_000, VOTING_PATIENCE = 20_000_000;
 
+    /** A majority's answers are enough to say which version is the next; so long the others are waited for. */
+    static final long HEAR_OUT = 600_000;
+
     /** Hears of a proposal that was chosen. */
     interface WhenChosen {
         void chosen(long now, Configuration configuration);
@@ -37,6 +40,8 @@
     private Stage stage = Stage.IDLE;
     private Configuration configuration;
     private VoterRound round;
+    private boolean heardOut; // in this round
+    private long highestHeard; // the highest version that any voter ever told this broker
     private long until;
 
     Proposer(NodeContext context, Voter voter, WhenChosen whenChosen) {
@@ -70,6 +75,7 @@
     }
 
     private void begin(long now) {
+        heardOut = false;
         round = new VoterRound(
                 context.settings(),
                 context.random(),
@@ -87,7 +93,11 @@
     }
 
     long next() {
-        return stage == Stage.IDLE ? Long.MAX_VALUE : Math.min(until, round.next());
+        if (stage == Stage.IDLE) {
+            return Long.MAX_VALUE;
+        }
+        long due = Math.min(until, round.next());
+        return stage == Stage.CHECKING && !heardOut ? Math.min(due, round.heardOutAt(HEAR_OUT)) : due;
     }
 
     void tick(long now) {
@@ -100,6 +110,9 @@
             begin(now);
         } else {
             round.tick(now);
+            if (stage == Stage.CHECKING) {
+                check(now);
+            }
         }
     }
 
@@ -119,10 +132,12 @@
     // ---- Which version is the next.
 
     private void check(long now) {
-        if (round.voting() < context.settings().majority()) {
+        heardOut = round.heardOut(now, HEAR_OUT);
+        if (!heardOut || round.voting() < context.settings().majority()) {
             return;
         }
-        long expected = round.highest() + 1;
+        highestHeard = Math.max(highestHeard, round.highest());
+        long expected = highestHeard + 1;
         long version = configuration.version();
         ConfigurationId chosen = round.chosenAt(version);
         if (chosen != null && !chosen.equals(configuration.id())) {
@@ -159,7 +174,7 @@
         } else if (lost(this::refused)) {
             end(now, new Invalid());
         } else if (lost(this::cannot) && everyVoterAnswered()) {
-            end(now, new Contested(round.highest() + 1));
+            end(now, new Contested(nextVersion()));
         }
     }
 
@@ -185,6 +200,11 @@
         return context.settings().voters().size() - against < context.settings().majority();
     }
 
+    private long nextVersion() {
+        highestHeard = Math.max(highestHeard, Math.max(configuration.version(), round.highest()));
+        return highestHeard + 1;
+    }
+
     private boolean everyVoterAnswered() {
         return round.reports().size() == context.settings().voters().size();
     }
@@ -193,7 +213,7 @@
         ConfigurationId id = configuration.id();
         if (stage == Stage.CHECKING && round.voting() >= context.settings().majority()
                 || stage == Stage.VOTING && lost(this::cannot)) {
-            end(now, new Contested(Math.max(id.version(), round.highest()) + 1));
+            end(now, new Contested(nextVersion()));
         } else {
             end(now, new Undecided(round.count(id), context.settings().majority()));
         }
--- a/src/main/java/dockshed/rollout/VoterRound.java
+++ b/src/main/java/dockshed/rollout/VoterRound.java
@@ -47,6 +47,16 @@
         return now - began >= LONGEST;
     }
 
+    /** Whether every voter answered, or had a time to do so. */
+    boolean heardOut(long now, long patience) {
+        return reports.size() == settings.voters().size() || now - began >= patience;
+    }
+
+    /** When {@link #heardOut} is true at the latest. */
+    long heardOutAt(long patience) {
+        return began + patience;
+    }
+
     /** When {@link #tick} has something to do. */
     long next() {
         return Math.min(askAt, began + LONGEST);
--- /dev/null
+++ b/src/main/java/dockshed/rollout/host/FileVoteStorage.java
@@ -0,0 +1,212 @@
+package dockshed.rollout.host;
+
+import dockshed.rollout.Configuration;
+import dockshed.rollout.ConfigurationId;
+import dockshed.rollout.ContentDigest;
+import dockshed.rollout.VoteStorage;
+import dockshed.rollout.VoterRecord;
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.zip.CRC32C;
+
+/**
+ * Records in a directory, a file each. A file is written whole under a temporary name, forced to the disk and renamed, and
+ * the rename is forced too; so what stands under the name is an old record or a new one, never a part. A checksum tells
+ * what a disk spoilt, and the broker's number what belongs to another.
+ */
+public final class FileVoteStorage implements VoteStorage {
+    static final String VOTER_FILE = "voter", IN_FORCE_FILE = "in-force";
+    /** No record is longer. */
+    static final int MOST_BYTES = Configuration.MOST_BYTES + 4096;
+
+    private static final int MAGIC = 0xD0C5_0B01;
+    private static final int FORMAT = 1;
+    private static final int HEAD_BYTES = 4 + 2 + 4;
+    private static final int CHECKSUM_BYTES = 4;
+
+    private interface Body {
+        void write(DataOutputStream out) throws IOException;
+    }
+
+    private interface BodyReader<T> {
+        T read(DataInputStream in) throws IOException;
+    }
+
+    private final Path directory;
+    private final int broker;
+
+    /** Records of one broker in a directory, which is made if it is not there. */
+    public FileVoteStorage(Path directory, int broker) throws StorageException {
+        this.directory = directory;
+        this.broker = broker;
+        try {
+            Files.createDirectories(directory);
+        } catch (IOException e) {
+            throw new StorageException(directory + ": cannot be made: " + e, e);
+        }
+    }
+
+    @Override
+    public Optional<VoterRecord> loadVoter() throws StorageException {
+        return load(VOTER_FILE, FileVoteStorage::readVoter);
+    }
+
+    @Override
+    public void saveVoter(VoterRecord record) throws StorageException {
+        save(VOTER_FILE, out -> writeVoter(record, out));
+    }
+
+    @Override
+    public Optional<Configuration> loadInForce() throws StorageException {
+        return load(IN_FORCE_FILE, FileVoteStorage::readConfiguration);
+    }
+
+    @Override
+    public void saveInForce(Configuration configuration) throws StorageException {
+        save(IN_FORCE_FILE, out -> writeConfiguration(configuration, out));
+    }
+
+    // ---- Bodies.
+
+    private static void writeVoter(VoterRecord record, DataOutputStream out) throws IOException {
+        out.writeBoolean(record.joined());
+        out.writeLong(record.floor());
+        out.writeByte(record.votes().size());
+        for (ConfigurationId vote : record.votes()) {
+            out.writeLong(vote.version());
+            out.write(vote.digest().toBytes());
+        }
+        out.writeBoolean(record.content() != null);
+        if (record.content() != null) {
+            writeConfiguration(record.content(), out);
+        }
+    }
+
+    private static VoterRecord readVoter(DataInputStream in) throws IOException {
+        boolean joined = in.readBoolean();
+        long floor = in.readLong();
+        int count = in.readUnsignedByte();
+        List<ConfigurationId> votes = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            long version = in.readLong();
+            byte[] digest = new byte[ContentDigest.BYTES];
+            in.readFully(digest);
+            votes.add(new ConfigurationId(version, ContentDigest.fromBytes(digest)));
+        }
+        Configuration content = in.readBoolean() ? readConfiguration(in) : null;
+        return new VoterRecord(joined, floor, votes, content);
+    }
+
+    private static void writeConfiguration(Configuration configuration, DataOutputStream out) throws IOException {
+        out.writeLong(configuration.version());
+        out.writeShort(configuration.length());
+        out.write(configuration.content());
+    }
+
+    private static Configuration readConfiguration(DataInputStream in) throws IOException {
+        long version = in.readLong();
+        byte[] content = new byte[in.readUnsignedShort()];
+        in.readFully(content);
+        return new Configuration(version, content);
+    }
+
+    // ---- Files.
+
+    private void save(String name, Body body) throws StorageException {
+        Path temporary = directory.resolve(name + ".new");
+        try {
+            write(temporary, bytes(body));
+            Files.move(
+                    temporary,
+                    directory.resolve(name),
+                    StandardCopyOption.ATOMIC_MOVE,
+                    StandardCopyOption.REPLACE_EXISTING);
+            try (FileChannel names = FileChannel.open(directory, StandardOpenOption.READ)) {
+                names.force(true);
+            }
+        } catch (IOException e) {
+            throw new StorageException(directory.resolve(name) + ": not saved: " + e, e);
+        }
+    }
+
+    private byte[] bytes(Body body) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        DataOutputStream out = new DataOutputStream(bytes);
+        out.writeInt(MAGIC);
+        out.writeShort(FORMAT);
+        out.writeInt(broker);
+        body.write(out);
+        out.writeInt(checksum(bytes.toByteArray(), bytes.size()));
+        return bytes.toByteArray();
+    }
+
+    private static void write(Path file, byte[] bytes) throws IOException {
+        try (FileChannel channel = FileChannel.open(
+                file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer left = ByteBuffer.wrap(bytes);
+            while (left.hasRemaining()) {
+                channel.write(left);
+            }
+            channel.force(true);
+        }
+    }
+
+    private <T> Optional<T> load(String name, BodyReader<T> reader) throws StorageException {
+        Path file = directory.resolve(name);
+        if (!Files.exists(file)) {
+            return Optional.empty();
+        }
+        try {
+            if (Files.size(file) > MOST_BYTES) {
+                throw new IOException("longer than " + MOST_BYTES + " bytes");
+            }
+            byte[] bytes = Files.readAllBytes(file);
+            checkHead(bytes);
+            int bodyBytes = bytes.length - HEAD_BYTES - CHECKSUM_BYTES;
+            DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes, HEAD_BYTES, bodyBytes));
+            T record = reader.read(in);
+            if (in.available() > 0) {
+                throw new IOException(in.available() + " bytes too many");
+            }
+            return Optional.of(record);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new StorageException(file + ": cannot be used: " + e.getMessage(), e);
+        }
+    }
+
+    private void checkHead(byte[] bytes) throws IOException {
+        if (bytes.length < HEAD_BYTES + CHECKSUM_BYTES) {
+            throw new IOException("cut off at " + bytes.length + " bytes");
+        }
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        int covered = bytes.length - CHECKSUM_BYTES;
+        if (in.getInt(covered) != checksum(bytes, covered)) {
+            throw new IOException("its checksum does not match");
+        }
+        if (in.getInt() != MAGIC || in.getShort() != FORMAT) {
+            throw new IOException("not a record of this format");
+        }
+        int owner = in.getInt();
+        if (owner != broker) {
+            throw new IOException("it belongs to broker " + owner + ", and this one is " + broker);
+        }
+    }
+
+    private static int checksum(byte[] bytes, int length) {
+        CRC32C crc = new CRC32C();
+        crc.update(bytes, 0, length);
+        return (int) crc.getValue();
+    }
+}
--- a/src/test/java/dockshed/rollout/RolloutMutantsTest.java
+++ b/src/test/java/dockshed/rollout/RolloutMutantsTest.java
@@ -116,7 +116,8 @@
     private Method compiled(List<Change> changes) throws IOException, ReflectiveOperationException {
         List<String> sources = new ArrayList<>();
         try (Stream<Path> files = Files.list(MAIN)) {
-            for (Path file : files.sorted().toList()) {
+            for (Path file :
+                    files.filter(f -> f.toString().endsWith(".java")).sorted().toList()) {
                 sources.add(copied(file, changes));
             }
         }
