--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -7,6 +7,8 @@
 import dockshed.config.Fields;
 import dockshed.config.HlsConfig;
 import dockshed.config.OperatorConfig;
+import dockshed.config.RolloutConfig;
+import dockshed.config.RolloutDocument;
 import dockshed.core.Broker;
 import dockshed.core.Deadlines;
 import dockshed.core.Finder;
@@ -25,6 +27,10 @@
 import dockshed.net.Net;
 import dockshed.net.Signals;
 import dockshed.peers.UdpPeers;
+import dockshed.rollout.RolloutSettings;
+import dockshed.rollout.VoteStorage.StorageException;
+import dockshed.rollout.host.FileVoteStorage;
+import dockshed.rollout.host.RolloutHost;
 import dockshed.rtsp.RtspFront;
 import dockshed.storm.Damper;
 import java.net.InetSocketAddress;
@@ -42,7 +48,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
 
     /** The parts' random numbers must not be one another's. */
-    private static final long STORM_SEED = 0x73746f726dL, FLEET_SEED = 0x666c656574L;
+    private static final long STORM_SEED = 0x73746f726dL, FLEET_SEED = 0x666c656574L, ROLLOUT_SEED = 0x726f6c6cL;
 
     private final Config config;
     private final Net net;
@@ -50,6 +56,8 @@
     private final Deadlines deadlines;
     private final UdpPeers peers;
     private final FleetHost fleet; // null: off
+    private final RolloutConfig rolloutConfig; // null: off
+    private final RolloutHost rollout; // null: off
     private final Broker broker;
     private final Edges edges;
     private final RtspFront rtsp;
@@ -71,6 +79,8 @@
         fleet = operator.fleet() == null || !config.fleet()
                 ? null
                 : new FleetHost(operator.fleet(), s.me(), config.peers(), clock, config.seed() ^ FLEET_SEED);
+        rolloutConfig = operator.rollout();
+        rollout = fleet == null || rolloutConfig == null ? null : rollout(s.me());
         // From the broker inwards: the fleet's admission filter, the storm part, the module.
         Function<Director.Actions, Director> module = actions -> new Choice(s, config.seed(), actions);
         Function<Director.Actions, Director> damped = operator.storm() == null
@@ -107,6 +117,22 @@
         rtsp = new RtspFront(broker, edges, clock, deadlines, config.viewers());
     }
 
+    private RolloutHost rollout(int me) {
+        try {
+            RolloutHost host = new RolloutHost(
+                    new RolloutSettings(me, config.peers().size(), rolloutConfig.voters()),
+                    clock.now(),
+                    config.seed() ^ ROLLOUT_SEED ^ clock.now(), // of each life its own
+                    fleet::sendExtension,
+                    new FileVoteStorage(rolloutConfig.stateDirectory(), me),
+                    document -> net.loop().execute(() -> apply(document)));
+            fleet.extend(host);
+            return host;
+        } catch (StorageException e) {
+            throw new IllegalStateException("rollout: " + e.getMessage(), e);
+        }
+    }
+
     /** Begins to serve; returns where viewers can connect. Throws IllegalStateException where it cannot. */
     static SocketAddress start(Config config, HlsConfig hls, OperatorConfig operator) {
         Net net = new Net();
@@ -129,6 +155,11 @@
         } else if (operator.fleet() != null) {
             LOG.warn("fleet part off: the settings allow no talk among brokers, or name no peers");
         }
+        if (w.rollout != null) {
+            LOG.info("rollout part on: {}", operator.rollout());
+        } else if (operator.rollout() != null) {
+            LOG.warn("rollout part off: it needs the fleet part");
+        }
         if (config.peerListen() != null && w.fleet == null) {
             w.peers.listen(w.net, config.peerListen(), (from, message) -> w.broker.told(w.clock.now(), from, message));
         }
@@ -181,26 +212,48 @@
         }
     }
 
-    /** Reads the configuration again. Of it only the name server's address may change while the program runs. */
+    /** A SIGHUP: proposes the operator's document where that part is on; else reads the configuration again. */
     private void reload() {
+        if (rollout == null) {
+            readAgain();
+        } else if (rolloutConfig.file() == null) {
+            LOG.error(
+                    "configuration not taken, the old one stands: why=section rollout: file: expected the path of a file,"
+                            + " got nothing");
+        } else {
+            rollout.propose(rolloutConfig.file());
+        }
+    }
+
+    /** Reads the configuration again. Of it only the name server's address may change while the program runs. */
+    private void readAgain() {
         try {
             InetSocketAddress to = Config.load(System.getenv()).names();
             if (to == null) {
                 throw new Fields.Malformed("config: member 'names' is missing");
             }
-            net.loop().execute(() -> {
-                if (config.names() == null) {
-                    LOG.warn("configuration read again, not taken: there was no name server at the start");
-                    return;
-                }
-                names.moveTo(to);
-                LOG.info("configuration read again: names={}", to);
-            });
+            net.loop().execute(() -> moveNames(to));
         } catch (RuntimeException e) { // whatever is wrong with the file, what is in force stays
             LOG.error("configuration not taken, the old one stands: why={}", e.getMessage());
         }
     }
 
+    /** Puts a document in force that all brokers share; on the loop. */
+    private void apply(RolloutDocument document) {
+        if (document.names() != null) {
+            moveNames(document.names());
+        }
+    }
+
+    private void moveNames(InetSocketAddress to) {
+        if (config.names() == null) {
+            LOG.warn("name server's address not taken: there was no name server at the start");
+            return;
+        }
+        names.moveTo(to);
+        LOG.info("configuration read again: names={}", to);
+    }
+
     private void hls(HlsConfig hls) {
         Director.Settings s = config.settings();
         hls.doubts(s).forEach(doubt -> LOG.warn("doubtful setting, taken as it is: {}", doubt));
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -12,8 +12,8 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
-/** What the operator's file switches on and sets; {@code storm} or {@code fleet} null: without that part. */
-public record OperatorConfig(Terms storm, FleetSettings fleet) {
+/** What the operator's file switches on and sets; a part that is null is off. */
+public record OperatorConfig(Terms storm, FleetSettings fleet, RolloutConfig rollout) {
     private static final long MS = 1000, S = 1_000_000;
 
     /** Directives of the fleet section that earlier versions had, with the names that they have now. */
@@ -23,7 +23,7 @@
             "cut", "load_shedding",
             "probes", "health_probes");
 
-    public static final OperatorConfig NONE = new OperatorConfig(null, null);
+    public static final OperatorConfig NONE = new OperatorConfig(null, null, null);
 
     /** Of a line of a zone. */
     private static final String ZONE_LINE = "a name, a region and a range of broker numbers: 'zone north-1 north 0-72'";
@@ -57,9 +57,10 @@
         boolean fleetOn = f.flag("enabled", true);
         FleetSettings fleet = fleet(f, brokers);
         f.end();
+        RolloutConfig rollout = RolloutConfig.read(file.root(), brokers);
         file.root().end();
         file.check();
-        return new OperatorConfig(named && on ? terms : null, fleetNamed && fleetOn ? fleet : null);
+        return new OperatorConfig(named && on ? terms : null, fleetNamed && fleetOn ? fleet : null, rollout);
     }
 
     private static List<Zone> zones(ConfFile.Section s, int brokers) {
--- a/src/main/java/dockshed/config/RolloutConfig.java
+++ b/src/main/java/dockshed/config/RolloutConfig.java
@@ -22,8 +22,8 @@
         voters = List.copyOf(voters);
     }
 
-    /** Reads the section; null where it does not stand in the file, or is switched off. */
-    static RolloutConfig read(ConfFile.Section root) {
+    /** Reads the section; null where it does not stand in the file, or is switched off. {@code brokers} 0: not known. */
+    static RolloutConfig read(ConfFile.Section root, int brokers) {
         boolean named = root.has("rollout");
         ConfFile.Section s = root.section("rollout");
         boolean on = s.flag("enabled", true);
@@ -33,6 +33,9 @@
         if (named && (!COUNTS.contains(voters.size()) || new HashSet<>(voters).size() != voters.size())) {
             s.contradicts("voters", VOTERS);
         }
+        if (brokers > 0 && voters.stream().anyMatch(v -> v >= brokers)) {
+            s.contradicts("voters", "numbers below " + brokers + ", the number of brokers");
+        }
         if (named && directory == null) {
             s.contradicts("state_directory", "the path of a directory");
         }
--- a/src/main/java/dockshed/rollout/Learner.java
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -50,8 +50,8 @@
     private void loadInForce(long now) {
         try {
             Optional<Configuration> loaded = context.storage().loadInForce();
-            if (loaded.isPresent()) {
-                apply(now, loaded.get());
+            if (loaded.isPresent() && apply(now, loaded.get())) {
+                context.tell(now, new RolloutEvent.InForce(loaded.get().id(), 0));
             }
         } catch (StorageException e) {
             context.tell(now, new RolloutEvent.StorageFailed(e.getMessage()));
--- /dev/null
+++ b/src/main/java/dockshed/rollout/host/RolloutHost.java
@@ -0,0 +1,239 @@
+package dockshed.rollout.host;
+
+import dockshed.config.Fields;
+import dockshed.config.RolloutDocument;
+import dockshed.fleet.GossipExtension;
+import dockshed.rollout.Configuration;
+import dockshed.rollout.ConfigurationApplier;
+import dockshed.rollout.ConfigurationId;
+import dockshed.rollout.Outbox;
+import dockshed.rollout.ProposalOutcome;
+import dockshed.rollout.RolloutCounts;
+import dockshed.rollout.RolloutEvent;
+import dockshed.rollout.RolloutNode;
+import dockshed.rollout.RolloutSettings;
+import dockshed.rollout.RolloutStatus;
+import dockshed.rollout.VoteStorage;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Runs a {@link RolloutNode} as an extension of the gossip, on the gossip's thread, and logs what happens. A proposal may
+ * come from any thread.
+ */
+public final class RolloutHost implements GossipExtension {
+    /** Microseconds between two log lines of figures. */
+    private static final long LOG_PERIOD = 10_000_000;
+
+    private static final Logger LOG = LoggerFactory.getLogger(RolloutHost.class);
+
+    /** A document that was read and waits for the gossip's thread. */
+    private record Proposed(Path file, RolloutDocument document, Configuration configuration) {}
+
+    private final RolloutNode node;
+    private final Consumer<RolloutDocument> applier;
+    private final AtomicReference<Proposed> waiting = new AtomicReference<>();
+    private Proposed proposed; // the latest one put to the vote
+    private long logAt;
+
+    /**
+     * @param now     of the clock that the gossip goes by
+     * @param outbox  sends a body in the gossip's datagrams
+     * @param applier puts a document in force; called on the gossip's thread
+     */
+    public RolloutHost(
+            RolloutSettings settings,
+            long now,
+            long seed,
+            Outbox outbox,
+            VoteStorage storage,
+            Consumer<RolloutDocument> applier) {
+        this.applier = applier;
+        node = new RolloutNode(
+                settings, now, new SplittableRandom(seed), outbox, storage, new DocumentApplier(), this::happened);
+        logAt = now + LOG_PERIOD;
+    }
+
+    /** Reads a document and proposes it; what is wrong with it is logged, and nothing changes. From any thread. */
+    public void propose(Path file) {
+        try {
+            byte[] content = RolloutDocument.load(file, Configuration.MOST_BYTES);
+            RolloutDocument document = RolloutDocument.read(file.toString(), content);
+            Proposed next = new Proposed(file, document, new Configuration(document.version(), content));
+            if (!waiting.compareAndSet(null, next)) {
+                notTaken(file + ": another proposal waits to be begun");
+            }
+        } catch (RuntimeException e) { // whatever is wrong with the file, what is in force stays
+            notTaken(e.getMessage());
+        }
+    }
+
+    private static void notTaken(String why) {
+        LOG.error("configuration not taken, the old one stands: why={}", why);
+    }
+
+    /** Validates documents and puts them in force. */
+    private final class DocumentApplier implements ConfigurationApplier {
+        private RolloutDocument read(Configuration configuration) {
+            return RolloutDocument.read("configuration-" + configuration.version(), configuration.content());
+        }
+
+        @Override
+        public Optional<String> validate(Configuration configuration) {
+            try {
+                RolloutDocument document = read(configuration);
+                return document.version() == configuration.version()
+                        ? Optional.empty()
+                        : Optional.of("configuration-" + configuration.version() + ":" + document.versionLine()
+                                + ": version: expected " + configuration.version() + ", got " + document.version());
+            } catch (Fields.Malformed e) {
+                return Optional.of(e.getMessage());
+            }
+        }
+
+        @Override
+        public void apply(Configuration configuration) {
+            applier.accept(read(configuration));
+        }
+    }
+
+    // ---- The gossip's extension.
+
+    @Override
+    public void receive(long now, int from, byte[] body) {
+        node.receive(now, from, body);
+    }
+
+    @Override
+    public void heardAnnouncement(long now, int from, byte[] announcement) {
+        node.heardAnnouncement(now, from, announcement);
+    }
+
+    @Override
+    public void tick(long now) {
+        Proposed next = waiting.getAndSet(null);
+        if (next != null) {
+            begin(now, next);
+        }
+        node.tick(now);
+        if (now >= logAt) {
+            logAt = now + LOG_PERIOD;
+            logFigures(now);
+        }
+    }
+
+    @Override
+    public long next(long now) {
+        return node.next(now);
+    }
+
+    @Override
+    public byte[] announcement() {
+        return node.announcement();
+    }
+
+    // ---- Proposals.
+
+    private void begin(long now, Proposed next) {
+        ConfigurationId id = next.configuration().id();
+        if (id.equals(node.status(now).inForce())) {
+            LOG.info("configuration unchanged: version={} digest={}", id.version(), id.digest());
+            return;
+        }
+        proposed = next;
+        LOG.info(
+                "configuration proposed: version={} digest={} bytes={}",
+                id.version(),
+                id.digest(),
+                next.configuration().length());
+        node.propose(now, next.configuration());
+    }
+
+    private void ended(ConfigurationId id, ProposalOutcome outcome) {
+        if (outcome instanceof ProposalOutcome.Chosen) {
+            LOG.info("configuration chosen: version={} digest={}", id.version(), id.digest());
+        } else {
+            notTaken(proposed.file() + ":" + proposed.document().versionLine() + ": version: " + why(id, outcome));
+        }
+    }
+
+    private static String why(ConfigurationId id, ProposalOutcome outcome) {
+        if (outcome instanceof ProposalOutcome.NotNext n) {
+            return "expected " + n.expected() + ", the next, got " + id.version();
+        }
+        if (outcome instanceof ProposalOutcome.Beaten b) {
+            return "expected a later one, as " + id.version() + " was chosen with digest " + b.by().digest()
+                    + ", got digest " + id.digest();
+        }
+        if (outcome instanceof ProposalOutcome.Contested c) {
+            return "expected " + c.next() + ", as the voters are split over " + id.version() + ", got " + id.version();
+        }
+        if (outcome instanceof ProposalOutcome.Invalid) {
+            return "expected a document that a majority of the voters can use, got one that they refuse";
+        }
+        if (outcome instanceof ProposalOutcome.Undecided u) {
+            return "expected " + u.needed() + " votes, got " + u.votes() + " in time: propose it again unchanged";
+        }
+        return outcome instanceof ProposalOutcome.Rejected r ? r.reason() : outcome.toString();
+    }
+
+    // ---- What is logged.
+
+    private void happened(long now, RolloutEvent event) {
+        if (event instanceof RolloutEvent.InForce e) {
+            LOG.atInfo()
+                    .setMessage("configuration in force")
+                    .addKeyValue("version", e.id().version())
+                    .addKeyValue("digest", e.id().digest())
+                    .addKeyValue("after_ms", e.after() / 1000)
+                    .log();
+        } else if (event instanceof RolloutEvent.Refused e) {
+            LOG.error(
+                    "configuration refused, the old one stands: version={} digest={} why={}",
+                    e.id().version(),
+                    e.id().digest(),
+                    e.reason());
+        } else if (event instanceof RolloutEvent.ProposalEnded e) {
+            ended(e.id(), e.outcome());
+        } else if (event instanceof RolloutEvent.VoterRecovering e) {
+            LOG.warn("voter abstains until it has asked the others: why={}", e.reason());
+        } else if (event instanceof RolloutEvent.VoterReady e) {
+            LOG.info("voter votes: above={}", e.floor());
+        } else if (event instanceof RolloutEvent.StorageFailed e) {
+            LOG.error("state of the rollout not saved or read: why={}", e.reason());
+        } else if (event instanceof RolloutEvent.SourceAvoided e) {
+            LOG.warn("broker not listened to for a minute: broker={} why={}", e.broker(), e.reason());
+        }
+    }
+
+    private void logFigures(long now) {
+        RolloutStatus status = node.status(now);
+        RolloutCounts counts = node.counts();
+        LOG.atInfo()
+                .setMessage("rollout figures")
+                .addKeyValue("version", version(status.inForce()))
+                .addKeyValue("refused", version(status.refused()))
+                .addKeyValue("voter", status.voterPhase() == null ? "no" : status.voterPhase())
+                .addKeyValue("heard", status.heard())
+                .addKeyValue("behind", status.behind())
+                .addKeyValue("sent", counts.sent)
+                .addKeyValue("bytes", counts.sentBytes)
+                .addKeyValue("received", counts.received)
+                .addKeyValue("bytes_received", counts.receivedBytes)
+                .addKeyValue("malformed", counts.malformed)
+                .addKeyValue("passed_over", counts.passedOver)
+                .addKeyValue("over_allowance", counts.overAllowance)
+                .addKeyValue("bad_digests", counts.badDigests)
+                .addKeyValue("conflicts", counts.conflicts)
+                .log();
+    }
+
+    private static long version(ConfigurationId id) {
+        return id == null ? 0 : id.version();
+    }
+}
--- a/src/test/java/dockshed/config/ConfFileTest.java
+++ b/src/test/java/dockshed/config/ConfFileTest.java
@@ -57,7 +57,7 @@
                 faults("storm {\nholdd 1s\n}").get(0).startsWith("x.conf:2: holdd: expected one of enabled, returns,"));
         assertTrue(faults("strom {\n}")
                 .get(0)
-                .startsWith("x.conf:1: strom: expected one of storm, fleet, got an unknown"));
+                .startsWith("x.conf:1: strom: expected one of storm, fleet, rollout, got an unknown"));
         assertEquals(
                 List.of("x.conf:3: hold: expected it once, and it stands in line 2, got it again"),
                 faults("storm {\nhold 1s\nhold 1s\n}"));
