--- a/src/main/java/dockshed/fleet/GossipNode.java
+++ b/src/main/java/dockshed/fleet/GossipNode.java
@@ -47,6 +47,8 @@
     private static final double RELAY_PART = 0.5;
     /** Bytes of the budget that extension messages leave to the gossip. */
     private static final int EXTENSION_RESERVE = 1024;
+    /** Part of the budget that the extension may use even when the gossip would use all of it. */
+    private static final double EXTENSION_PART = 0.5;
     /** Microseconds between two rounds of anti-entropy. */
     private static final long REPAIR_PERIOD = 2_000_000;
     /** Microseconds between two answers to digests at least. */
@@ -127,6 +129,7 @@
     private long steadyAt;
     private int serial;
     private double tokens;
+    private double extensionTokens;
     private long tokensAt;
     private long pushAt;
     private int pushTo;
@@ -407,10 +410,12 @@
         refill(now);
         for (ExtensionQueue.Message next = extensionQueue.peek(); next != null; next = extensionQueue.peek()) {
             Item item = new Item(Envelope.EXTENSION, next.body());
-            if (tokens < EXTENSION_RESERVE + Envelope.HEADER_BYTES + item.size()) {
+            int size = Envelope.HEADER_BYTES + item.size();
+            if (tokens < EXTENSION_RESERVE + size && extensionTokens < size) {
                 return;
             }
             extensionQueue.remove();
+            extensionTokens = Math.max(0, extensionTokens - size);
             sendAsIs(now, next.to(), List.of(item), sink);
         }
     }
@@ -642,7 +647,9 @@
     }
 
     private void refill(long now) {
-        tokens = Math.min(maxTokens(), tokens + (now - tokensAt) * settings.bytesPerSecond() / 1e6);
+        double added = (now - tokensAt) * settings.bytesPerSecond() / 1e6;
+        tokens = Math.min(maxTokens(), tokens + added);
+        extensionTokens = Math.min(maxTokens(), extensionTokens + EXTENSION_PART * added);
         tokensAt = now;
     }
 
--- a/src/test/java/dockshed/rig/Fabric.java
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -74,6 +74,16 @@
         }
     }
 
+    /** Whether what a broker sends reaches anybody; what is sent to it does all the same. */
+    void mute(int broker, boolean is) {
+        net.call(() -> {
+            for (int to = 0; to < cut.length; to++) {
+                cut[broker][to] = is;
+            }
+            return null;
+        });
+    }
+
     /** Cuts the first brokers off from the others, both ways, or joins them again. */
     void halve(int first, boolean is) {
         net.call(() -> {
--- a/src/test/java/dockshed/rig/FleetRig.java
+++ b/src/test/java/dockshed/rig/FleetRig.java
@@ -23,6 +23,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.IntFunction;
 
 /** Brokers as processes, a fabric between them, boxes that answer at once, and viewers that ask and wait for the answer. */
 final class FleetRig implements AutoCloseable {
@@ -34,7 +35,13 @@
     private final List<ServerSocket> boxes = new ArrayList<>();
     private final AtomicInteger names = new AtomicInteger();
 
+    /** Brokers that all read the same operator's file. */
     FleetRig(Path dir, int count, int boxCount, String conf) throws Exception {
+        this(dir, count, boxCount, broker -> conf);
+    }
+
+    /** {@code conf}: each broker's operator's file. */
+    FleetRig(Path dir, int count, int boxCount, IntFunction<String> conf) throws Exception {
         for (int i = 0; i < boxCount; i++) {
             ServerSocket s = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
             boxes.add(s);
@@ -49,9 +56,9 @@
         }
         held.forEach(DatagramSocket::close);
         fabric = new Fabric(net, listens);
-        Path file = Files.writeString(dir.resolve("fleet.conf"), conf);
         for (int i = 0; i < count; i++) {
             Path config = Files.writeString(dir.resolve("broker" + i + ".json"), config(i, count, listens[i]));
+            Path file = Files.writeString(dir.resolve("broker" + i + ".conf"), conf.apply(i));
             brokers.add(new BrokerProcess(config, file));
         }
         for (BrokerProcess b : brokers) {
