--- a/src/main/java/dockshed/fleet/GossipNode.java
+++ b/src/main/java/dockshed/fleet/GossipNode.java
@@ -45,10 +45,13 @@
     private static final long LOAD_PERIOD = 200_000;
     /** Part of the pushes that relay another scope's summary: each peer has several a second of each scope by that. */
     private static final double RELAY_PART = 0.5;
-    /** Bytes of the budget that extension messages leave to the gossip. */
-    private static final int EXTENSION_RESERVE = 1024;
-    /** Part of the budget that the extension may use even when the gossip would use all of it. */
+    /**
+     * Of the gossip's bytes a second, how many more the extension may send, and for how many seconds it may save them up.
+     * It has an allowance of its own: the gossip uses all of its budget at times, and would hold it up for minutes.
+     */
     private static final double EXTENSION_PART = 0.5;
+
+    private static final double EXTENSION_BURST_SECONDS = 10;
     /** Microseconds between two rounds of anti-entropy. */
     private static final long REPAIR_PERIOD = 2_000_000;
     /** Microseconds between two answers to digests at least. */
@@ -411,12 +414,13 @@
         for (ExtensionQueue.Message next = extensionQueue.peek(); next != null; next = extensionQueue.peek()) {
             Item item = new Item(Envelope.EXTENSION, next.body());
             int size = Envelope.HEADER_BYTES + item.size();
-            if (tokens < EXTENSION_RESERVE + size && extensionTokens < size) {
+            if (extensionTokens < size) {
                 return;
             }
             extensionQueue.remove();
-            extensionTokens = Math.max(0, extensionTokens - size);
             sendAsIs(now, next.to(), List.of(item), sink);
+            extensionTokens -= size;
+            tokens += size; // not the gossip's
         }
     }
 
@@ -649,7 +653,8 @@
     private void refill(long now) {
         double added = (now - tokensAt) * settings.bytesPerSecond() / 1e6;
         tokens = Math.min(maxTokens(), tokens + added);
-        extensionTokens = Math.min(maxTokens(), extensionTokens + EXTENSION_PART * added);
+        double most = EXTENSION_BURST_SECONDS * EXTENSION_PART * settings.bytesPerSecond();
+        extensionTokens = Math.min(most, extensionTokens + EXTENSION_PART * added);
         tokensAt = now;
     }
 
--- a/src/main/java/dockshed/rollout/ChunkServer.java
+++ b/src/main/java/dockshed/rollout/ChunkServer.java
@@ -16,9 +16,9 @@
  */
 final class ChunkServer {
     /** Bytes of chunks a second in all, and at once. */
-    static final double BYTES = 18_000, BURST = 6_000;
+    static final double BYTES = 1_200, BURST = 16_000;
     /** The same to one broker: one longest content with its losses, then little. */
-    static final double BYTES_EACH = 1_000, BURST_EACH = 2.0 * Configuration.MOST_BYTES;
+    static final double BYTES_EACH = 1_000, BURST_EACH = 3.0 * Configuration.MOST_BYTES;
     /** Brokers that are served long contents at a time; a slot is free again after a pause of the asker, and in any case. */
     static final int SLOTS = 2;
 
--- a/src/main/java/dockshed/rollout/Configuration.java
+++ b/src/main/java/dockshed/rollout/Configuration.java
@@ -3,7 +3,7 @@
 /** A version with its whole content: the bytes of the operator's document. Immutable. */
 public final class Configuration {
     /** Bytes of a document at most. */
-    public static final int MOST_BYTES = 8 * 1024;
+    public static final int MOST_BYTES = 2 * 1024;
 
     private final ConfigurationId id;
     private final byte[] content;
--- a/src/main/java/dockshed/rollout/Learner.java
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -21,7 +21,7 @@
  */
 final class Learner {
     /** A first question waits for up to so long, as all brokers hear of a change at about the same time. */
-    static final long SPREAD = 300_000;
+    static final long SPREAD = 1_000_000;
     /** Between two rounds without a result: from the first to at most the second; the third where nobody announces more. */
     static final long PAUSE = 300_000, LONGEST_PAUSE = 2_000_000, IDLE_PAUSE = 20_000_000;
 
@@ -157,7 +157,7 @@
         askAt = Long.MAX_VALUE;
         context.counts().rounds++;
         round = new VoterRound(
-                context.settings(), context.random(), now, context.settings().majority() + 1, this::askVoter);
+                context.settings(), context.random(), now, context.settings().majority(), this::askVoter);
     }
 
     private void askVoter(long now, int voter, int number) {
--- a/src/main/java/dockshed/rollout/VoterRound.java
+++ b/src/main/java/dockshed/rollout/VoterRound.java
@@ -15,7 +15,7 @@
     /** Of 1: how much faster one broker's clock may run than another's. */
     static final double DRIFT = 0.01;
     /** Voters that have not answered are asked again after so long, then after twice that. */
-    static final long ASK_AGAIN = 250_000;
+    static final long ASK_AGAIN = 400_000;
 
     /** Asks one voter: the question carries the round's number. */
     interface Question {
--- a/src/test/java/dockshed/rollout/RolloutSimulation.java
+++ b/src/test/java/dockshed/rollout/RolloutSimulation.java
@@ -1,6 +1,7 @@
 package dockshed.rollout;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
@@ -20,6 +21,10 @@
     static final long MS = 1000, S = 1_000_000;
     /** Bytes of the envelope round a body: the gossip's head and the item's. */
     static final int ENVELOPE = 16;
+    /** Bodies that wait for the gossip's budget at most, as {@code ExtensionQueue} has it. */
+    static final int QUEUE = 64;
+    /** Seconds of that part that may be used at once after a rest. */
+    static final int BURST_SECONDS = 10;
 
     /** What was put in force, by whom, when; {@code life} counts its starts, {@code disk} the disks it had. */
     record Applied(int broker, int life, int disk, long at, ConfigurationId id) {}
@@ -43,6 +48,11 @@
         boolean oldProgram; // refuses documents with the word "new"
         final List<RolloutEvent> events = new ArrayList<>();
         long sentBytes, receivedBytes;
+        private final ArrayDeque<Runnable> queued = new ArrayDeque<>();
+        private final ArrayDeque<Integer> queuedBytes = new ArrayDeque<>();
+        private double tokens;
+        private long tokensAt;
+        private boolean draining;
 
         Broker(int number) {
             this.number = number;
@@ -178,6 +188,9 @@
     private long order;
     long now = 1_000 * S;
     double loss, twice;
+    /** What the gossip leaves to bodies: half of what a broker with zones may send. */
+    int bytesPerSecond = 6000;
+
     long least = MS / 2, most = 5 * MS; // delays
     long gossipEvery = 100 * MS, otherZoneEvery = S;
     /** A broker that answers requests for chunks with made-up ones, and runs nothing else; -1: none. */
@@ -228,7 +241,34 @@
         brokers[broker].node.propose(now, c);
     }
 
+    /** What a broker sends passes the gossip's queue and its part of the gossip's budget. */
     private void carry(int from, int to, byte[] body) {
+        Broker b = brokers[from];
+        if (b.queued.size() < QUEUE) {
+            b.queued.add(() -> transmit(from, to, body));
+            b.queuedBytes.add(body.length + ENVELOPE);
+            drain(b);
+        }
+    }
+
+    private void drain(Broker b) {
+        b.tokens =
+                Math.min((double) BURST_SECONDS * bytesPerSecond, b.tokens + (now - b.tokensAt) * bytesPerSecond / 1e6);
+        b.tokensAt = now;
+        while (!b.queued.isEmpty() && b.tokens >= b.queuedBytes.peek()) {
+            b.tokens -= b.queuedBytes.poll();
+            b.queued.poll().run();
+        }
+        if (!b.queued.isEmpty() && !b.draining) {
+            b.draining = true;
+            at(now + 10 * MS, () -> {
+                b.draining = false;
+                drain(b);
+            });
+        }
+    }
+
+    private void transmit(int from, int to, byte[] body) {
         if (body.length > RolloutNode.MOST_BODY) {
             throw new AssertionError("body of " + body.length + " bytes");
         }
