--- a/src/main/java/dockshed/fleet/GossipNode.java
+++ b/src/main/java/dockshed/fleet/GossipNode.java
@@ -45,8 +45,13 @@
     private static final long LOAD_PERIOD = 200_000;
     /** Part of the pushes that relay another scope's summary: each peer has several a second of each scope by that. */
     private static final double RELAY_PART = 0.5;
-    /** Bytes of the budget that extension messages leave to the gossip. */
-    private static final int EXTENSION_RESERVE = 1024;
+    /**
+     * Of the gossip's bytes a second, how many more the extension may send, and for how many seconds it may save them up.
+     * It has an allowance of its own: the gossip uses all of its budget at times, and would hold it up for minutes.
+     */
+    private static final double EXTENSION_PART = 0.5;
+
+    private static final double EXTENSION_BURST_SECONDS = 10;
     /** Microseconds between two rounds of anti-entropy. */
     private static final long REPAIR_PERIOD = 2_000_000;
     /** Microseconds between two answers to digests at least. */
@@ -127,6 +132,7 @@
     private long steadyAt;
     private int serial;
     private double tokens;
+    private double extensionTokens;
     private long tokensAt;
     private long pushAt;
     private int pushTo;
@@ -411,11 +417,14 @@
         refill(now);
         for (ExtensionQueue.Message next = extensionQueue.peek(); next != null; next = extensionQueue.peek()) {
             Item item = new Item(Envelope.EXTENSION, next.body());
-            if (tokens < EXTENSION_RESERVE + Envelope.HEADER_BYTES + item.size()) {
+            int size = Envelope.HEADER_BYTES + item.size();
+            if (extensionTokens < size) {
                 return;
             }
             extensionQueue.remove();
             sendAsIs(now, next.to(), List.of(item), sink);
+            extensionTokens -= size;
+            tokens += size; // not the gossip's
         }
     }
 
@@ -649,7 +658,10 @@
     }
 
     private void refill(long now) {
-        tokens = Math.min(maxTokens(), tokens + (now - tokensAt) * settings.bytesPerSecond() / 1e6);
+        double added = (now - tokensAt) * settings.bytesPerSecond() / 1e6;
+        tokens = Math.min(maxTokens(), tokens + added);
+        double most = EXTENSION_BURST_SECONDS * EXTENSION_PART * settings.bytesPerSecond();
+        extensionTokens = Math.min(most, extensionTokens + EXTENSION_PART * added);
         tokensAt = now;
     }
 
