--- /dev/null
+++ b/src/test/java/dockshed/capacity/CapacityCsv.java
@@ -0,0 +1,190 @@
+package dockshed.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+
+/**
+ * A file of raw figures under {@code docs/capacity}: a first line {@code # } with the command that made
+ * it, a header of column names, and rows of plain cells (no quotes; a cell has no comma and no line end).
+ *
+ * @param name the file's name, for messages
+ * @param command the command that made the file
+ * @param columns the column names, all different
+ * @param rows the cells of each row, as many as there are columns
+ */
+public record CapacityCsv(String name, String command, List<String> columns, List<List<String>> rows) {
+
+    /** More rows than this are no table of measurements. */
+    public static final int MOST_ROWS = 10_000;
+
+    private static final String COMMENT = "# ";
+    private static final String SEPARATOR = ",";
+    private static final int LINES_BEFORE_ROWS = 2;
+
+    /** Checks the table and takes copies of its lists. */
+    public CapacityCsv {
+        requireCommand(name, command);
+        requireColumns(name, columns);
+        if (rows.size() > MOST_ROWS) {
+            throw new IllegalArgumentException(name + ": " + rows.size() + " rows, at most " + MOST_ROWS);
+        }
+        List<List<String>> copies = new ArrayList<>();
+        for (int row = 0; row < rows.size(); row++) {
+            copies.add(requireRow(name, row + LINES_BEFORE_ROWS + 1, columns, rows.get(row)));
+        }
+        columns = List.copyOf(columns);
+        rows = List.copyOf(copies);
+    }
+
+    /**
+     * Reads a file.
+     *
+     * @throws IllegalArgumentException if the file is malformed; the message names file and line
+     */
+    public static CapacityCsv read(Path file) throws IOException {
+        return parse(file.toString(), Files.readAllLines(file));
+    }
+
+    /**
+     * Reads the lines of a file.
+     *
+     * @throws IllegalArgumentException if the lines are malformed; the message names file and line
+     */
+    public static CapacityCsv parse(String name, List<String> lines) {
+        if (lines.isEmpty() || !lines.get(0).startsWith(COMMENT)) {
+            throw malformed(name, 1, "expected \"# \" and the command that made the file");
+        }
+        if (lines.size() < LINES_BEFORE_ROWS) {
+            throw malformed(name, LINES_BEFORE_ROWS, "expected a header of column names");
+        }
+        List<List<String>> rows = new ArrayList<>();
+        for (String line : lines.subList(LINES_BEFORE_ROWS, lines.size())) {
+            rows.add(cellsOf(line));
+        }
+        return new CapacityCsv(name, lines.get(0).substring(COMMENT.length()), cellsOf(lines.get(1)), rows);
+    }
+
+    /** Writes the table, in place of what the file held before. */
+    public void write(Path file) throws IOException {
+        List<String> lines = new ArrayList<>();
+        lines.add(COMMENT + command);
+        lines.add(String.join(SEPARATOR, columns));
+        for (List<String> row : rows) {
+            lines.add(String.join(SEPARATOR, row));
+        }
+        if (file.getParent() != null) {
+            Files.createDirectories(file.getParent());
+        }
+        Files.write(file, lines);
+    }
+
+    /**
+     * A column's cells as they stand.
+     *
+     * @throws IllegalArgumentException if there is no such column
+     */
+    public List<String> column(String column) {
+        int index = indexOf(column);
+        return rows.stream().map(row -> row.get(index)).toList();
+    }
+
+    /**
+     * A column's cells as numbers.
+     *
+     * @throws IllegalArgumentException if there is no such column or a cell is not a finite number; the
+     *     message names file and line
+     */
+    public double[] numbers(String column) {
+        int index = indexOf(column);
+        double[] numbers = new double[rows.size()];
+        for (int row = 0; row < numbers.length; row++) {
+            numbers[row] =
+                    numberOf(row + LINES_BEFORE_ROWS + 1, column, rows.get(row).get(index));
+        }
+        return numbers;
+    }
+
+    /** The rows whose cell in the column is the value, as a table of its own. */
+    public CapacityCsv where(String column, String value) {
+        int index = indexOf(column);
+        List<List<String>> kept =
+                rows.stream().filter(row -> row.get(index).equals(value)).toList();
+        return new CapacityCsv(name, command, columns, kept);
+    }
+
+    /** The line through two columns of numbers. */
+    public LinearFit fit(String x, String y) {
+        return LinearFit.of(numbers(x), numbers(y));
+    }
+
+    private int indexOf(String column) {
+        int index = columns.indexOf(column);
+        if (index < 0) {
+            throw malformed(name, LINES_BEFORE_ROWS, "no column \"" + column + "\" among " + columns);
+        }
+        return index;
+    }
+
+    private double numberOf(int line, String column, String cell) {
+        double number;
+        try {
+            number = Double.parseDouble(cell);
+        } catch (NumberFormatException notANumber) {
+            number = Double.NaN;
+        }
+        if (!Double.isFinite(number)) {
+            throw malformed(name, line, column + ": expected a number, got \"" + cell + "\"");
+        }
+        return number;
+    }
+
+    private static void requireCommand(String name, String command) {
+        if (command.isBlank() || hasLineEnd(command)) {
+            throw malformed(name, 1, "expected the command that made the file, on one line");
+        }
+    }
+
+    private static void requireColumns(String name, List<String> columns) {
+        if (new LinkedHashSet<>(columns).size() != columns.size()) {
+            throw malformed(name, LINES_BEFORE_ROWS, "a column name is there twice: " + columns);
+        }
+        for (String column : columns) {
+            requireCell(name, LINES_BEFORE_ROWS, column);
+        }
+    }
+
+    private static List<String> requireRow(String name, int line, List<String> columns, List<String> row) {
+        if (row.size() != columns.size()) {
+            throw malformed(name, line, "expected " + columns.size() + " cells, got " + row.size());
+        }
+        for (String cell : row) {
+            requireCell(name, line, cell);
+        }
+        return List.copyOf(row);
+    }
+
+    private static void requireCell(String name, int line, String cell) {
+        if (cell.isBlank()) {
+            throw malformed(name, line, "a cell is empty");
+        }
+        if (cell.contains(SEPARATOR) || hasLineEnd(cell)) {
+            throw malformed(name, line, "a cell has a comma or a line end: \"" + cell + "\"");
+        }
+    }
+
+    private static boolean hasLineEnd(String text) {
+        return text.indexOf('\n') >= 0 || text.indexOf('\r') >= 0;
+    }
+
+    private static List<String> cellsOf(String line) {
+        return List.of(line.split(SEPARATOR, -1));
+    }
+
+    private static IllegalArgumentException malformed(String name, int line, String message) {
+        return new IllegalArgumentException(name + ", line " + line + ": " + message);
+    }
+}
