Name the right line of a filtered capacity file

A row keeps the line that it had in its file, so that a cell which is no number is named by its line also after where(). Test: the fifth line is named through a filter; it was the third before.

--- a/src/test/java/dockshed/capacity/CapacityCsv.java
+++ b/src/test/java/dockshed/capacity/CapacityCsv.java
@@ -14,9 +14,22 @@
  * @param name the file's name, for messages
  * @param command the command that made the file
  * @param columns the column names, all different
- * @param rows the cells of each row, as many as there are columns
+ * @param rows the rows, each with as many cells as there are columns
  */
-public record CapacityCsv(String name, String command, List<String> columns, List<List<String>> rows) {
+public record CapacityCsv(String name, String command, List<String> columns, List<Row> rows) {
+
+    /**
+     * One row.
+     *
+     * @param line its line in the file, counted from 1
+     * @param cells its cells, one for each column
+     */
+    public record Row(int line, List<String> cells) {
+        /** Takes a copy of the cells. */
+        public Row {
+            cells = List.copyOf(cells);
+        }
+    }
 
     /** More rows than this are no table of measurements. */
     public static final int MOST_ROWS = 10_000;
@@ -32,12 +45,16 @@
         if (rows.size() > MOST_ROWS) {
             throw new IllegalArgumentException(name + ": " + rows.size() + " rows, at most " + MOST_ROWS);
         }
-        List<List<String>> copies = new ArrayList<>();
-        for (int row = 0; row < rows.size(); row++) {
-            copies.add(requireRow(name, row + LINES_BEFORE_ROWS + 1, columns, rows.get(row)));
+        for (Row row : rows) {
+            requireRow(name, columns, row);
         }
         columns = List.copyOf(columns);
-        rows = List.copyOf(copies);
+        rows = List.copyOf(rows);
+    }
+
+    /** A table of measured rows, not yet written. */
+    public static CapacityCsv of(String name, String command, List<String> columns, List<List<String>> cells) {
+        return new CapacityCsv(name, command, columns, numbered(cells));
     }
 
     /**
@@ -65,7 +82,7 @@
         for (String line : lines.subList(LINES_BEFORE_ROWS, lines.size())) {
             rows.add(cellsOf(line));
         }
-        return new CapacityCsv(name, lines.get(0).substring(COMMENT.length()), cellsOf(lines.get(1)), rows);
+        return of(name, lines.get(0).substring(COMMENT.length()), cellsOf(lines.get(1)), rows);
     }
 
     /** Writes the table, in place of what the file held before. */
@@ -73,8 +90,8 @@
         List<String> lines = new ArrayList<>();
         lines.add(COMMENT + command);
         lines.add(String.join(SEPARATOR, columns));
-        for (List<String> row : rows) {
-            lines.add(String.join(SEPARATOR, row));
+        for (Row row : rows) {
+            lines.add(String.join(SEPARATOR, row.cells()));
         }
         if (file.getParent() != null) {
             Files.createDirectories(file.getParent());
@@ -89,7 +106,7 @@
      */
     public List<String> column(String column) {
         int index = indexOf(column);
-        return rows.stream().map(row -> row.get(index)).toList();
+        return rows.stream().map(row -> row.cells().get(index)).toList();
     }
 
     /**
@@ -102,17 +119,17 @@
         int index = indexOf(column);
         double[] numbers = new double[rows.size()];
         for (int row = 0; row < numbers.length; row++) {
-            numbers[row] =
-                    numberOf(row + LINES_BEFORE_ROWS + 1, column, rows.get(row).get(index));
+            numbers[row] = numberOf(rows.get(row), column, index);
         }
         return numbers;
     }
 
-    /** The rows whose cell in the column is the value, as a table of its own. */
+    /** The rows whose cell in the column is the value, as a table of its own; they keep their lines. */
     public CapacityCsv where(String column, String value) {
         int index = indexOf(column);
-        List<List<String>> kept =
-                rows.stream().filter(row -> row.get(index).equals(value)).toList();
+        List<Row> kept = rows.stream()
+                .filter(row -> row.cells().get(index).equals(value))
+                .toList();
         return new CapacityCsv(name, command, columns, kept);
     }
 
@@ -129,7 +146,8 @@
         return index;
     }
 
-    private double numberOf(int line, String column, String cell) {
+    private double numberOf(Row row, String column, int index) {
+        String cell = row.cells().get(index);
         double number;
         try {
             number = Double.parseDouble(cell);
@@ -137,7 +155,7 @@
             number = Double.NaN;
         }
         if (!Double.isFinite(number)) {
-            throw malformed(name, line, column + ": expected a number, got \"" + cell + "\"");
+            throw malformed(name, row.line(), column + ": expected a number, got \"" + cell + "\"");
         }
         return number;
     }
@@ -157,14 +175,24 @@
         }
     }
 
-    private static List<String> requireRow(String name, int line, List<String> columns, List<String> row) {
-        if (row.size() != columns.size()) {
-            throw malformed(name, line, "expected " + columns.size() + " cells, got " + row.size());
+    private static void requireRow(String name, List<String> columns, Row row) {
+        if (row.cells().size() != columns.size()) {
+            throw malformed(
+                    name,
+                    row.line(),
+                    "expected " + columns.size() + " cells, got " + row.cells().size());
+        }
+        for (String cell : row.cells()) {
+            requireCell(name, row.line(), cell);
         }
-        for (String cell : row) {
-            requireCell(name, line, cell);
+    }
+
+    private static List<Row> numbered(List<List<String>> cells) {
+        List<Row> rows = new ArrayList<>();
+        for (List<String> row : cells) {
+            rows.add(new Row(LINES_BEFORE_ROWS + rows.size() + 1, row));
         }
-        return List.copyOf(row);
+        return rows;
     }
 
     private static void requireCell(String name, int line, String cell) {
--- a/src/test/java/dockshed/capacity/CapacityCsvTest.java
+++ b/src/test/java/dockshed/capacity/CapacityCsvTest.java
@@ -53,6 +53,9 @@
         CapacityCsv table = CapacityCsv.parse("x.csv", List.of("# c", "kind,size", "a,1", "a,many", "a,NaN"));
         IllegalArgumentException refusal = assertThrows(IllegalArgumentException.class, () -> table.numbers("size"));
         assertEquals("x.csv, line 4: size: expected a number, got \"many\"", refusal.getMessage());
+        IllegalArgumentException filtered = assertThrows(
+                IllegalArgumentException.class, () -> table.where("size", "NaN").numbers("size"));
+        assertEquals("x.csv, line 5: size: expected a number, got \"NaN\"", filtered.getMessage());
         IllegalArgumentException missing = assertThrows(IllegalArgumentException.class, () -> table.numbers("cost"));
         assertEquals("x.csv, line 2: no column \"cost\" among [kind, size]", missing.getMessage());
     }
@@ -61,9 +64,9 @@
     void aCellThatWouldBreakTheFileIsRefused() {
         List<String> columns = List.of("size");
         assertThrows(
-                IllegalArgumentException.class, () -> new CapacityCsv("x.csv", "c", columns, List.of(List.of("1,2"))));
+                IllegalArgumentException.class, () -> CapacityCsv.of("x.csv", "c", columns, List.of(List.of("1,2"))));
         assertThrows(
-                IllegalArgumentException.class, () -> new CapacityCsv("x.csv", "c\nd", columns, List.of(List.of("1"))));
+                IllegalArgumentException.class, () -> CapacityCsv.of("x.csv", "c\nd", columns, List.of(List.of("1"))));
     }
 
     private static void assertRefused(String start, List<String> lines) {
