Measure what a connection and a delivery cost the built program

The capacity page needs slopes of the real program in a JVM of its own. connection.sh grows idle connections and connections with a session and reads heap after full collections, direct memory and descriptors over JMX and /proc, then drops all and opens as many at once. delivery.sh sends live playlists and notes at fixed rates whether or not answers come, counts from the moment each was due, and binds the broker to one core.

--- /dev/null
+++ b/src/test/java/dockshed/capacity/ClientConnection.java
@@ -0,0 +1,78 @@
+package dockshed.capacity;
+
+import dockshed.net.ByteHandler;
+import dockshed.net.Headed;
+import dockshed.net.HeadedDecoder;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetSocketAddress;
+
+/** A client's connection, RTSP or HTTP: writes requests, hands on whole messages and its end. */
+final class ClientConnection extends ByteHandler {
+
+    /** What the client hears, on its loop's thread. */
+    interface Listener {
+        void up(ClientConnection connection);
+
+        void message(ClientConnection connection, Headed message);
+
+        /** It could not be opened, or was closed by either side. */
+        void closed(ClientConnection connection);
+    }
+
+    private static final int MESSAGE_LIMIT = 1 << 16;
+    private static final int CONNECT_MILLIS = 10_000;
+
+    private final Listener listener;
+    private final HeadedDecoder decoder = new HeadedDecoder(MESSAGE_LIMIT);
+    private Channel channel;
+
+    private ClientConnection(Listener listener) {
+        this.listener = listener;
+    }
+
+    /** Begins to connect. */
+    static ClientConnection open(Net net, InetSocketAddress to, Listener listener) {
+        ClientConnection connection = new ClientConnection(listener);
+        net.then(net.connect(to, CONNECT_MILLIS, () -> connection), done -> {
+            if (!done.isSuccess()) {
+                listener.closed(connection);
+            }
+        });
+        return connection;
+    }
+
+    void write(byte[] request) {
+        channel.writeAndFlush(Net.buf(request));
+    }
+
+    void close() {
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        listener.up(this);
+    }
+
+    @Override
+    protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+        decoder.add(bytes, 0, bytes.length);
+        try {
+            for (Headed message = decoder.next(); message != null; message = decoder.next()) {
+                listener.message(this, message);
+            }
+        } catch (Headed.Malformed malformed) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    protected void closed(ChannelHandlerContext ctx, boolean reset) {
+        listener.closed(this);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/ConnectionBench.java
@@ -0,0 +1,210 @@
+package dockshed.capacity;
+
+import dockshed.capacity.RtspViewers.Kind;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What one more connection costs the program: heap, direct memory and descriptors, idle and with a session
+ * that plays; and what it costs when all connections drop at once and come again at once.
+ */
+public final class ConnectionBench {
+
+    private static final String COMMAND = "sh bench/connection.sh";
+    private static final int[] SIZES = {500, 1000, 2000, 3500, 5000, 7000};
+    private static final int[] QUICK_SIZES = {200, 400, 600, 800};
+    private static final int[] RECONNECT_SIZES = {500, 1000, 2000, 4000, 6000};
+    /** Descriptors that the broker may open; three eighths of them are viewers'. */
+    private static final int DESCRIPTORS = 20_000;
+
+    private static final int EDGE_SERVERS = 36;
+    private static final int AT_ONCE = 200;
+    private static final long OPEN_SECONDS = 30;
+    /** The broker's own work after the last answer, such as the edge servers' news, is over by then. */
+    private static final long SETTLE_MILLIS = 300;
+
+    private final Arguments arguments;
+    private final Results connections;
+    private final Results reconnects;
+
+    private ConnectionBench(Arguments arguments) throws Exception {
+        this.arguments = arguments;
+        connections = new Results(
+                "connection.csv",
+                COMMAND,
+                arguments,
+                List.of(
+                        "run",
+                        "kind",
+                        "connections",
+                        "heap_bytes",
+                        "direct_bytes",
+                        "mapped_bytes",
+                        "descriptors",
+                        "rss_kb"));
+        reconnects = new Results(
+                "reconnect.csv",
+                COMMAND,
+                arguments,
+                List.of(
+                        "run",
+                        "connections",
+                        "heap_before_bytes",
+                        "heap_peak_bytes",
+                        "heap_after_bytes",
+                        "heap_committed_bytes",
+                        "direct_bytes",
+                        "allocated_bytes",
+                        "collections",
+                        "collection_ms",
+                        "rss_before_kb",
+                        "rss_peak_kb",
+                        "cpu_s",
+                        "served_again_s",
+                        "refused",
+                        "turned_away"));
+    }
+
+    /** Runs the measurement; {@code --quick} for small sizes, {@code --append} to add a run to the files. */
+    public static void main(String[] words) throws Exception {
+        new ConnectionBench(Arguments.of(words)).run();
+        System.exit(0); // client loops may still be closing
+    }
+
+    private void run() throws Exception {
+        connections.header();
+        for (Kind kind : Kind.values()) {
+            grow(kind, arguments.quick() ? QUICK_SIZES : SIZES);
+        }
+        connections.write();
+        reconnects.header();
+        for (int size : arguments.quick() ? QUICK_SIZES : RECONNECT_SIZES) {
+            reconnect(size);
+        }
+        reconnects.write();
+        fits();
+    }
+
+    /** One program, measured at each size on the way up. */
+    private void grow(Kind kind, int[] sizes) throws Exception {
+        try (StandInEdgeServers servers = new StandInEdgeServers(EDGE_SERVERS);
+                TargetBroker broker = TargetBroker.withRoom(config(servers));
+                JvmProbe jvm = new JvmProbe(broker.pid());
+                RtspViewers viewers = new RtspViewers(broker.rtsp(), kind)) {
+            ProcessFigures process = new ProcessFigures(broker.pid());
+            int open = 0;
+            for (int size : sizes) {
+                open(viewers, size - open, AT_ONCE, broker);
+                open = size;
+                TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+                require(viewers.opened() == size, viewers.opened() + " of " + size + " connections are open", broker);
+                require(
+                        servers.playing() == (kind == Kind.SESSION ? size : 0),
+                        servers.playing() + " sessions play at " + size + " connections",
+                        broker);
+                long heap = jvm.heapAfterCollection();
+                connections.add(
+                        kind.name().toLowerCase(Locale.ROOT),
+                        size,
+                        heap,
+                        jvm.directBytes(),
+                        jvm.mappedBytes(),
+                        process.descriptors(),
+                        process.residentKb());
+            }
+        }
+    }
+
+    /** A program of its own for each size: all its viewers leave at once and as many come at once. */
+    private void reconnect(int size) throws Exception {
+        try (StandInEdgeServers servers = new StandInEdgeServers(EDGE_SERVERS);
+                TargetBroker broker = TargetBroker.withRoom(config(servers));
+                JvmProbe jvm = new JvmProbe(broker.pid());
+                RtspViewers viewers = new RtspViewers(broker.rtsp(), Kind.SESSION)) {
+            ProcessFigures process = new ProcessFigures(broker.pid());
+            open(viewers, size, AT_ONCE, broker);
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+            long heapBefore = jvm.heapAfterCollection();
+            long residentBefore = process.residentKb();
+            long collections = jvm.collections();
+            long collectionMillis = jvm.collectionMillis();
+            long allocated = jvm.loopAllocatedBytes();
+            double processor = process.processorSeconds();
+            int refused = viewers.refused();
+            int turnedAway = viewers.turnedAway();
+            jvm.resetPeaks();
+            long begin = System.nanoTime();
+            viewers.drop();
+            open(viewers, size, size, broker);
+            double seconds = (System.nanoTime() - begin) / 1e9;
+            double processorAfter = process.processorSeconds();
+            long allocatedAfter = jvm.loopAllocatedBytes();
+            long peak = jvm.peakHeapBound();
+            long direct = jvm.directBytes();
+            long collectionsAfter = jvm.collections();
+            long collectionMillisAfter = jvm.collectionMillis();
+            long committed = jvm.heapCommitted();
+            TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+            reconnects.add(
+                    size,
+                    heapBefore,
+                    peak,
+                    jvm.heapAfterCollection(),
+                    committed,
+                    direct,
+                    allocatedAfter - allocated,
+                    collectionsAfter - collections,
+                    collectionMillisAfter - collectionMillis,
+                    residentBefore,
+                    process.peakResidentKb(),
+                    decimals(processorAfter - processor),
+                    decimals(seconds),
+                    viewers.refused() - refused,
+                    viewers.turnedAway() - turnedAway);
+        }
+    }
+
+    private void fits() {
+        for (Kind kind : Kind.values()) {
+            String name = kind.name().toLowerCase(Locale.ROOT);
+            CapacityCsv rows = connections.table().where("kind", name);
+            for (String figure : List.of("heap_bytes", "direct_bytes", "descriptors", "rss_kb")) {
+                System.out.println(
+                        "fit " + name + " " + figure + " per connection: " + rows.fit("connections", figure));
+            }
+        }
+        for (String figure : List.of(
+                "heap_peak_bytes", "heap_after_bytes", "allocated_bytes", "rss_peak_kb", "cpu_s", "served_again_s")) {
+            System.out.println("fit reconnect " + figure + " per connection: "
+                    + reconnects.table().fit("connections", figure));
+        }
+    }
+
+    private static void open(RtspViewers viewers, int count, int atOnce, TargetBroker broker) throws Exception {
+        boolean all = viewers.open(count, atOnce, OPEN_SECONDS);
+        require(
+                all,
+                "not all of " + count + " were served within " + OPEN_SECONDS + " s: refused=" + viewers.refused()
+                        + " turned away=" + viewers.turnedAway(),
+                broker);
+    }
+
+    private static void require(boolean holds, String what, TargetBroker broker) {
+        if (!holds) {
+            throw new IllegalStateException(what + "; the broker's last lines: " + broker.lastLines());
+        }
+    }
+
+    private static Path config(StandInEdgeServers servers) throws Exception {
+        Path file = Files.createTempFile("capacity", ".json");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, TestbedFiles.config(DESCRIPTORS, servers.addresses()));
+    }
+
+    private static String decimals(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/DeliveryBench.java
@@ -0,0 +1,210 @@
+package dockshed.capacity;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What a delivery costs on one core, and how long it takes, at rising rates up to where 99 in 100 leave
+ * 200 ms. Two kinds: a live media playlist that a player fetches, and the note to an RTSP viewer that its
+ * session is over. The load comes from this process, which must not run on the broker's core.
+ */
+public final class DeliveryBench {
+
+    private static final String COMMAND = "sh bench/delivery.sh";
+    private static final int[] PLAYLIST_RATES = {250, 500, 1000, 1500, 2000, 2500, 3000, 3500, 4000};
+    private static final int[] NOTE_RATES = {500, 1000, 2000, 4000, 6000, 8000, 12000, 16000};
+    private static final int[] QUICK_RATES = {200, 400, 600, 800};
+    private static final double PLAYLIST_SECONDS = 4;
+    private static final double NOTE_SECONDS = 2;
+    private static final int WARM_UP_RATE = 500;
+    private static final double WARM_UP_SECONDS = 3;
+    private static final int DESCRIPTORS = 20_000;
+    private static final int EDGE_SERVERS = 36;
+    private static final int PLAYERS = 500;
+    private static final int NOTE_CONNECTIONS = 200;
+    private static final long READY_SECONDS = 30;
+    /** After the last was due: what has not come by then is lost. */
+    private static final long REST_SECONDS = 3;
+    /** Between steps: the time that is left of what was begun before. */
+    private static final long SETTLE_MILLIS = 300;
+
+    private static final double LIMIT_MS = 200;
+
+    private final Arguments arguments;
+    private final int core;
+    private final Results results;
+
+    private DeliveryBench(int core, Arguments arguments) throws Exception {
+        this.arguments = arguments;
+        this.core = core;
+        results = new Results(
+                "delivery.csv",
+                COMMAND,
+                arguments,
+                List.of(
+                        "run",
+                        "kind",
+                        "rate",
+                        "seconds",
+                        "delivered",
+                        "lost",
+                        "rate_delivered",
+                        "cpu_s",
+                        "cores",
+                        "p50_ms",
+                        "p99_ms",
+                        "max_ms",
+                        "served"));
+    }
+
+    /** Runs the measurement: the core for the broker, -1 where it cannot be bound to one, then {@code --quick} or {@code --append}. */
+    public static void main(String[] words) throws Exception {
+        int core = Integer.parseInt(words[0]);
+        List<String> options = List.of(words).subList(1, words.length);
+        new DeliveryBench(core, Arguments.of(options.toArray(String[]::new))).run();
+        System.exit(0); // client loops may still be closing
+    }
+
+    private void run() throws Exception {
+        results.header();
+        playlists();
+        notes();
+        results.write();
+        report("playlist");
+        report("note");
+    }
+
+    private void playlists() throws Exception {
+        try (StandInPlaylistServers servers = new StandInPlaylistServers(EDGE_SERVERS);
+                TargetBroker broker = broker(
+                        TestbedFiles.config(DESCRIPTORS, List.of()),
+                        "--hls",
+                        hls(servers).toString());
+                HlsPlayers players = new HlsPlayers(broker.hls(), PLAYERS)) {
+            require(players.awaitReady(READY_SECONDS), "not all players have a session", broker);
+            ProcessFigures process = new ProcessFigures(broker.pid());
+            playlistStep(new OpenLoop(WARM_UP_RATE, WARM_UP_SECONDS), players, process);
+            for (int rate : arguments.quick() ? QUICK_RATES : PLAYLIST_RATES) {
+                OpenLoop load = new OpenLoop(rate, PLAYLIST_SECONDS);
+                Step step = playlistStep(load, players, process);
+                add("playlist", rate, load, step);
+            }
+        }
+    }
+
+    private static Step playlistStep(OpenLoop load, HlsPlayers players, ProcessFigures process) throws Exception {
+        players.use(load);
+        double before = process.processorSeconds();
+        load.send(players::fetch);
+        double seconds = load.awaitAll(REST_SECONDS);
+        Step step = new Step(seconds, process.processorSeconds() - before);
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        return step;
+    }
+
+    private void notes() throws Exception {
+        try (StandInEdgeServers servers = new StandInEdgeServers(EDGE_SERVERS);
+                TargetBroker broker = broker(TestbedFiles.config(DESCRIPTORS, servers.addresses()));
+                NotedViewers viewers = new NotedViewers(broker.rtsp())) {
+            ProcessFigures process = new ProcessFigures(broker.pid());
+            noteStep(new OpenLoop(WARM_UP_RATE, WARM_UP_SECONDS), servers, viewers, process, broker);
+            for (int rate : arguments.quick() ? QUICK_RATES : NOTE_RATES) {
+                OpenLoop load = new OpenLoop(rate, NOTE_SECONDS);
+                Step step = noteStep(load, servers, viewers, process, broker);
+                add("note", rate, load, step);
+            }
+        }
+    }
+
+    private static Step noteStep(
+            OpenLoop load,
+            StandInEdgeServers servers,
+            NotedViewers viewers,
+            ProcessFigures process,
+            TargetBroker broker)
+            throws Exception {
+        List<String> sessions = viewers.setUp(load, NOTE_CONNECTIONS, READY_SECONDS);
+        require(sessions != null, "not all of " + load.count() + " sessions were set up", broker);
+        TimeUnit.MILLISECONDS.sleep(SETTLE_MILLIS);
+        double before = process.processorSeconds();
+        load.send(delivery -> servers.end(sessions.get(delivery)));
+        double seconds = load.awaitAll(REST_SECONDS);
+        return new Step(seconds, process.processorSeconds() - before);
+    }
+
+    /** How long a step took, from the first that was due to the last delivered, and the broker's processor time. */
+    private record Step(double seconds, double processorSeconds) {}
+
+    private void add(String kind, int rate, OpenLoop load, Step step) {
+        OpenLoop.Times times = load.times();
+        double rateDelivered = times.delivered() / step.seconds();
+        results.add(
+                kind,
+                rate,
+                decimals(step.seconds()),
+                times.delivered(),
+                times.lost(),
+                decimals(rateDelivered),
+                decimals(step.processorSeconds()),
+                decimals(step.processorSeconds() / step.seconds()),
+                decimals(times.medianMs()),
+                decimals(times.p99Ms()),
+                decimals(times.maxMs()),
+                times.p99Ms() <= LIMIT_MS ? "yes" : "no");
+    }
+
+    private void report(String kind) {
+        CapacityCsv rows = results.table().where("kind", kind);
+        CapacityCsv within = rows.where("served", "yes");
+        System.out.println("fit " + kind + " cores per delivery a second, where served: "
+                + (within.rows().size() < LinearFit.LEAST_POINTS
+                        ? "none, served at " + within.rows().size() + " rates only"
+                        : within.fit("rate_delivered", "cores")));
+        double mostServed = 0;
+        List<Double> notServed = new ArrayList<>();
+        List<String> served = rows.column("served");
+        double[] rates = rows.numbers("rate");
+        for (int row = 0; row < rates.length; row++) {
+            if (served.get(row).equals("yes")) {
+                mostServed = Math.max(mostServed, rates[row]);
+            } else {
+                notServed.add(rates[row]);
+            }
+        }
+        String left = notServed.isEmpty()
+                ? "not reached"
+                : decimals(notServed.stream().mapToDouble(rate -> rate).min().orElseThrow());
+        System.out.println(kind + ": highest rate with 99 in 100 within 200 ms " + decimals(mostServed)
+                + ", lowest rate without " + left);
+    }
+
+    private TargetBroker broker(String config, String... arguments) throws Exception {
+        RunLine command = TargetBroker.runLine().plus(arguments);
+        return new TargetBroker(
+                core < 0 ? command.plusOption("-XX:ActiveProcessorCount=1") : command.onCore(core), file(config));
+    }
+
+    private static Path hls(StandInPlaylistServers servers) throws Exception {
+        return file(TestbedFiles.hls(servers.addresses()));
+    }
+
+    private static Path file(String text) throws Exception {
+        Path file = Files.createTempFile("capacity", ".json");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, text);
+    }
+
+    private static void require(boolean holds, String what, TargetBroker broker) {
+        if (!holds) {
+            throw new IllegalStateException(what + "; the broker's last lines: " + broker.lastLines());
+        }
+    }
+
+    private static String decimals(double value) {
+        return String.format(Locale.ROOT, "%.3f", value);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/HlsPlayers.java
@@ -0,0 +1,129 @@
+package dockshed.capacity;
+
+import dockshed.net.Headed;
+import dockshed.net.Net;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+/** Players with a connection and a session each, which fetch their live media playlist when they are told to. */
+final class HlsPlayers implements AutoCloseable {
+
+    /** Fetches that one player may have open; the broker takes 32 on a connection. */
+    private static final int MOST_OPEN = 30;
+
+    private static final int AGAIN_MILLIS = 500;
+
+    private final Net net = new Net("players");
+    private final List<Player> players = new ArrayList<>();
+    private final InetSocketAddress broker;
+    private final CountDownLatch ready;
+    private volatile OpenLoop load;
+
+    HlsPlayers(InetSocketAddress broker, int count) {
+        this.broker = broker;
+        ready = new CountDownLatch(count);
+        for (int number = 0; number < count; number++) {
+            Player player = new Player(number);
+            players.add(player);
+            player.connect();
+        }
+    }
+
+    /** Waits until all have their sessions. */
+    boolean awaitReady(long seconds) throws InterruptedException {
+        return ready.await(seconds, TimeUnit.SECONDS);
+    }
+
+    /** Deliveries sent from now on are this load's. */
+    void use(OpenLoop current) {
+        load = current;
+    }
+
+    /** The player whose turn it is fetches its playlist. */
+    boolean fetch(int delivery) {
+        Player player = players.get(delivery % players.size());
+        OpenLoop its = load;
+        net.loop().execute(() -> player.fetch(its, delivery));
+        return true;
+    }
+
+    @Override
+    public void close() {
+        net.close();
+    }
+
+    private record Fetch(OpenLoop load, int delivery) {}
+
+    private final class Player implements ClientConnection.Listener {
+        private final int number;
+        private final ArrayDeque<Fetch> open = new ArrayDeque<>();
+        private ClientConnection connection;
+        private byte[] request; // null: no session yet
+
+        Player(int number) {
+            this.number = number;
+        }
+
+        void connect() {
+            ClientConnection.open(net, broker, this);
+        }
+
+        void fetch(OpenLoop its, int delivery) {
+            if (connection == null || open.size() >= MOST_OPEN) {
+                return; // counts as lost
+            }
+            open.add(new Fetch(its, delivery));
+            connection.write(request);
+        }
+
+        @Override
+        public void up(ClientConnection to) {
+            to.write(get("/lessons/live/master.m3u8?class=" + TestbedFiles.SESSION_CLASS + "&viewer=v" + number));
+        }
+
+        @Override
+        public void message(ClientConnection from, Headed message) {
+            if (request == null) {
+                begin(from, message);
+                return;
+            }
+            Fetch fetch = open.poll();
+            if (fetch != null && message.status() == 200) {
+                fetch.load().delivered(fetch.delivery());
+            }
+        }
+
+        private void begin(ClientConnection from, Headed message) {
+            if (message.status() != 200) {
+                net.loop().schedule(() -> up(from), AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+                return;
+            }
+            String media = message.text()
+                    .lines()
+                    .filter(line -> !line.startsWith("#"))
+                    .findFirst()
+                    .orElseThrow();
+            request = get(media);
+            connection = from;
+            ready.countDown();
+        }
+
+        @Override
+        public void closed(ClientConnection gone) {
+            connection = null;
+            open.clear();
+            if (request == null) {
+                net.loop().schedule(this::connect, AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private static byte[] get(String target) {
+        return ("GET " + target + " HTTP/1.1\r\nHost: broker\r\n\r\n").getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/NotedViewers.java
@@ -0,0 +1,98 @@
+package dockshed.capacity;
+
+import dockshed.net.Headed;
+import dockshed.net.Net;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+/** RTSP viewers with some sessions on each connection, who wait for the note that a session is over. */
+final class NotedViewers implements AutoCloseable {
+
+    /** Set-ups that wait for an answer on one connection at a time. */
+    private static final int OPEN_SET_UPS = 4;
+
+    private final Net net = new Net("noted viewers");
+    private final InetSocketAddress broker;
+    private final Map<String, Integer> deliveries = new HashMap<>(); // of the loop's thread
+    private int named;
+    private volatile OpenLoop load;
+
+    NotedViewers(InetSocketAddress broker) {
+        this.broker = broker;
+    }
+
+    /** Sets sessions up for a load, one for each delivery; null if they were not all set up in time. */
+    List<String> setUp(OpenLoop current, int connections, long seconds) throws InterruptedException {
+        load = current;
+        int first = named;
+        named += current.count();
+        List<String> names = IntStream.range(first, named)
+                .mapToObj(number -> String.format("%016x", number + 1))
+                .toList();
+        CountDownLatch ready = new CountDownLatch(names.size());
+        net.call(() -> {
+            for (int delivery = 0; delivery < names.size(); delivery++) {
+                deliveries.put(names.get(delivery), delivery);
+            }
+            return null;
+        });
+        int each = (names.size() + connections - 1) / connections;
+        for (int from = 0; from < names.size(); from += each) {
+            Viewer viewer = new Viewer(names.subList(from, Math.min(names.size(), from + each)), ready);
+            ClientConnection.open(net, broker, viewer);
+        }
+        return ready.await(seconds, TimeUnit.SECONDS) ? names : null;
+    }
+
+    @Override
+    public void close() {
+        net.close();
+    }
+
+    private final class Viewer implements ClientConnection.Listener {
+        private final List<String> sessions;
+        private final CountDownLatch ready;
+        private int asked;
+
+        Viewer(List<String> sessions, CountDownLatch ready) {
+            this.sessions = sessions;
+            this.ready = ready;
+        }
+
+        private void ask(ClientConnection to) {
+            if (asked < sessions.size()) {
+                to.write(RtspRequests.setUp(sessions.get(asked++)));
+            }
+        }
+
+        @Override
+        public void up(ClientConnection to) {
+            for (int first = 0; first < OPEN_SET_UPS; first++) {
+                ask(to);
+            }
+        }
+
+        @Override
+        public void message(ClientConnection from, Headed message) {
+            String session = message.header("session", "");
+            if (message.first().startsWith("TEARDOWN ")) {
+                Integer delivery = deliveries.remove(session);
+                if (delivery != null) {
+                    load.delivered(delivery);
+                }
+                from.write(RtspRequests.heard(session));
+            } else if (message.status() == 200) {
+                ready.countDown();
+                ask(from);
+            }
+        }
+
+        @Override
+        public void closed(ClientConnection gone) {}
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/OpenLoop.java
@@ -0,0 +1,101 @@
+package dockshed.capacity;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.IntPredicate;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Load at a fixed rate, whether or not answers come: a delivery's time counts from the moment at which it was
+ * due, so that a stall counts against all that was due in it. What never comes counts with the longest time.
+ */
+final class OpenLoop {
+
+    /** The longest time that is told apart, and what a lost delivery counts. */
+    static final long LONGEST_MICROS = 10_000_000;
+
+    private static final int DIGITS = 3;
+    private static final long COARSE_NANOS = 100_000;
+    private static final double MEDIAN = 50;
+    private static final double PERCENTILE = 99;
+
+    private final int rate;
+    private final int count;
+    private final ConcurrentHistogram micros = new ConcurrentHistogram(LONGEST_MICROS, DIGITS);
+    private long begin;
+
+    OpenLoop(int rate, double seconds) {
+        this.rate = rate;
+        count = (int) Math.round(rate * seconds);
+    }
+
+    /** Deliveries that are due in all. */
+    int count() {
+        return count;
+    }
+
+    /** Sends each delivery when it is due; the sender gets its number and says whether it could be sent. */
+    void send(IntPredicate sender) {
+        begin = System.nanoTime();
+        for (int delivery = 0; delivery < count; delivery++) {
+            awaitTime(dueAt(delivery));
+            sender.test(delivery);
+        }
+    }
+
+    /** A delivery has come to its client; on any thread. */
+    void delivered(int delivery) {
+        long taken = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - dueAt(delivery));
+        micros.recordValue(Math.min(LONGEST_MICROS, Math.max(0, taken)));
+    }
+
+    /** Waits until all have been delivered or so long has passed; returns the seconds since the first was due. */
+    double awaitAll(long seconds) {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (micros.getTotalCount() < count && System.nanoTime() < until) {
+            LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(1));
+        }
+        return (System.nanoTime() - begin) / 1e9;
+    }
+
+    /** The times of all that were due, the lost ones at the longest time. */
+    Times times() {
+        Histogram whole = micros.copy();
+        int delivered = (int) whole.getTotalCount();
+        if (delivered < count) {
+            whole.recordValueWithCount(LONGEST_MICROS, count - delivered);
+        }
+        return new Times(
+                delivered,
+                count - delivered,
+                whole.getValueAtPercentile(MEDIAN) / 1e3,
+                whole.getValueAtPercentile(PERCENTILE) / 1e3,
+                whole.getMaxValue() / 1e3);
+    }
+
+    /**
+     * What became of the deliveries of a step.
+     *
+     * @param delivered how many came
+     * @param lost how many had not come when the step ended
+     * @param medianMs the median time from due to delivered
+     * @param p99Ms the time within which 99 in 100 came
+     * @param maxMs the longest time
+     */
+    record Times(int delivered, int lost, double medianMs, double p99Ms, double maxMs) {}
+
+    private long dueAt(int delivery) {
+        return begin + delivery * 1_000_000_000L / rate;
+    }
+
+    private static void awaitTime(long due) {
+        for (long left = due - System.nanoTime(); left > 0; left = due - System.nanoTime()) {
+            if (left > COARSE_NANOS) {
+                LockSupport.parkNanos(left - COARSE_NANOS / 2);
+            } else {
+                Thread.onSpinWait();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/OpenLoopTest.java
@@ -0,0 +1,39 @@
+package dockshed.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** The load's bookkeeping; no times are asserted but that of what never came. */
+class OpenLoopTest {
+
+    private static final int RATE = 100_000;
+
+    @Test
+    void eachDeliveryIsSentOnceInItsOrder() {
+        OpenLoop load = new OpenLoop(RATE, 0.001);
+        List<Integer> sent = new ArrayList<>();
+        load.send(sent::add);
+        assertEquals(100, load.count());
+        assertEquals(IntStream.range(0, 100).boxed().toList(), sent);
+    }
+
+    @Test
+    void whatNeverCameCountsWithTheLongestTime() {
+        OpenLoop load = new OpenLoop(RATE, 0.001);
+        load.send(delivery -> {
+            if (delivery % 10 != 0) {
+                load.delivered(delivery);
+            }
+            return true;
+        });
+        OpenLoop.Times times = load.times();
+        assertEquals(90, times.delivered());
+        assertEquals(10, times.lost());
+        assertEquals(OpenLoop.LONGEST_MICROS / 1e3, times.p99Ms(), OpenLoop.LONGEST_MICROS / 1e6);
+        assertEquals(OpenLoop.LONGEST_MICROS / 1e3, times.maxMs(), OpenLoop.LONGEST_MICROS / 1e6);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/Results.java
@@ -0,0 +1,77 @@
+package dockshed.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Rows of one file of a measurement, with those of earlier runs where they are wanted; column one is the run. */
+final class Results {
+
+    private static final Path FOLDER = Path.of("docs/capacity");
+
+    private final String name;
+    private final String command;
+    private final List<String> columns;
+    private final List<List<String>> rows = new ArrayList<>();
+    private final int run;
+    private final boolean writes;
+
+    Results(String name, String command, Arguments arguments, List<String> columns) throws IOException {
+        this(FOLDER, name, command, arguments, columns);
+    }
+
+    Results(Path folder, String name, String command, Arguments arguments, List<String> columns) throws IOException {
+        this.name = folder.resolve(name).toString();
+        this.command = command;
+        this.columns = columns;
+        writes = !arguments.quick();
+        if (arguments.append() && Files.exists(Path.of(this.name))) {
+            earlier(CapacityCsv.read(Path.of(this.name)));
+        }
+        run = lastRun() + 1;
+    }
+
+    private void earlier(CapacityCsv before) {
+        if (!before.columns().equals(columns)) {
+            throw new IllegalArgumentException(name + ", line 2: expected the columns " + columns);
+        }
+        before.rows().forEach(row -> rows.add(row.cells()));
+    }
+
+    private int lastRun() {
+        int last = 0;
+        for (List<String> row : rows) {
+            last = Math.max(last, Integer.parseInt(row.get(0)));
+        }
+        return last;
+    }
+
+    /** Adds a row of this run and prints it. */
+    void add(Object... cells) {
+        List<String> row = new ArrayList<>();
+        row.add(Integer.toString(run));
+        for (Object cell : cells) {
+            row.add(String.valueOf(cell));
+        }
+        rows.add(row);
+        System.out.println(String.join(",", row));
+    }
+
+    /** Prints the columns' names. */
+    void header() {
+        System.out.println(name + ": " + String.join(",", columns));
+    }
+
+    CapacityCsv table() {
+        return CapacityCsv.of(name, command, columns, rows);
+    }
+
+    /** Writes the file, unless the run is a quick one. */
+    void write() throws IOException {
+        if (writes) {
+            table().write(Path.of(name));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/RtspRequests.java
@@ -0,0 +1,39 @@
+package dockshed.capacity;
+
+import dockshed.net.Headed;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Requests of an RTSP viewer. */
+final class RtspRequests {
+
+    private static final byte[] DESCRIPTION = "v=0\r\n".getBytes(StandardCharsets.UTF_8);
+    private static final byte[] NOTHING = new byte[0];
+
+    private RtspRequests() {}
+
+    /** A request that is answered at once; after it a connection may stay open without a word. */
+    static byte[] options() {
+        return Headed.encode("OPTIONS rtsp://media/ping RTSP/1.0", Map.of("CSeq", "3"), NOTHING);
+    }
+
+    /** A set-up of a lesson under a session's name. */
+    static byte[] setUp(String session) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("CSeq", "1");
+        headers.put("Session", session);
+        headers.put("Priority-Class", TestbedFiles.SESSION_CLASS);
+        headers.put("Expires-Ms", "4000");
+        headers.put("P-Trunk-Info", "home:0;copies:3;top:2;viewer:" + session);
+        return Headed.encode("SETUP rtsp://media/lesson RTSP/1.0", headers, DESCRIPTION);
+    }
+
+    /** The answer to a note of the broker's that a session is over. */
+    static byte[] heard(String session) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("CSeq", "2");
+        headers.put("Session", session);
+        return Headed.encode("RTSP/1.0 200 OK", headers, NOTHING);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/RunLineTest.java
@@ -0,0 +1,60 @@
+package dockshed.capacity;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** The platform's command as a measurement starts it. */
+class RunLineTest {
+
+    private static final RunLine LINE =
+            RunLine.parse("x.toml", List.of("build = \"b\"", "run = \"exec java -Xmx64m -jar x.jar serve\"   # why"));
+
+    @Test
+    void theRunKeyIsReadWithoutItsShellWord() {
+        assertEquals(List.of("java", "-Xmx64m", "-jar", "x.jar", "serve"), LINE.words());
+    }
+
+    @Test
+    void variantsChangeWhatTheyNameAndNothingElse() {
+        assertEquals(
+                List.of("java", "-Xmx1g", "-jar", "x.jar", "serve"),
+                LINE.with("-Xmx", "1g").words());
+        assertEquals(
+                List.of("taskset", "-c", "3", "java", "-Xmx64m", "-jar", "x.jar", "serve"),
+                LINE.onCore(3).words());
+        assertEquals(
+                List.of("java", "-Xmx64m", "-jar", "x.jar", "serve", "--hls", "f"),
+                LINE.plus("--hls", "f").words());
+        assertEquals(
+                List.of("java", "-Da=b", "-Xmx64m", "-jar", "x.jar", "serve"),
+                LINE.plusOption("-Da=b").words());
+    }
+
+    @Test
+    void whatIsNotThereIsNamed() {
+        assertThrows(IllegalArgumentException.class, () -> LINE.with("-Xss", "1m"));
+        IllegalArgumentException missing =
+                assertThrows(IllegalArgumentException.class, () -> RunLine.parse("x.toml", List.of("build = \"b\"")));
+        assertEquals("x.toml: key 'run' is missing", missing.getMessage());
+        IllegalArgumentException open = assertThrows(
+                IllegalArgumentException.class, () -> RunLine.parse("x.toml", List.of("", "run = \"exec java")));
+        assertEquals("x.toml, line 2: key 'run' has no closing quote", open.getMessage());
+    }
+
+    /** The options that the measurements replace are on the platform's own line. */
+    @Test
+    void theDeployFileHasWhatTheMeasurementsReplace() throws IOException {
+        RunLine line = TargetBroker.runLine();
+        assertEquals("java", line.words().get(0));
+        assertTrue(line.words().contains("-Xmx1g"));
+        assertEquals(
+                RunLine.read(Path.of("deploy/balancer.toml")).words().size(),
+                line.words().size());
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/StandInPlaylistServers.java
@@ -0,0 +1,88 @@
+package dockshed.capacity;
+
+import dockshed.net.ByteHandler;
+import dockshed.net.Headed;
+import dockshed.net.HeadedDecoder;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Edge servers on loopback that answer each GET at once: a multivariant playlist, or a live media playlist. */
+final class StandInPlaylistServers implements AutoCloseable {
+
+    private static final int REQUEST_LIMIT = 1 << 16;
+    private static final int SEGMENTS = 6;
+    private static final String MULTIVARIANT = """
+            #EXTM3U
+            #EXT-X-STREAM-INF:BANDWIDTH=2040000
+            low.m3u8
+            #EXT-X-STREAM-INF:BANDWIDTH=3400000
+            mid.m3u8
+            #EXT-X-STREAM-INF:BANDWIDTH=5648000
+            top.m3u8
+            """;
+
+    private final Net net = new Net("playlist servers");
+    private final List<InetSocketAddress> addresses = new ArrayList<>();
+    private final byte[] multivariant = answer(MULTIVARIANT);
+    private final byte[] media = answer(livePlaylist());
+
+    StandInPlaylistServers(int count) {
+        for (int server = 0; server < count; server++) {
+            Channel listening = net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), Connection::new)
+                    .syncUninterruptibly()
+                    .channel();
+            addresses.add((InetSocketAddress) listening.localAddress());
+        }
+    }
+
+    List<InetSocketAddress> addresses() {
+        return addresses;
+    }
+
+    @Override
+    public void close() {
+        net.close();
+    }
+
+    /** A live window of a few segments: no end tag, so a player fetches it again and again. */
+    static String livePlaylist() {
+        StringBuilder text = new StringBuilder("#EXTM3U\n#EXT-X-VERSION:3\n#EXT-X-TARGETDURATION:2\n");
+        text.append("#EXT-X-MEDIA-SEQUENCE:4711\n");
+        for (int segment = 0; segment < SEGMENTS; segment++) {
+            text.append("#EXTINF:2.000,\nsegment-").append(4711 + segment).append(".ts\n");
+        }
+        return text.toString();
+    }
+
+    private static byte[] answer(String playlist) {
+        String head = "HTTP/1.1 200 OK\r\nContent-Type: application/vnd.apple.mpegurl\r\nContent-Length: "
+                + playlist.length() + "\r\n\r\n";
+        return (head + playlist).getBytes(StandardCharsets.UTF_8);
+    }
+
+    private final class Connection extends ByteHandler {
+        private final HeadedDecoder decoder = new HeadedDecoder(REQUEST_LIMIT);
+
+        @Override
+        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            decoder.add(bytes, 0, bytes.length);
+            try {
+                for (Headed request = decoder.next(); request != null; request = decoder.next()) {
+                    boolean master = request.word(1).endsWith("master.m3u8");
+                    ctx.writeAndFlush(Net.buf(master ? multivariant : media));
+                }
+            } catch (Headed.Malformed malformed) {
+                ctx.close();
+            }
+        }
+
+        @Override
+        protected void closed(ChannelHandlerContext ctx, boolean reset) {}
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/TargetBroker.java
@@ -0,0 +1,110 @@
+package dockshed.capacity;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The built program in a JVM of its own, under measurement; ends with its owner. */
+final class TargetBroker implements AutoCloseable {
+
+    private static final long START_SECONDS = 30;
+    private static final int LAST_LINES = 20;
+    private static final Pattern LISTENS = Pattern.compile("listen=/?([0-9.]+):([0-9]+)");
+
+    private final Process process;
+    private final Deque<String> lastLines = new ArrayDeque<>();
+    private final CompletableFuture<InetSocketAddress> rtsp = new CompletableFuture<>();
+    private final CompletableFuture<InetSocketAddress> hls = new CompletableFuture<>();
+    private final Thread killer = new Thread(this::kill);
+
+    /** Starts the program and waits until it serves. */
+    TargetBroker(RunLine command, Path config) throws Exception {
+        ProcessBuilder builder = new ProcessBuilder(command.words()).redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        process = builder.start();
+        Runtime.getRuntime().addShutdownHook(killer);
+        Thread reader = new Thread(this::readLog, "log of the measured broker");
+        reader.setDaemon(true);
+        reader.start();
+        rtsp.get(START_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** The same from the deploy file's run line, with room for many connections. */
+    static TargetBroker withRoom(Path config, String... arguments) throws Exception {
+        return new TargetBroker(runLine().plus(arguments), config);
+    }
+
+    /** The deploy file's run line with a heap and direct memory that many connections do not fill. */
+    static RunLine runLine() throws IOException {
+        return RunLine.read(Path.of("deploy/balancer.toml"))
+                .with("-Xmx", "1g")
+                .with("-XX:MaxDirectMemorySize=", "256m");
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    InetSocketAddress rtsp() {
+        return rtsp.join();
+    }
+
+    /** Where the HLS front listens; only for a program started with one. */
+    InetSocketAddress hls() throws Exception {
+        return hls.get(START_SECONDS, TimeUnit.SECONDS);
+    }
+
+    boolean alive() {
+        return process.isAlive();
+    }
+
+    /** The last lines of its log. */
+    List<String> lastLines() {
+        synchronized (lastLines) {
+            return List.copyOf(lastLines);
+        }
+    }
+
+    @Override
+    public void close() {
+        kill();
+        Runtime.getRuntime().removeShutdownHook(killer);
+    }
+
+    private void kill() {
+        process.destroyForcibly().onExit().join();
+    }
+
+    private void readLog() {
+        try (BufferedReader in = process.inputReader()) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                keep(line);
+                Matcher listens = LISTENS.matcher(line);
+                if (listens.find()) {
+                    InetSocketAddress at = new InetSocketAddress(listens.group(1), Integer.parseInt(listens.group(2)));
+                    (line.contains("serving HLS:") ? hls : rtsp).complete(at);
+                }
+            }
+        } catch (IOException e) {
+            keep("log not read on: " + e.getMessage());
+        }
+        rtsp.completeExceptionally(new IllegalStateException("the program ended: " + lastLines()));
+    }
+
+    private void keep(String line) {
+        synchronized (lastLines) {
+            lastLines.add(line);
+            if (lastLines.size() > LAST_LINES) {
+                lastLines.remove();
+            }
+        }
+    }
+}
