--- a/src/test/java/dockshed/capacity/NotedViewers.java
+++ b/src/test/java/dockshed/capacity/NotedViewers.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
 /** RTSP viewers with some sessions on each connection, who wait for the note that a session is over. */
@@ -16,9 +17,12 @@
     /** Set-ups that wait for an answer on one connection at a time. */
     private static final int OPEN_SET_UPS = 4;
 
+    private static final int AGAIN_MILLIS = 200;
+
     private final Net net = new Net("noted viewers");
     private final InetSocketAddress broker;
     private final Map<String, Integer> deliveries = new HashMap<>(); // of the loop's thread
+    private final AtomicInteger refused = new AtomicInteger();
     private int named;
     private volatile OpenLoop load;
 
@@ -49,6 +53,11 @@
         return ready.await(seconds, TimeUnit.SECONDS) ? names : null;
     }
 
+    /** Set-ups that were refused and asked for again. */
+    int refused() {
+        return refused.get();
+    }
+
     @Override
     public void close() {
         net.close();
@@ -89,6 +98,10 @@
             } else if (message.status() == 200) {
                 ready.countDown();
                 ask(from);
+            } else if (message.status() > 0) {
+                refused.incrementAndGet();
+                long wait = Long.parseLong(message.header("p-back-off", Integer.toString(AGAIN_MILLIS)));
+                net.loop().schedule(() -> from.write(RtspRequests.setUp(session)), wait, TimeUnit.MILLISECONDS);
             }
         }
 
