--- a/src/test/java/dockshed/capacity/ConnectionBench.java
+++ b/src/test/java/dockshed/capacity/ConnectionBench.java
@@ -194,6 +194,20 @@
                 "heap_peak_bytes", "heap_after_bytes", "allocated_bytes", "rss_peak_kb", "cpu_s", "served_again_s")) {
             System.out.println("fit reconnect " + figure + " per connection: " + whole.fit("connections", figure));
         }
+        for (String figure : List.of("allocated_bytes", "cpu_s")) {
+            System.out.println(
+                    "fit reconnect " + figure + " of each connection, per connection: " + growthOfEach(whole, figure));
+        }
+    }
+
+    /** The line through a figure divided by the connections: its slope is what grows with their square. */
+    private static LinearFit growthOfEach(CapacityCsv rows, String figure) {
+        double[] connections = rows.numbers("connections");
+        double[] each = rows.numbers(figure);
+        for (int row = 0; row < each.length; row++) {
+            each[row] /= connections[row];
+        }
+        return LinearFit.of(connections, each);
     }
 
     private static void open(RtspViewers viewers, int count, int atOnce, TargetBroker broker) throws Exception {
