--- a/src/test/java/dockshed/capacity/DeliveryBench.java
+++ b/src/test/java/dockshed/capacity/DeliveryBench.java
@@ -164,11 +164,9 @@
 
     private void report(String kind) {
         CapacityCsv rows = results.table().where("kind", kind);
-        CapacityCsv within = rows.where("served", "yes");
-        System.out.println("fit " + kind + " cores per delivery a second, where served: "
-                + (within.rows().size() < LinearFit.LEAST_POINTS
-                        ? "none, served at " + within.rows().size() + " rates only"
-                        : within.fit("rate_delivered", "cores")));
+        System.out.println("fit " + kind + " cores per delivery a second, all rates: " + fitOf(rows));
+        System.out.println(
+                "fit " + kind + " cores per delivery a second, where served: " + fitOf(rows.where("served", "yes")));
         double mostServed = 0;
         List<Double> notServed = new ArrayList<>();
         List<String> served = rows.column("served");
@@ -187,6 +185,12 @@
                 + ", lowest rate without " + left);
     }
 
+    private static String fitOf(CapacityCsv rows) {
+        return rows.rows().size() < LinearFit.LEAST_POINTS
+                ? "none, " + rows.rows().size() + " rates only"
+                : rows.fit("rate_delivered", "cores").toString();
+    }
+
     private TargetBroker broker(String config, String... arguments) throws Exception {
         RunLine command = TargetBroker.runLine().plus(arguments);
         return new TargetBroker(
