Measure what a set-up costs by edge servers, lessons and sessions

Change: bench/setup.sh drives the decision module alone, with the JVM options of the run line, in virtual time with a steady load, and fits lines through processor time, bytes allocated and heap.

--- /dev/null
+++ b/src/test/java/dockshed/capacity/SetupCapacity.java
@@ -0,0 +1,151 @@
+package dockshed.capacity;
+
+import dockshed.capacity.SetupFixture.BatchCost;
+import dockshed.capacity.SetupFixture.Size;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.ToDoubleFunction;
+import org.apache.commons.math3.stat.descriptive.rank.Percentile;
+
+/**
+ * What a set-up costs in the decision module, by edge servers, by lessons and by sessions that play; run by {@code
+ * bench/setup.sh}. Writes the raw figures and prints a line fitted through each series.
+ */
+public final class SetupCapacity {
+    static final List<String> COLUMNS = List.of(
+            "run",
+            "series",
+            "servers",
+            "lessons",
+            "sessions",
+            "uplink_told",
+            "setup_ns",
+            "setup_ns_p25",
+            "setup_ns_p75",
+            "request_ns",
+            "play_ns",
+            "end_ns",
+            "sweep_us",
+            "allocated_bytes",
+            "heap_bytes",
+            "refused_share",
+            "basis");
+
+    /** How much is measured: batches before and during a measurement, and sizes of each series from the smallest. */
+    record Extent(int warmUpBatches, int batches, int sizes) {
+        static final Extent FULL = new Extent(6, 15, Integer.MAX_VALUE);
+        static final Extent QUICK = new Extent(2, 5, 4);
+    }
+
+    private static final int[] SERVERS = {36, 128, 512, 1024, 2048, 4096};
+    private static final int[] LESSONS = {10, 100, 1000, 10_000, 58_000};
+    private static final int[] SESSIONS = {400, 2000, 10_000, 20_000, 41_000};
+    private static final int USUAL_SERVERS = 128;
+    private static final int SERVERS_FOR_SESSIONS = 1024;
+    private static final int USUAL_LESSONS = 1000;
+    private static final int USUAL_SESSIONS = 400;
+
+    private SetupCapacity() {}
+
+    /** Arguments: {@code [--quick] [--append]}. */
+    public static void main(String[] args) throws IOException {
+        Arguments arguments = Arguments.of(args);
+        Extent extent = arguments.quick() ? Extent.QUICK : Extent.FULL;
+        Results results = new Results("setup.csv", "sh bench/setup.sh", arguments, COLUMNS);
+        results.header();
+        measure(extent, results);
+        results.write();
+        CapacityCsv table = results.table();
+        printFit(table, "servers", "servers", "setup_ns");
+        printFit(table, "servers", "servers", "request_ns");
+        printFit(table, "servers", "servers", "sweep_us");
+        printFit(table, "servers", "servers", "allocated_bytes");
+        printFit(table, "servers", "servers", "heap_bytes");
+        printFit(table, "servers_uplink_told", "servers", "setup_ns");
+        printFit(table, "lessons", "lessons", "setup_ns");
+        printFit(table, "lessons", "lessons", "heap_bytes");
+        printFit(table, "sessions", "sessions", "setup_ns");
+        printFit(table, "sessions", "sessions", "sweep_us");
+        printFit(table, "sessions", "sessions", "heap_bytes");
+    }
+
+    private static void measure(Extent extent, Results results) {
+        ThreadCost cost = new ThreadCost();
+        measure("warm_up", new Size(USUAL_SERVERS, USUAL_LESSONS, USUAL_SESSIONS, false), extent, cost);
+        for (int servers : some(SERVERS, extent)) {
+            results.add(measure("servers", new Size(servers, USUAL_LESSONS, USUAL_SESSIONS, false), extent, cost));
+        }
+        for (int servers : some(SERVERS, extent)) {
+            Size size = new Size(servers, USUAL_LESSONS, USUAL_SESSIONS, true);
+            results.add(measure("servers_uplink_told", size, extent, cost));
+        }
+        for (int lessons : some(LESSONS, extent)) {
+            results.add(measure("lessons", new Size(USUAL_SERVERS, lessons, USUAL_SESSIONS, false), extent, cost));
+        }
+        for (int sessions : some(SESSIONS, extent)) {
+            results.add(
+                    measure("sessions", new Size(SERVERS_FOR_SESSIONS, USUAL_LESSONS, sessions, false), extent, cost));
+        }
+    }
+
+    private static int[] some(int[] sizes, Extent extent) {
+        return Arrays.copyOf(sizes, Math.min(sizes.length, extent.sizes()));
+    }
+
+    /** One row of the table: a module of its own, warmed up, then the medians of its batches. */
+    static Object[] measure(String series, Size size, Extent extent, ThreadCost cost) {
+        long before = ThreadCost.usedHeap();
+        SetupFixture fixture = new SetupFixture(size, cost);
+        for (int i = 0; i < extent.warmUpBatches(); i++) {
+            fixture.batch();
+        }
+        fixture.takeSweeps();
+        List<BatchCost> batches = new ArrayList<>();
+        for (int i = 0; i < extent.batches(); i++) {
+            batches.add(fixture.batch());
+        }
+        List<Double> sweeps = fixture.takeSweeps();
+        long heap = ThreadCost.usedHeap() - before;
+        if (fixture.playing() != size.sessions()) {
+            throw new IllegalStateException(fixture.playing() + " sessions play, not " + size.sessions());
+        }
+        return new Object[] {
+            series,
+            size.servers(),
+            size.lessons(),
+            size.sessions(),
+            size.uplinkTold(),
+            number(median(batches, BatchCost::setupNanos)),
+            number(percentile(batches, BatchCost::setupNanos, 25)),
+            number(percentile(batches, BatchCost::setupNanos, 75)),
+            number(median(batches, BatchCost::requestNanos)),
+            number(median(batches, BatchCost::playNanos)),
+            number(median(batches, BatchCost::endNanos)),
+            number(median(sweeps, x -> x)),
+            number(median(batches, BatchCost::allocatedBytes)),
+            number(heap),
+            String.format(Locale.ROOT, "%.4f", fixture.refusedShare()),
+            "measured"
+        };
+    }
+
+    private static void printFit(CapacityCsv table, String series, String x, String column) {
+        System.out.println("fit " + column + " by " + series + ": "
+                + table.where("series", series).fit(x, column));
+    }
+
+    private static <T> double median(List<T> values, ToDoubleFunction<T> of) {
+        return percentile(values, of, 50);
+    }
+
+    private static <T> double percentile(List<T> values, ToDoubleFunction<T> of, double percent) {
+        return new Percentile().evaluate(values.stream().mapToDouble(of).toArray(), percent);
+    }
+
+    private static String number(double value) {
+        return String.format(Locale.ROOT, "%.1f", value);
+    }
+}
