--- a/src/test/java/dockshed/capacity/CapacityCsv.java
+++ b/src/test/java/dockshed/capacity/CapacityCsv.java
@@ -133,6 +133,15 @@
         return new CapacityCsv(name, command, columns, kept);
     }
 
+    /** The rows whose cell in the column is another than the value, as a table of its own. */
+    public CapacityCsv whereNot(String column, String value) {
+        int index = indexOf(column);
+        List<Row> kept = rows.stream()
+                .filter(row -> !row.cells().get(index).equals(value))
+                .toList();
+        return new CapacityCsv(name, command, columns, kept);
+    }
+
     /** The line through two columns of numbers. */
     public LinearFit fit(String x, String y) {
         return LinearFit.of(numbers(x), numbers(y));
--- a/src/test/java/dockshed/capacity/Results.java
+++ b/src/test/java/dockshed/capacity/Results.java
@@ -48,6 +48,11 @@
         return last;
     }
 
+    /** The number of this run, from 1. */
+    int run() {
+        return run;
+    }
+
     /** Adds a row of this run and prints it. */
     void add(Object... cells) {
         List<String> row = new ArrayList<>();
--- /dev/null
+++ b/src/test/java/dockshed/fleet/ControlLoad.java
@@ -0,0 +1,100 @@
+package dockshed.fleet;
+
+import java.util.List;
+import java.util.SplittableRandom;
+
+/** What goes on in a measured fleet: load samples, health reports at a steady rate, and entries that last. */
+final class ControlLoad {
+    static final long SAMPLE_PERIOD = 250 * FleetSimulation.MS;
+    private static final long MINUTE = 60 * FleetSimulation.S;
+    private static final int REPORTED_SERVERS = 1_000;
+    private static final int LASTING_KIND = VersionedEntry.PLANS;
+    private static final long LASTING = 3_600 * FleetSimulation.S;
+    /** A shard's owner, audience and version, say. */
+    private static final int LASTING_VALUE_BYTES = 8;
+
+    private static final int ACCEPTED = 4;
+    private static final int REJECTED = 1;
+
+    private final FleetSimulation fleet;
+    private final ControlScenario scenario;
+    private final SplittableRandom random;
+    private double reportsDue;
+
+    ControlLoad(FleetSimulation fleet, ControlScenario scenario) {
+        this.fleet = fleet;
+        this.scenario = scenario;
+        random = new SplittableRandom(scenario.seed());
+        fleet.started = node -> node.node.entries().setTimeToLive(LASTING_KIND, LASTING);
+    }
+
+    /** Runs the fleet under load, and looks at it as often as samples are taken. */
+    void run(long micros, Runnable look) {
+        fleet.run(micros, SAMPLE_PERIOD, () -> {
+            sample();
+            report();
+            look.run();
+        });
+    }
+
+    private void sample() {
+        int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
+        requests[0] = 3;
+        requests[1] = 1;
+        requests[4] = 1;
+        for (FleetSimulation.Node node : fleet.nodes) {
+            if (node.up()) {
+                node.event(new LocalEvent.LoadSample(requests, ACCEPTED, REJECTED, 0, SAMPLE_PERIOD));
+            }
+        }
+    }
+
+    private void report() {
+        reportsDue += scenario.changesPerMinute() * SAMPLE_PERIOD / MINUTE;
+        for (; reportsDue >= 1; reportsDue--) {
+            FleetSimulation.Node node = fleet.nodes[random.nextInt(fleet.nodes.length)];
+            if (node.up()) {
+                node.event(new LocalEvent.HealthReport(random.nextInt(REPORTED_SERVERS), random.nextBoolean()));
+            }
+        }
+    }
+
+    /** Gives all peers all lasting entries, as they are held long after the last change: nothing of them is left to relay. */
+    void placeLastingEntries() {
+        for (FleetSimulation.Node owner : fleet.nodes) {
+            List<Integer> peers = scenario.mechanism().peersOf(owner.number, fleet.nodes.length);
+            EntryStore own = owner.node.entries();
+            for (int key = 0; key < scenario.entriesPerOwner(); key++) {
+                own.put(owner.clock(), LASTING_KIND, key, new byte[LASTING_VALUE_BYTES]);
+                VersionedEntry entry = own.get(owner.number, LASTING_KIND, key);
+                for (int peer : peers) {
+                    fleet.nodes[peer].node.entries().merge(owner.clock(), copy(entry), owner.number, forger -> {});
+                }
+            }
+        }
+        if (scenario.entriesPerOwner() > 0) {
+            for (FleetSimulation.Node node : fleet.nodes) {
+                markRelayed(node);
+            }
+        }
+    }
+
+    /** Each peer holds bytes of its own, as after a datagram. */
+    private static VersionedEntry copy(VersionedEntry entry) {
+        return new VersionedEntry(
+                entry.owner(),
+                entry.kind(),
+                entry.key(),
+                entry.incarnation(),
+                entry.counter(),
+                entry.writtenAt(),
+                entry.value().clone());
+    }
+
+    private static void markRelayed(FleetSimulation.Node node) {
+        int times = node.node.membership().gossipTimes();
+        for (int time = 0; time < times; time++) {
+            node.node.entries().deltas(node.clock(), Integer.MAX_VALUE, times);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/fleet/ControlMeasurement.java
@@ -0,0 +1,257 @@
+package dockshed.fleet;
+
+import dockshed.capacity.ThreadCost;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.OptionalDouble;
+import java.util.Set;
+import org.HdrHistogram.Histogram;
+
+/**
+ * Measures the control traffic of one simulated fleet: the real gossip nodes, codec and stores in virtual time, which
+ * publish a snapshot after every tick of the measured window as their hosts do. All figures but processor time, allocation and heap follow from
+ * the scenario and its seed alone.
+ */
+public final class ControlMeasurement {
+    private static final long SECOND = FleetSimulation.S;
+    private static final long REPORT_STEP = 50 * FleetSimulation.MS;
+    private static final double REPORT_REACH = 0.99;
+    private static final int KILLED_ONE_IN = 7;
+    private static final int FIRST_TRACED_SERVER = 1_000_000;
+    private static final double P99 = 99;
+    private static final double NANOS = 1e9;
+    /** A peer is told the load figures each so often at most: see the gossip node's push. */
+    private static final long PUSH_INTERVAL = 100 * FleetSimulation.MS;
+
+    private static final long AGES_SAMPLED = 5 * SECOND;
+
+    private final ControlScenario scenario;
+    private final ControlDurations durations;
+    private final FleetSimulation fleet;
+    private final long window;
+    private final ControlLoad load;
+    private final List<List<Integer>> peers = new ArrayList<>();
+    private final EmptyNetwork network = new EmptyNetwork();
+    private final ThreadCost cost = new ThreadCost();
+    private final Histogram ages = new Histogram(3);
+    private final Set<Long> calledDead = new HashSet<>();
+    private long agesMissing;
+    private long agesWanted;
+    private int falseDeaths;
+
+    private ControlMeasurement(ControlScenario scenario, ControlDurations durations) {
+        this.scenario = scenario;
+        this.durations = durations;
+        fleet = scenario.mechanism().fleet(scenario.brokers(), scenario.seed());
+        window = durations.window(scenario.brokers());
+        fleet.loss = scenario.loss();
+        load = new ControlLoad(fleet, scenario);
+        for (int broker = 0; broker < scenario.brokers(); broker++) {
+            peers.add(scenario.mechanism().peersOf(broker, scenario.brokers()));
+        }
+    }
+
+    /** Plays a scenario; {@code beforeWindow} and {@code afterWindow} run around the part whose processor time counts. */
+    public static ControlFigures of(
+            ControlScenario scenario, ControlDurations durations, Runnable beforeWindow, Runnable afterWindow) {
+        long before = ThreadCost.usedHeap();
+        return new ControlMeasurement(scenario, durations).play(before, beforeWindow, afterWindow);
+    }
+
+    private ControlFigures play(long heapBefore, Runnable beforeWindow, Runnable afterWindow) {
+        warmUp();
+        beforeWindow.run();
+        Traffic start = Traffic.of(fleet);
+        cost.start();
+        load.run(window, () -> {});
+        long nanos = cost.nanos();
+        long allocated = cost.bytes();
+        Traffic traffic = Traffic.of(fleet).minus(start);
+        long networkNanos = network.nanos(scenario, traffic.datagrams(), window, cost);
+        afterWindow.run();
+        fleet.ticked = node -> {};
+        double heap = (ThreadCost.usedHeap() - heapBefore) / (double) scenario.brokers();
+        double held = entriesHeld();
+        load.run(AGES_SAMPLED, this::sampleAges);
+        List<OptionalDouble> reports = reportDelays();
+        OptionalDouble failureKnown = failureDelay();
+        double seconds = window / (double) SECOND;
+        double perBroker = 1 / (seconds * scenario.brokers());
+        return new ControlFigures(
+                traffic.sent() * perBroker,
+                traffic.sentMost() / seconds,
+                traffic.received() * perBroker,
+                traffic.receivedMost() / seconds,
+                traffic.datagrams() * perBroker,
+                nanos * perBroker / NANOS,
+                networkNanos * perBroker / NANOS,
+                allocated * perBroker,
+                heap,
+                held,
+                ages.getMean() / SECOND,
+                ages.getValueAtPercentile(P99) / (double) SECOND,
+                agesWanted == 0 ? 0 : agesMissing / (double) agesWanted,
+                within(reports, (reports.size() - 1) / 2),
+                within(reports, reports.size() - 1),
+                reports.stream().filter(OptionalDouble::isPresent).count() / (double) reports.size(),
+                failureKnown,
+                falseDeaths);
+    }
+
+    private void warmUp() {
+        fleet.startAll();
+        load.run(durations.warmUp(), this::countFalseDeaths);
+        load.placeLastingEntries();
+        load.run(peers.get(0).size() * PUSH_INTERVAL, this::countFalseDeaths);
+        network.watch(fleet);
+        fleet.ticked = this::ticked;
+        load.run(SECOND, this::countFalseDeaths);
+        network.endWatch(fleet);
+    }
+
+    private void ticked(FleetSimulation.Node node) {
+        network.countTick();
+        node.snapshot();
+    }
+
+    private double entriesHeld() {
+        return Arrays.stream(fleet.nodes)
+                .mapToInt(node -> node.node.entries().size())
+                .average()
+                .orElse(0);
+    }
+
+    private void countFalseDeaths() {
+        for (FleetSimulation.Node node : fleet.nodes) {
+            for (int peer : node.up() ? peers.get(node.number) : List.<Integer>of()) {
+                boolean dead = node.node.membership().member(peer).state == Member.State.DEAD;
+                long pair = (long) node.number << Integer.SIZE | peer;
+                if (dead && fleet.nodes[peer].up()) {
+                    falseDeaths += calledDead.add(pair) ? 1 : 0;
+                } else {
+                    calledDead.remove(pair);
+                }
+            }
+        }
+    }
+
+    private void sampleAges() {
+        countFalseDeaths();
+        for (FleetSimulation.Node node : fleet.nodes) {
+            for (int peer : peers.get(node.number)) {
+                VersionedEntry figures = node.node.entries().get(peer, VersionedEntry.LOAD, 0);
+                agesWanted++;
+                if (figures == null) {
+                    agesMissing++;
+                } else {
+                    ages.recordValue(Math.max(0, node.clock() - figures.writtenAt()));
+                }
+            }
+        }
+    }
+
+    private List<OptionalDouble> reportDelays() {
+        List<OptionalDouble> delays = new ArrayList<>();
+        for (int trial = 0; trial < durations.reports(); trial++) {
+            FleetSimulation.Node reporter = fleet.nodes[trial * scenario.brokers() / durations.reports()];
+            delays.add(reportDelay(reporter, FIRST_TRACED_SERVER + trial));
+        }
+        return delays;
+    }
+
+    /** Seconds until 99 in 100 of a broker's peers hold its report on a server. */
+    private OptionalDouble reportDelay(FleetSimulation.Node reporter, int server) {
+        long began = fleet.now;
+        List<Integer> readers = peers.get(reporter.number);
+        long wanted = (long) Math.ceil(REPORT_REACH * readers.size());
+        reporter.event(new LocalEvent.HealthReport(server, true));
+        while (fleet.now - began < durations.reportLimit()) {
+            load.run(REPORT_STEP, () -> {});
+            long know = readers.stream()
+                    .filter(reader -> holds(fleet.nodes[reader], reporter, server))
+                    .count();
+            if (know >= wanted) {
+                return OptionalDouble.of((fleet.now - began) / (double) SECOND);
+            }
+        }
+        return OptionalDouble.empty();
+    }
+
+    private static boolean holds(FleetSimulation.Node reader, FleetSimulation.Node reporter, int server) {
+        return reader.node.entries().get(reporter.number, VersionedEntry.HEALTH_REPORT, server) != null;
+    }
+
+    /** Kills a seventh of the brokers at once; seconds until no survivor counts one of them as present. */
+    private OptionalDouble failureDelay() {
+        Set<Integer> killed = new HashSet<>();
+        for (int broker = KILLED_ONE_IN / 2; broker < scenario.brokers(); broker += KILLED_ONE_IN) {
+            fleet.nodes[broker].kill();
+            killed.add(broker);
+        }
+        long began = fleet.now;
+        while (fleet.now - began < durations.failureLimit()) {
+            load.run(ControlLoad.SAMPLE_PERIOD, this::countFalseDeaths);
+            if (Arrays.stream(fleet.nodes).noneMatch(node -> node.up() && countsOneOf(node, killed))) {
+                return OptionalDouble.of((fleet.now - began) / (double) SECOND);
+            }
+        }
+        return OptionalDouble.empty();
+    }
+
+    private boolean countsOneOf(FleetSimulation.Node node, Set<Integer> killed) {
+        return peers.get(node.number).stream()
+                .anyMatch(peer -> killed.contains(peer)
+                        && node.node.membership().member(peer).isPresent());
+    }
+
+    /** The delay at a place in the order of all; those that passed their limit are last. */
+    private static OptionalDouble within(List<OptionalDouble> delays, int place) {
+        double[] sorted = delays.stream()
+                .mapToDouble(delay -> delay.orElse(Double.POSITIVE_INFINITY))
+                .sorted()
+                .toArray();
+        return Double.isInfinite(sorted[place]) ? OptionalDouble.empty() : OptionalDouble.of(sorted[place]);
+    }
+
+    /** Bytes and datagrams so far. */
+    private record Traffic(
+            long sent,
+            long sentMost,
+            long received,
+            long receivedMost,
+            long datagrams,
+            long[] sentBy,
+            long[] receivedBy) {
+        static Traffic of(FleetSimulation fleet) {
+            long[] sentBy = new long[fleet.nodes.length];
+            fleet.sentBy.forEach((broker, bytes) -> sentBy[broker] = bytes);
+            return of(sentBy, fleet.receivedBy.clone(), fleet.carried);
+        }
+
+        private static Traffic of(long[] sentBy, long[] receivedBy, long datagrams) {
+            return new Traffic(
+                    Arrays.stream(sentBy).sum(),
+                    Arrays.stream(sentBy).max().orElse(0),
+                    Arrays.stream(receivedBy).sum(),
+                    Arrays.stream(receivedBy).max().orElse(0),
+                    datagrams,
+                    sentBy,
+                    receivedBy);
+        }
+
+        Traffic minus(Traffic start) {
+            return of(
+                    difference(sentBy, start.sentBy),
+                    difference(receivedBy, start.receivedBy),
+                    datagrams - start.datagrams);
+        }
+
+        private static long[] difference(long[] end, long[] start) {
+            long[] difference = new long[end.length];
+            Arrays.setAll(difference, broker -> end[broker] - start[broker]);
+            return difference;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/fleet/ControlMechanism.java
@@ -0,0 +1,40 @@
+package dockshed.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** A way in which brokers share control state, as the measurements of control traffic see it. */
+public interface ControlMechanism {
+    /** The mechanism's name in files of figures. */
+    String label();
+
+    /** A simulated fleet, not started yet. */
+    FleetSimulation fleet(int brokers, long seed);
+
+    /** The brokers of which this one keeps the full state, itself not included. */
+    List<Integer> peersOf(int broker, int brokers);
+
+    /** The gossip of package fleet at its default settings: every broker keeps the state of every other. */
+    ControlMechanism FULL_MESH = new ControlMechanism() {
+        @Override
+        public String label() {
+            return "full_mesh";
+        }
+
+        @Override
+        public FleetSimulation fleet(int brokers, long seed) {
+            return new FleetSimulation(brokers, FleetSettings.DEFAULTS, seed);
+        }
+
+        @Override
+        public List<Integer> peersOf(int broker, int brokers) {
+            List<Integer> peers = new ArrayList<>();
+            for (int peer = 0; peer < brokers; peer++) {
+                if (peer != broker) {
+                    peers.add(peer);
+                }
+            }
+            return peers;
+        }
+    };
+}
--- /dev/null
+++ b/src/test/java/dockshed/fleet/EmptyNetwork.java
@@ -0,0 +1,64 @@
+package dockshed.fleet;
+
+import dockshed.capacity.ThreadCost;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+/** What the simulated network costs by itself: as many datagrams and ticks as were seen, with nobody to read them. */
+final class EmptyNetwork {
+    private static final int SAMPLES = 64;
+    private static final int SAMPLE_EVERY = 101;
+
+    private final List<byte[]> samples = new ArrayList<>();
+    private UnaryOperator<Envelope> untouched;
+    private long seen;
+    private long ticks;
+
+    /** Notes what a fleet sends from now on. */
+    void watch(FleetSimulation fleet) {
+        untouched = fleet.tamper;
+        fleet.tamper = envelope -> {
+            if (seen++ % SAMPLE_EVERY == 0 && samples.size() < SAMPLES) {
+                samples.add(envelope.write());
+            }
+            return envelope;
+        };
+    }
+
+    /** Lets datagrams pass as before, and counts ticks from now on. */
+    void endWatch(FleetSimulation fleet) {
+        fleet.tamper = untouched;
+        ticks = 0;
+    }
+
+    void countTick() {
+        ticks++;
+    }
+
+    /** Nanoseconds of processor time for that many datagrams, and for the ticks that were counted. */
+    long nanos(ControlScenario scenario, long datagrams, long micros, ThreadCost cost) {
+        FleetSimulation idle = scenario.mechanism().fleet(scenario.brokers(), scenario.seed());
+        idle.loss = scenario.loss();
+        if (samples.isEmpty()) {
+            return 0;
+        }
+        long datagramsAStep = Math.max(1, datagrams * FleetSimulation.MS / Math.max(1, micros));
+        long ticksAStep = ticks * FleetSimulation.MS / Math.max(1, micros);
+        long steps = datagrams / datagramsAStep;
+        cost.start();
+        long next = 0;
+        for (long step = 0; step < steps; step++) {
+            for (long i = 0; i < datagramsAStep; i++, next++) {
+                int from = (int) (next % scenario.brokers());
+                int to = (from + 1) % scenario.brokers();
+                idle.carry(from, to, samples.get((int) (next % samples.size())));
+            }
+            for (long tick = 0; tick < ticksAStep; tick++) {
+                idle.at(idle.now + FleetSimulation.MS, () -> {});
+            }
+            idle.run(FleetSimulation.MS);
+        }
+        return cost.nanos();
+    }
+}
--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -97,6 +97,7 @@
                 return;
             }
             node.tick(clock(), sink());
+            ticked.accept(this);
             at(now + Math.max(1, (long) ((node.next(clock()) - clock()) / rate)), () -> tick(start));
         }
 
@@ -104,6 +105,7 @@
             if (node == null) {
                 return;
             }
+            receivedBy[number] += datagram.length;
             if (pausedUntil >= 0) {
                 waiting.add(datagram);
             } else {
@@ -128,11 +130,17 @@
     /** Mutants: what happens to a datagram on its way, and what a start takes for its time. */
     UnaryOperator<Envelope> tamper = e -> e;
 
+    /** Bytes that arrived, by broker. */
+    final long[] receivedBy;
+
     java.util.function.Function<Long, Long> startMillis = ms -> ms;
     Consumer<Node> started = n -> {};
+    /** After each tick, where a host would publish its snapshot. */
+    Consumer<Node> ticked = n -> {};
 
     FleetSimulation(int brokers, FleetSettings settings, long seed) {
         this.settings = settings;
+        receivedBy = new long[brokers];
         random = new SplittableRandom(seed);
         nodes = new Node[brokers];
         blocked = new boolean[brokers][brokers];
