Let the control bench run without a wait before its measured windows

Need: every kept figure is taken on a machine without other measurements, so a switch for it says nothing. Change: the wait and its column go. ControlMeasurementTest and ControlCapacityTest green, with one argument fewer.

--- a/bench/control.sh
+++ b/bench/control.sh
@@ -1,7 +1,6 @@
 #!/bin/sh
 # What control traffic costs and how late its news is, on the simulated network in virtual time: docs/capacity/control.csv and fitted lines.
-# control.sh [--quick] [--append] [--hold] [SERIES[:BROKERS]]...: --quick: small fleets, writes nothing, under 30 s; --append: adds a run to the file;
-# --hold: waits for a line on standard input before each part whose processor time counts.
+# control.sh [--quick] [--append] [SERIES[:BROKERS]]...: --quick: small fleets, writes nothing, under 30 s; --append: adds a run to the file.
 set -eu
 cd "$(dirname "$0")/.."
 . bench/classpath.sh
--- a/src/test/java/dockshed/capacity/ControlCapacity.java
+++ b/src/test/java/dockshed/capacity/ControlCapacity.java
@@ -31,7 +31,6 @@
             "received_bytes_s",
             "received_bytes_s_most",
             "datagrams_s",
-            "machine",
             "core_share",
             "network_share",
             "node_share",
@@ -58,17 +57,15 @@
     private static final int WARM_UP_BROKERS = 25;
 
     private static final long FIRST_SEED = 11;
-    private static final String HOLD = "--hold";
 
     private ControlCapacity() {}
 
     /** One series of scenarios by name, smallest first. */
     record Series(String name, String x, List<ControlScenario> scenarios) {}
 
-    /** Arguments: {@code [--quick] [--append] [--hold] [SERIES[:SIZE]]...}. */
+    /** Arguments: {@code [--quick] [--append] [SERIES[:SIZE]]...}. */
     public static void main(String[] args) throws IOException {
         List<String> words = new ArrayList<>(Arrays.asList(args));
-        boolean hold = words.remove(HOLD);
         List<String> wanted =
                 words.stream().filter(word -> !word.startsWith("--")).toList();
         words.removeAll(wanted);
@@ -78,16 +75,12 @@
         long seed = FIRST_SEED + results.run() - 1;
         List<Series> all = arguments.quick() ? quickSeries(seed) : series(seed);
         ControlDurations durations = arguments.quick() ? ControlDurations.QUICK : ControlDurations.FULL;
-        ControlMeasurement.of(scenario(WARM_UP_BROKERS, USUAL_LOSS, 1, 0, seed), durations, () -> {}, () -> {});
+        ControlMeasurement.of(scenario(WARM_UP_BROKERS, USUAL_LOSS, 1, 0, seed), durations);
         for (Series series : all) {
             for (ControlScenario scenario : series.scenarios()) {
                 if (isWanted(series.name(), scenario.brokers(), wanted)) {
-                    ControlFigures figures = ControlMeasurement.of(
-                            scenario,
-                            durations,
-                            hold ? ControlCapacity::waitForLine : () -> {},
-                            hold ? () -> System.out.println("measured") : () -> {});
-                    results.add(cells(series.name(), scenario, hold ? "quiet" : "shared", figures));
+                    ControlFigures figures = ControlMeasurement.of(scenario, durations);
+                    results.add(cells(series.name(), scenario, figures));
                     results.write();
                 }
             }
@@ -99,16 +92,6 @@
         return wanted.isEmpty() || wanted.contains(series) || wanted.contains(series + ":" + brokers);
     }
 
-    /** Lets whoever runs the command quiet the machine before processor time is measured. */
-    private static void waitForLine() {
-        System.out.println("ready: a line on standard input starts the measured window");
-        try {
-            while (System.in.read() != '\n') {}
-        } catch (IOException e) {
-            throw new IllegalStateException("standard input", e);
-        }
-    }
-
     static List<Series> series(long seed) {
         List<Series> all = new ArrayList<>();
         all.add(byBrokers(seed, 5, 25, 100, 255, 510, 1020));
@@ -170,7 +153,7 @@
                 ControlMechanism.FULL_MESH, brokers, loss, timesUsual * USUAL_CHANGES, entries, seed);
     }
 
-    static Object[] cells(String series, ControlScenario scenario, String machine, ControlFigures figures) {
+    static Object[] cells(String series, ControlScenario scenario, ControlFigures figures) {
         return new Object[] {
             series,
             scenario.mechanism().label(),
@@ -184,7 +167,6 @@
             decimal(figures.receivedBytes(), 0),
             decimal(figures.receivedBytesMost(), 0),
             decimal(figures.datagrams(), 2),
-            machine,
             decimal(figures.coreShare(), 6),
             decimal(figures.networkShare(), 6),
             decimal(figures.coreShare() - figures.networkShare(), 6),
--- a/src/test/java/dockshed/capacity/ControlCapacityTest.java
+++ b/src/test/java/dockshed/capacity/ControlCapacityTest.java
@@ -34,7 +34,7 @@
                 0.5,
                 OptionalDouble.of(7),
                 0);
-        Object[] cells = ControlCapacity.cells("brokers", scenario, "quiet", figures);
+        Object[] cells = ControlCapacity.cells("brokers", scenario, figures);
         assertEquals(ControlCapacity.COLUMNS.size() - 1, cells.length, "all columns but the run");
         assertEquals("0.250000", cells[ControlCapacity.COLUMNS.indexOf("node_share") - 1]);
         assertEquals("1.25", cells[ControlCapacity.COLUMNS.indexOf("report_99_median_s") - 1]);
--- a/src/test/java/dockshed/fleet/ControlMeasurement.java
+++ b/src/test/java/dockshed/fleet/ControlMeasurement.java
@@ -53,16 +53,14 @@
         }
     }
 
-    /** Plays a scenario; {@code beforeWindow} and {@code afterWindow} run around the part whose processor time counts. */
-    public static ControlFigures of(
-            ControlScenario scenario, ControlDurations durations, Runnable beforeWindow, Runnable afterWindow) {
+    /** Plays a scenario. */
+    public static ControlFigures of(ControlScenario scenario, ControlDurations durations) {
         long before = ThreadCost.usedHeap();
-        return new ControlMeasurement(scenario, durations).play(before, beforeWindow, afterWindow);
+        return new ControlMeasurement(scenario, durations).play(before);
     }
 
-    private ControlFigures play(long heapBefore, Runnable beforeWindow, Runnable afterWindow) {
+    private ControlFigures play(long heapBefore) {
         warmUp();
-        beforeWindow.run();
         Traffic start = Traffic.of(fleet);
         cost.start();
         load.run(window, () -> {});
@@ -70,7 +68,6 @@
         long allocated = cost.bytes();
         Traffic traffic = Traffic.of(fleet).minus(start);
         long networkNanos = network.nanos(scenario, traffic.datagrams(), window, cost);
-        afterWindow.run();
         fleet.ticked = node -> {};
         double heap = (ThreadCost.usedHeap() - heapBefore) / (double) scenario.brokers();
         double held = entriesHeld();
--- a/src/test/java/dockshed/fleet/ControlMeasurementTest.java
+++ b/src/test/java/dockshed/fleet/ControlMeasurementTest.java
@@ -14,7 +14,7 @@
                 new ControlScenario(ControlMechanism.FULL_MESH, BROKERS, loss, changesPerMinute, entries, seed);
         ControlDurations durations = new ControlDurations(
                 6 * FleetSimulation.S, 35 * FleetSimulation.S, 2, 5 * FleetSimulation.S, 30 * FleetSimulation.S);
-        return ControlMeasurement.of(scenario, durations, () -> {}, () -> {});
+        return ControlMeasurement.of(scenario, durations);
     }
 
     /** All but what the machine adds: processor time, allocation and heap. */
