--- a/src/main/java/dockshed/fleet/LeasedShares.java
+++ b/src/main/java/dockshed/fleet/LeasedShares.java
@@ -2,6 +2,8 @@
 
 import dockshed.fleet.Envelope.BodyWriter;
 import dockshed.fleet.Envelope.Item;
+import dockshed.topology.Scope;
+import dockshed.topology.ZoneMap;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -11,13 +13,18 @@
 import java.util.SplittableRandom;
 
 /**
- * Shares of what all brokers may use together: each server's room and cold pace ({@link
- * SharedResource#NEW_SESSIONS}), and retries ({@link SharedResource#RETRIES}). The whole is 1. Of it the guaranteed share is split evenly among all configured brokers for good; the rest is
- * leased by demand, by one broker at a time, the lease coordinator.
+ * Shares of what all brokers may use together: each server's room and cold pace ({@link SharedResource#NEW_SESSIONS}), and
+ * retries ({@link SharedResource#RETRIES}). The whole is 1. Of it the guaranteed share is split evenly among all configured
+ * brokers for good; the rest is leased by demand, by one broker at a time, the lease coordinator. Where the fleet is divided
+ * into scopes, each has a coordinator and voters of its own, and leases the part of the whole that is its part of the
+ * configured brokers.
  *
  * <p>Why the shares held never add up to more than the whole:
  * <ul>
  * <li>Even parts of the guaranteed share add up to it, whoever is present.
+ * <li>Every broker is in one scope, so the leased parts of all scopes add up to the leased part of the whole, and it is
+ * enough that no scope leases more than its own. What follows is of one scope. A voter votes only for candidates that
+ * divide the fleet as it does, since a broker with other zones counts on other voters and another part.
  * <li>A voter votes for one candidate at a time, and for nobody in the first vote term after its start, as it does not know
  * its earlier vote. A coordinator needs a majority of the voters, which are the same at every broker, so any two
  * coordinators have one in common, and the later one got its vote only when the earlier one's had ended. A candidate counts
@@ -46,16 +53,20 @@
     private static final int CANDIDATE_SALT = 0x5ee7;
 
     private static final int VOTE_REQUEST_BYTES = 4 + 6;
+    private static final int LAYOUT_HASH_BYTES = 4;
     private static final int VOTE_BYTES = 4;
     private static final int LEASE_REQUEST_BYTES = 4 + ResourceAmounts.BYTES;
     private static final int LEASE_GRANT_BYTES = 4 + 2 + ResourceAmounts.BYTES;
 
     private final int me;
     private final int brokers;
+    private final Scope scope;
+    private final boolean zoned;
+    private final int layoutHash;
     private final double guaranteed;
     private final long incarnation;
     private final Membership membership;
-    /** All brokers; the first present one is the candidate. */
+    /** The brokers of the scope; the first present one is the candidate. */
     private final List<Integer> preference;
     /** The first brokers of the preference: the same at every broker. */
     private final List<Integer> voters;
@@ -70,30 +81,31 @@
      */
     LeasedShares(
             int me,
-            int brokers,
+            ZoneMap zones,
             double guaranteed,
             long incarnation,
             long now,
             Membership membership,
             SplittableRandom random) {
         this.me = me;
-        this.brokers = brokers;
+        brokers = zones.brokers();
+        scope = zones.scopeOf(me);
+        zoned = zones.zoned();
+        layoutHash = zones.layoutHash();
         this.guaranteed = guaranteed;
         this.incarnation = incarnation;
         this.membership = membership;
-        preference = preference(brokers);
-        voters = preference.subList(0, Math.min(VOTERS, brokers));
+        preference = preference(scope);
+        voters = preference.subList(0, Math.min(VOTERS, scope.size()));
         voter = new LeaseVoter(me, now);
         // Numbers start at random: an answer to an earlier incarnation must not pass for one to this one.
-        coordinator = new LeaseCoordinator(quorum(), 1 - guaranteed, random.nextInt());
-        holder = new LeaseHolder(1 - guaranteed, random.nextInt());
+        double leasable = (1 - guaranteed) * scope.size() / brokers;
+        coordinator = new LeaseCoordinator(quorum(), leasable, random.nextInt());
+        holder = new LeaseHolder(leasable, random.nextInt());
     }
 
-    private static List<Integer> preference(int brokers) {
-        List<Integer> order = new ArrayList<>();
-        for (int i = 0; i < brokers; i++) {
-            order.add(i);
-        }
+    private static List<Integer> preference(Scope scope) {
+        List<Integer> order = new ArrayList<>(scope.brokers().boxed().toList());
         order.sort(Comparator.comparingInt((Integer i) -> StableHash.mix(i, CANDIDATE_SALT))
                 .thenComparing(i -> i));
         return List.copyOf(order);
@@ -172,7 +184,7 @@
         }
         for (Map.Entry<Long, Integer> count : counts.entrySet()) {
             int candidate = LeaseVoter.candidateOf(count.getKey());
-            if (count.getValue() >= quorum() && candidate < brokers) {
+            if (count.getValue() >= quorum() && scope.contains(candidate)) {
                 return candidate;
             }
         }
@@ -199,7 +211,11 @@
 
     private void requestVotes(long now, Membership.Out out) {
         int round = coordinator.startRound(now);
-        Item request = new BodyWriter().u32(round).u48(incarnation).item(Envelope.VOTE_REQUEST);
+        BodyWriter body = new BodyWriter().u32(round).u48(incarnation);
+        if (zoned) {
+            body.u32(layoutHash);
+        }
+        Item request = body.item(Envelope.VOTE_REQUEST);
         for (int number : voters) {
             if (number == me || membership.member(number).isPresent()) {
                 send(now, number, request, out);
@@ -230,7 +246,11 @@
         switch (item.kind()) {
             case Envelope.VOTE_REQUEST -> {
                 if (in.remaining() >= VOTE_REQUEST_BYTES) {
-                    voteRequested(now, from, in.getInt(), Envelope.getU48(in), out);
+                    int round = in.getInt();
+                    long candidateIncarnation = Envelope.getU48(in);
+                    if (sameLayout(in)) {
+                        voteRequested(now, from, round, candidateIncarnation, out);
+                    }
                 }
             }
             case Envelope.VOTE -> {
@@ -256,6 +276,11 @@
         }
     }
 
+    /** Whether a candidate divides the fleet into the same scopes as this broker. */
+    private boolean sameLayout(ByteBuffer rest) {
+        return !zoned || rest.remaining() >= LAYOUT_HASH_BYTES && rest.getInt() == layoutHash;
+    }
+
     private void voteRequested(long now, int candidate, int round, long candidateIncarnation, Membership.Out out) {
         if (voters.contains(me) && voter.vote(now, candidate, candidateIncarnation)) {
             send(now, candidate, new BodyWriter().u32(round).item(Envelope.VOTE), out);
--- a/src/test/java/dockshed/capacity/ControlCapacity.java
+++ b/src/test/java/dockshed/capacity/ControlCapacity.java
@@ -39,6 +39,8 @@
             "figure_age_mean_s",
             "figure_age_p99_s",
             "figures_missing",
+            "other_zones_age_mean_s",
+            "other_zones_age_p99_s",
             "report_99_median_s",
             "report_99_most_s",
             "reports_reached",
@@ -95,6 +97,7 @@
     static List<Series> series(long seed) {
         List<Series> all = new ArrayList<>();
         all.add(byBrokers(seed, 5, 25, 100, 255, 510, 1020));
+        all.add(zoned(seed, 35, 100, 255, 510, 1020));
         for (int brokers : new int[] {100, 255, 510}) {
             all.add(byLoss(seed, brokers, 0, 0.01, 0.05, 0.2));
             all.add(byChanges(seed, brokers, 1, 30, 300, 3_000, 30_000));
@@ -107,6 +110,7 @@
     static List<Series> quickSeries(long seed) {
         return List.of(
                 byBrokers(seed, 5, 10, 20, 30),
+                zoned(seed, 14, 21, 28, 35),
                 byLoss(seed, 15, 0, 0.01, 0.05, 0.2),
                 byChanges(seed, 15, 1, 30, 300, 3_000),
                 byEntries(seed, 15, 0, 6, 12, 22));
@@ -121,6 +125,16 @@
                         .toList());
     }
 
+    private static Series zoned(long seed, int... sizes) {
+        return new Series(
+                "zoned",
+                "brokers",
+                Arrays.stream(sizes)
+                        .mapToObj(brokers -> new ControlScenario(
+                                ControlMechanism.ZONED, brokers, USUAL_LOSS, USUAL_CHANGES, 0, seed))
+                        .toList());
+    }
+
     private static Series byLoss(long seed, int brokers, double... losses) {
         return new Series(
                 "loss_at_" + brokers,
@@ -175,6 +189,8 @@
             decimal(figures.figureAgeMean(), 2),
             decimal(figures.figureAgeP99(), 2),
             decimal(figures.figuresMissing(), 4),
+            delay(figures.otherAgeMean()),
+            delay(figures.otherAgeP99()),
             delay(figures.reportMedian()),
             delay(figures.reportMost()),
             decimal(figures.reportsReached(), 2),
--- a/src/test/java/dockshed/capacity/ControlCapacityTest.java
+++ b/src/test/java/dockshed/capacity/ControlCapacityTest.java
@@ -29,6 +29,8 @@
                 11,
                 12,
                 0,
+                OptionalDouble.empty(),
+                OptionalDouble.empty(),
                 OptionalDouble.of(1.25),
                 OptionalDouble.empty(),
                 0.5,
--- a/src/test/java/dockshed/fleet/ControlFigures.java
+++ b/src/test/java/dockshed/fleet/ControlFigures.java
@@ -18,6 +18,8 @@
  * @param figureAgeMean     seconds since the load figures held of a peer were written
  * @param figureAgeP99      the same, that 99 in 100 are within
  * @param figuresMissing    part of the peers of which no load figures are held
+ * @param otherAgeMean      seconds since the figures held of another zone were written; empty where there are no zones
+ * @param otherAgeP99       the same, that 99 in 100 are within
  * @param reportMedian      seconds until 99 in 100 peers know of a health report, median of several
  * @param reportMost        the same, of the slowest
  * @param reportsReached    part of the reports that reached 99 in 100 within the limit
@@ -38,6 +40,8 @@
         double figureAgeMean,
         double figureAgeP99,
         double figuresMissing,
+        OptionalDouble otherAgeMean,
+        OptionalDouble otherAgeP99,
         OptionalDouble reportMedian,
         OptionalDouble reportMost,
         double reportsReached,
--- a/src/test/java/dockshed/fleet/ControlMeasurement.java
+++ b/src/test/java/dockshed/fleet/ControlMeasurement.java
@@ -36,6 +36,7 @@
     private final EmptyNetwork network = new EmptyNetwork();
     private final ThreadCost cost = new ThreadCost();
     private final Histogram ages = new Histogram(3);
+    private final Histogram otherAges = new Histogram(3);
     private final Set<Long> calledDead = new HashSet<>();
     private long agesMissing;
     private long agesWanted;
@@ -90,6 +91,8 @@
                 ages.getMean() / SECOND,
                 ages.getValueAtPercentile(P99) / (double) SECOND,
                 agesWanted == 0 ? 0 : agesMissing / (double) agesWanted,
+                otherAge(otherAges.getMean()),
+                otherAge(otherAges.getValueAtPercentile(P99)),
                 within(reports, (reports.size() - 1) / 2),
                 within(reports, reports.size() - 1),
                 reports.stream().filter(OptionalDouble::isPresent).count() / (double) reports.size(),
@@ -137,6 +140,7 @@
     private void sampleAges() {
         countFalseDeaths();
         for (FleetSimulation.Node node : fleet.nodes) {
+            sampleOtherScopes(node);
             for (int peer : peers.get(node.number)) {
                 VersionedEntry figures = node.node.entries().get(peer, VersionedEntry.LOAD, 0);
                 agesWanted++;
@@ -149,6 +153,21 @@
         }
     }
 
+    private void sampleOtherScopes(FleetSimulation.Node node) {
+        for (FleetSnapshot.ScopeStatus status : node.snapshot().otherScopes()) {
+            agesWanted++;
+            if (status.isKnown()) {
+                otherAges.recordValue(Math.max(0, status.age()));
+            } else {
+                agesMissing++;
+            }
+        }
+    }
+
+    private OptionalDouble otherAge(double micros) {
+        return otherAges.getTotalCount() == 0 ? OptionalDouble.empty() : OptionalDouble.of(micros / SECOND);
+    }
+
     private List<OptionalDouble> reportDelays() {
         List<OptionalDouble> delays = new ArrayList<>();
         for (int trial = 0; trial < durations.reports(); trial++) {
