Keep the rates of the control bench whatever the step it is looked at

Cause: while a health report was timed, in steps of 50 ms, load samples and reports came in each step: five times too many, so delays under many changes were too long. Change: they are due by the clock. ControlLoadTest fails without the change of the rate.

--- a/src/test/java/dockshed/fleet/ControlLoad.java
+++ b/src/test/java/dockshed/fleet/ControlLoad.java
@@ -20,6 +20,9 @@
     private final ControlScenario scenario;
     private final SplittableRandom random;
     private double reportsDue;
+    private long nextSampleAt;
+    private int samples;
+    private int reports;
 
     ControlLoad(FleetSimulation fleet, ControlScenario scenario) {
         this.fleet = fleet;
@@ -28,15 +31,34 @@
         fleet.started = node -> node.node.entries().setTimeToLive(LASTING_KIND, LASTING);
     }
 
-    /** Runs the fleet under load, and looks at it as often as samples are taken. */
-    void run(long micros, Runnable look) {
-        fleet.run(micros, SAMPLE_PERIOD, () -> {
-            sample();
-            report();
+    /** Runs the fleet under load, and looks at it after each step. */
+    void run(long micros, long step, Runnable look) {
+        fleet.run(micros, step, () -> {
+            if (fleet.now >= nextSampleAt) {
+                nextSampleAt = fleet.now + SAMPLE_PERIOD;
+                samples++;
+                sample();
+                report();
+            }
             look.run();
         });
     }
 
+    /** The same, in steps as long as a sample. */
+    void run(long micros, Runnable look) {
+        run(micros, SAMPLE_PERIOD, look);
+    }
+
+    /** Load samples that every broker took. */
+    int samples() {
+        return samples;
+    }
+
+    /** Health reports of the steady rate. */
+    int reports() {
+        return reports;
+    }
+
     private void sample() {
         int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
         requests[0] = 3;
@@ -52,6 +74,7 @@
     private void report() {
         reportsDue += scenario.changesPerMinute() * SAMPLE_PERIOD / MINUTE;
         for (; reportsDue >= 1; reportsDue--) {
+            reports++;
             FleetSimulation.Node node = fleet.nodes[random.nextInt(fleet.nodes.length)];
             if (node.up()) {
                 node.event(new LocalEvent.HealthReport(random.nextInt(REPORTED_SERVERS), random.nextBoolean()));
--- /dev/null
+++ b/src/test/java/dockshed/fleet/ControlLoadTest.java
@@ -0,0 +1,23 @@
+package dockshed.fleet;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+
+/** The load of a measured fleet: its rates are those of the scenario, however often somebody looks. */
+class ControlLoadTest {
+    private static final long MINUTE = 60 * FleetSimulation.S;
+
+    @Test
+    void ratesDoNotDependOnHowOftenTheFleetIsLookedAt() {
+        for (long step : new long[] {50 * FleetSimulation.MS, ControlLoad.SAMPLE_PERIOD}) {
+            ControlScenario scenario = new ControlScenario(ControlMechanism.FULL_MESH, 5, 0, 120, 0, 1);
+            FleetSimulation fleet = ControlMechanism.FULL_MESH.fleet(scenario.brokers(), scenario.seed());
+            ControlLoad load = new ControlLoad(fleet, scenario);
+            fleet.startAll();
+            load.run(MINUTE, step, () -> {});
+            assertEquals(MINUTE / ControlLoad.SAMPLE_PERIOD, load.samples(), 1, "samples, looked at each " + step);
+            assertEquals(120, load.reports(), 1, "reports, looked at each " + step);
+        }
+    }
+}
--- a/src/test/java/dockshed/fleet/ControlMeasurement.java
+++ b/src/test/java/dockshed/fleet/ControlMeasurement.java
@@ -184,7 +184,7 @@
         long wanted = (long) Math.ceil(REPORT_REACH * readers.size());
         reporter.event(new LocalEvent.HealthReport(server, true));
         while (fleet.now - began < durations.reportLimit()) {
-            load.run(REPORT_STEP, () -> {});
+            load.run(REPORT_STEP, REPORT_STEP, () -> {});
             long know = readers.stream()
                     .filter(reader -> holds(fleet.nodes[reader], reporter, server))
                     .count();
