--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -104,6 +104,7 @@
                 return;
             }
             node.tick(clock(), sink());
+            ticked.accept(this);
             at(now + Math.max(1, (long) ((node.next(clock()) - clock()) / rate)), () -> tick(start));
         }
 
@@ -145,6 +146,8 @@
 
     java.util.function.Function<Long, Long> startMillis = ms -> ms;
     Consumer<Node> started = n -> {};
+    /** After each tick, where a host would publish its snapshot. */
+    Consumer<Node> ticked = n -> {};
 
     FleetSimulation(int brokers, FleetSettings settings, long seed) {
         this.settings = settings;
