--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -3,13 +3,16 @@
 import dockshed.core.Peers;
 import dockshed.net.Clock;
 import dockshed.net.Net;
+import dockshed.peers.DatagramPeers;
 import dockshed.peers.UdpPeers;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -30,7 +33,7 @@
 
     private final Net net = new Net("fleet");
     private final Clock clock;
-    private final UdpPeers peers;
+    private final DatagramPeers peers;
     private final GossipNode node;
     private final ArrayBlockingQueue<LocalEvent> pending = new ArrayBlockingQueue<>(MAX_PENDING_EVENTS);
     private final AtomicBoolean wakeUpScheduled = new AtomicBoolean();
@@ -48,10 +51,19 @@
      * @param peers the addresses of all brokers, by number
      */
     public FleetHost(FleetSettings settings, int me, List<InetSocketAddress> peers, Clock clock, long seed) {
+        this(settings, me, peers.size(), new UdpPeers(peers, null), clock, seed);
+    }
+
+    /**
+     * @param me      this broker's number
+     * @param brokers how many there are, this one included
+     * @param peers   carries the datagrams among them
+     */
+    public FleetHost(FleetSettings settings, int me, int brokers, DatagramPeers peers, Clock clock, long seed) {
         this.clock = clock;
-        this.peers = new UdpPeers(peers, null);
+        this.peers = peers;
         long now = clock.now();
-        node = new GossipNode(settings, me, peers.size(), now / 1000, now, seed);
+        node = new GossipNode(settings, me, brokers, now / 1000, now, seed);
     }
 
     /** Begins to listen and to gossip. Throws IllegalStateException if the address cannot be listened on. */
@@ -176,6 +188,11 @@
         return all.stream().filter(i -> !excluded.contains(i)).toList();
     }
 
+    /** Reads the node on the loop's thread, for measurements; on a loop that stands still it waits as long. */
+    <T> Future<T> inspect(Function<GossipNode, T> reading) {
+        return net.loop().submit(() -> reading.apply(node));
+    }
+
     /** Ends the loop and its thread. */
     public void close() {
         net.close();
--- a/src/main/java/dockshed/peers/UdpPeers.java
+++ b/src/main/java/dockshed/peers/UdpPeers.java
@@ -14,7 +14,7 @@
 import org.slf4j.LoggerFactory;
 
 /** Datagrams between the brokers of the tier; they may be late or lost, and hold 256 bytes at most. */
-public final class UdpPeers implements Peers {
+public final class UdpPeers implements Peers, DatagramPeers {
     static final int LIMIT = 256;
     private static final Logger LOG = LoggerFactory.getLogger(UdpPeers.class);
 
@@ -37,12 +37,8 @@
         return numbers.getOrDefault(sender, -1);
     }
 
-    /** Where a datagram of a known broker goes: its number and the bytes. */
-    public interface Heard {
-        void told(int from, byte[] message);
-    }
-
-    public void listen(Net net, InetSocketAddress at, Heard heard) {
+    @Override
+    public void listen(Net net, InetSocketAddress at, Receiver receiver) {
         channel = net.datagrams(at, new SimpleChannelInboundHandler<DatagramPacket>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
@@ -51,7 +47,7 @@
                             LOG.debug("datagram from nobody known: sender={}", packet.sender());
                             return;
                         }
-                        heard.told(from, Net.bytes(packet.content()));
+                        receiver.receive(from, Net.bytes(packet.content()));
                     }
 
                     @Override
@@ -78,6 +74,7 @@
     }
 
     /** To one of them; dropped where the system takes no more: a later one tells more anyway. */
+    @Override
     public void tell(int to, byte[] message) {
         if (channel != null && message.length <= LIMIT && to >= 0 && to < each.size()) {
             channel.writeAndFlush(new DatagramPacket(Net.buf(message), each.get(to)));
--- a/src/test/java/dockshed/fleet/FleetSimulation.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -104,6 +104,7 @@
             if (node == null) {
                 return;
             }
+            receivedBy.merge(number, (long) datagram.length, Long::sum);
             if (pausedUntil >= 0) {
                 waiting.add(datagram);
             } else {
@@ -124,6 +125,7 @@
     long most = 3 * MS;
     long carried;
     final Map<Integer, Long> sentBy = new HashMap<>();
+    final Map<Integer, Long> receivedBy = new HashMap<>();
     private boolean[][] blocked;
     /** Mutants: what happens to a datagram on its way, and what a start takes for its time. */
     UnaryOperator<Envelope> tamper = e -> e;
--- a/src/test/java/dockshed/rig/Fabric.java
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -9,12 +9,13 @@
 import java.net.InetSocketAddress;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 
 /**
  * What carries datagrams between brokers that run as processes: one socket for each ordered pair, so that each broker knows
  * each other by an address of its own. It loses, delays, repeats and reorders, and is cut one way or both.
  */
-final class Fabric {
+public final class Fabric {
     private final Net net;
     private final Channel[][] from; // [a][b]: what a knows as b
     private final InetSocketAddress[] listens;
@@ -23,7 +24,7 @@
     volatile double loss, twice;
     volatile int mostMillis;
 
-    Fabric(Net net, InetSocketAddress[] listens) {
+    public Fabric(Net net, InetSocketAddress[] listens) {
         this.net = net;
         this.listens = listens;
         int n = listens.length;
@@ -54,10 +55,27 @@
     }
 
     /** The address under which a knows b. */
-    InetSocketAddress address(int a, int b) {
+    public InetSocketAddress address(int a, int b) {
         return a == b ? listens[a] : (InetSocketAddress) from[a][b].localAddress();
     }
 
+    /** The share of datagrams that it loses from now on. */
+    public void lose(double share) {
+        loss = share;
+    }
+
+    /** Cuts the links that the predicate holds for, from the first broker to the second, and joins all others. */
+    public void cutWhere(BiPredicate<Integer, Integer> where) {
+        net.call(() -> {
+            for (int a = 0; a < cut.length; a++) {
+                for (int b = 0; b < cut.length; b++) {
+                    cut[a][b] = where.test(a, b);
+                }
+            }
+            return null;
+        });
+    }
+
     /** From a to b, as if a had sent it; on the loop's thread. */
     void carry(int a, int b, byte[] datagram) {
         if (cut[a][b] || random.nextDouble() < loss) {
@@ -76,13 +94,6 @@
 
     /** Cuts the first brokers off from the others, both ways, or joins them again. */
     void halve(int first, boolean is) {
-        net.call(() -> {
-            for (int a = 0; a < cut.length; a++) {
-                for (int b = 0; b < cut.length; b++) {
-                    cut[a][b] = is && a < first != b < first;
-                }
-            }
-            return null;
-        });
+        cutWhere((a, b) -> is && a < first != b < first);
     }
 }
--- /dev/null
+++ b/src/test/java/dockshed/scale/FleetRecorder.java
@@ -0,0 +1,145 @@
+package dockshed.scale;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Whom each broker lists, since when, and which changes it knows: put together from what was observed and held against
+ * what the script did. Times are milliseconds of the fleet's clock.
+ */
+final class FleetRecorder {
+    /** Whoever is called dead so soon after it was back was not given up anew: an older suspicion ran out. */
+    static final long SETTLING_MILLIS = 5_000;
+
+    private final BitSet running = new BitSet();
+    private final BitSet[] listed;
+    private final long[][] changedAt; // [observer][subject]: when it was last listed or listed no more
+    private final long[] startedAt;
+    private final Outages outages = new Outages();
+    private final Set<Integer> falselyDead = new HashSet<>();
+    private final Set<Integer> latelyDead = new HashSet<>();
+    private final Map<Integer, Map<Integer, Long>> knownAt = new HashMap<>(); // by change, then observer
+
+    FleetRecorder(int brokers) {
+        listed = new BitSet[brokers];
+        changedAt = new long[brokers][brokers];
+        startedAt = new long[brokers];
+        for (int i = 0; i < brokers; i++) {
+            listed[i] = new BitSet();
+        }
+    }
+
+    Outages outages() {
+        return outages;
+    }
+
+    BitSet running() {
+        return (BitSet) running.clone();
+    }
+
+    void started(BitSet brokers, long atMillis) {
+        brokers.stream().forEach(broker -> {
+            running.set(broker);
+            listed[broker].clear();
+            startedAt[broker] = atMillis;
+            outages.up(broker, atMillis);
+        });
+    }
+
+    void stopped(BitSet brokers, long atMillis) {
+        brokers.stream().forEach(broker -> {
+            running.clear(broker);
+            outages.down(broker, atMillis);
+        });
+    }
+
+    void take(Observations observations) {
+        List<MembershipChange> ordered = new ArrayList<>(observations.membership());
+        ordered.sort((a, b) -> Long.compare(a.atMillis(), b.atMillis()));
+        ordered.forEach(this::take);
+        for (ChangeSeen seen : observations.changes()) {
+            knownAt.computeIfAbsent(seen.change(), x -> new HashMap<>()).putIfAbsent(seen.observer(), seen.atMillis());
+        }
+    }
+
+    private void take(MembershipChange change) {
+        int observer = change.observer();
+        if (!running.get(observer) || change.atMillis() < startedAt[observer]) {
+            return; // of an earlier life
+        }
+        BrokerRanges.parse(change.lost()).stream().forEach(subject -> {
+            listed[observer].clear(subject);
+            changedAt[observer][subject] = change.atMillis();
+            judge(observer, subject, change.atMillis());
+        });
+        BrokerRanges.parse(change.found()).stream().forEach(subject -> {
+            listed[observer].set(subject);
+            changedAt[observer][subject] = change.atMillis();
+        });
+    }
+
+    private void judge(int observer, int subject, long atMillis) {
+        if (outages.reachable(observer, subject, atMillis - SETTLING_MILLIS, atMillis)) {
+            falselyDead.add(subject);
+        } else if (outages.reachable(observer, subject, atMillis, atMillis)) {
+            latelyDead.add(subject);
+        }
+    }
+
+    /** Brokers called dead falsely since the last time they were asked for. */
+    int takeFalselyDead() {
+        int count = falselyDead.size();
+        falselyDead.clear();
+        return count;
+    }
+
+    int takeLatelyDead() {
+        int count = latelyDead.size();
+        latelyDead.clear();
+        return count;
+    }
+
+    /** Whether all of some observers list all, or none, of some subjects. */
+    boolean all(BitSet observers, BitSet subjects, boolean present) {
+        return observers.stream().allMatch(observer -> {
+            BitSet matching = (BitSet) listed[observer].clone();
+            matching.and(subjects);
+            return present ? matching.equals(subjects) : matching.isEmpty();
+        });
+    }
+
+    /** From a time until each of some observers listed each subject, or listed it no more; infinite where it does not yet. */
+    Delays listing(BitSet observers, BitSet subjects, boolean present, long sinceMillis) {
+        Delays delays = new Delays();
+        observers.stream()
+                .forEach(observer -> subjects.stream()
+                        .filter(subject -> subject != observer)
+                        .forEach(subject -> {
+                            if (listed[observer].get(subject) == present) {
+                                delays.add(Math.max(0, changedAt[observer][subject] - sinceMillis));
+                            } else {
+                                delays.addNever();
+                            }
+                        }));
+        return delays;
+    }
+
+    /** From a time until each of some observers knew a change. */
+    Delays knowing(BitSet observers, int change, long sinceMillis) {
+        Delays delays = new Delays();
+        Map<Integer, Long> known = knownAt.getOrDefault(change, Map.of());
+        observers.stream().forEach(observer -> {
+            if (known.containsKey(observer)) {
+                delays.add(Math.max(0, known.get(observer) - sinceMillis));
+            } else {
+                delays.addNever();
+            }
+        });
+        return delays;
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HeldConnections.java
@@ -0,0 +1,122 @@
+package dockshed.scale;
+
+import dockshed.net.ByteHandler;
+import dockshed.net.Headed;
+import dockshed.net.HeadedDecoder;
+import dockshed.net.Net;
+import io.netty.channel.ChannelHandlerContext;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Viewers' connections to one broker: each asks for a session, asks again while it lasts so that it is not idle, and comes
+ * back when it was closed, until the broker is not to be reached for good.
+ */
+final class HeldConnections {
+    private static final int CONNECT_MILLIS = 1000;
+    private static final long BACK_MILLIS = 500;
+    private static final long ASK_AGAIN_MILLIS = 10_000;
+    private static final int MOST_ANSWER_BYTES = 1 << 16;
+
+    private final Net net;
+    private final InetSocketAddress broker;
+    private final int owner;
+    private final AtomicInteger open = new AtomicInteger();
+    private final AtomicInteger answers = new AtomicInteger();
+    private volatile boolean over;
+
+    HeldConnections(Net net, InetSocketAddress broker, int owner, int count) {
+        this.net = net;
+        this.broker = broker;
+        this.owner = owner;
+        for (int i = 0; i < count; i++) {
+            int viewer = i;
+            net.loop().schedule(() -> connect(viewer), i, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void connect(int viewer) {
+        if (!over) {
+            net.connect(broker, CONNECT_MILLIS, () -> new Viewer(viewer)).addListener(done -> {
+                if (!done.isSuccess()) {
+                    again(viewer);
+                }
+            });
+        }
+    }
+
+    private void again(int viewer) {
+        if (!over) {
+            net.loop().schedule(() -> connect(viewer), BACK_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The broker is gone: nobody comes back. */
+    void stop() {
+        over = true;
+    }
+
+    int open() {
+        return open.get();
+    }
+
+    int answers() {
+        return answers.get();
+    }
+
+    private final class Viewer extends ByteHandler {
+        private final int viewer;
+        private final HeadedDecoder decoder = new HeadedDecoder(MOST_ANSWER_BYTES);
+        private int asked;
+
+        Viewer(int viewer) {
+            this.viewer = viewer;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            open.incrementAndGet();
+            ask(ctx);
+        }
+
+        private void ask(ChannelHandlerContext ctx) {
+            if (over || !ctx.channel().isActive()) {
+                ctx.close();
+                return;
+            }
+            String session = String.format("%08x%08x", owner + 1, viewer);
+            Map<String, String> headers = new LinkedHashMap<>();
+            headers.put("CSeq", Integer.toString(++asked));
+            headers.put("Session", session);
+            headers.put("Priority-Class", "refresher");
+            headers.put("Expires-Ms", "3000");
+            headers.put("P-Trunk-Info", "home:0;copies:3;top:2;viewer:" + session);
+            byte[] request = Headed.encode(
+                    "SETUP rtsp://media/lesson RTSP/1.0", headers, "v=0\r\n".getBytes(StandardCharsets.UTF_8));
+            ctx.writeAndFlush(Net.buf(request));
+            ctx.channel().eventLoop().schedule(() -> ask(ctx), ASK_AGAIN_MILLIS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void bytes(ChannelHandlerContext ctx, byte[] bytes) {
+            decoder.add(bytes, 0, bytes.length);
+            try {
+                while (decoder.next() != null) {
+                    answers.incrementAndGet();
+                }
+            } catch (Headed.Malformed e) {
+                throw new IllegalStateException(e);
+            }
+        }
+
+        @Override
+        protected void closed(ChannelHandlerContext ctx, boolean reset) {
+            open.decrementAndGet();
+            again(viewer);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HollowBroker.java
@@ -0,0 +1,161 @@
+package dockshed.scale;
+
+import dockshed.fleet.FleetHost;
+import dockshed.fleet.FleetReadings;
+import dockshed.fleet.FleetSettings;
+import dockshed.fleet.FleetSnapshot;
+import dockshed.fleet.LocalEvent;
+import dockshed.peers.UdpPeers;
+import java.net.InetSocketAddress;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.HdrHistogram.Histogram;
+
+/** One broker's control part as the program runs it, on sockets and a thread of its own, without connections. */
+final class HollowBroker {
+    /** The socket of an earlier life may take a moment to close. */
+    private static final long BIND_PATIENCE_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private static final long BIND_AGAIN_MILLIS = 20;
+
+    final int number;
+    final FaultyPeers.Counts counts = new FaultyPeers.Counts();
+    private final FleetSettings settings;
+    private final List<InetSocketAddress> addresses;
+    private final BitSet real;
+    private final Supplier<LinkFaults> faults;
+    private final PausableClock clock = new PausableClock();
+    private long seed;
+    private FleetHost host; // null: not running
+    private FaultyPeers peers;
+    private long startedMillis;
+    private long threadId;
+    private FleetSnapshot seen = FleetSnapshot.ALONE;
+    private final Set<Integer> known = new HashSet<>();
+
+    HollowBroker(
+            int number,
+            FleetSettings settings,
+            List<InetSocketAddress> addresses,
+            BitSet real,
+            Supplier<LinkFaults> faults,
+            long seed) {
+        this.number = number;
+        this.settings = settings;
+        this.addresses = addresses;
+        this.real = real;
+        this.faults = faults;
+        this.seed = seed;
+    }
+
+    synchronized void start() throws InterruptedException {
+        if (host != null) {
+            return;
+        }
+        seed++;
+        peers = new FaultyPeers(number, new UdpPeers(addresses, null), real, faults, counts, seed);
+        FleetHost made = new FleetHost(settings, number, addresses.size(), peers, clock, seed);
+        long until = System.nanoTime() + BIND_PATIENCE_NANOS;
+        while (!listens(made, until)) {
+            TimeUnit.MILLISECONDS.sleep(BIND_AGAIN_MILLIS);
+        }
+        host = made;
+        seen = FleetSnapshot.ALONE;
+        known.clear();
+        startedMillis = System.currentTimeMillis();
+        threadId = FleetReadings.threadOf(made);
+    }
+
+    /** Netty throws the checked exception of a bind as it is. */
+    private boolean listens(FleetHost made, long untilNanos) {
+        try {
+            made.start(addresses.get(number));
+            return true;
+        } catch (Exception e) {
+            if (System.nanoTime() > untilNanos) {
+                made.close();
+                throw new IllegalStateException("broker " + number + " cannot listen on " + addresses.get(number), e);
+            }
+            return false;
+        }
+    }
+
+    synchronized void kill() {
+        if (host != null) {
+            peers.die();
+            host.close();
+            host = null;
+        }
+    }
+
+    void leave() throws InterruptedException {
+        FleetHost leaving;
+        synchronized (this) {
+            leaving = host;
+        }
+        if (leaving != null) {
+            leaving.offer(new LocalEvent.Leaving());
+            FleetReadings.threadOf(leaving); // its loop has taken the event by then
+            kill();
+        }
+    }
+
+    void pause(long millis) {
+        clock.pause(millis);
+    }
+
+    synchronized void offer(LocalEvent event) {
+        if (host != null) {
+            host.offer(event);
+        }
+    }
+
+    /** Adds what has changed since the last time. */
+    synchronized void observe(long nowMillis, Map<Integer, Integer> watched, Observations to) {
+        if (host == null || host.snapshot() == seen) {
+            return;
+        }
+        FleetSnapshot now = host.snapshot();
+        if (!now.presentBrokers().equals(seen.presentBrokers())) {
+            BitSet before = set(seen.presentBrokers());
+            BitSet after = set(now.presentBrokers());
+            to.membership()
+                    .add(new MembershipChange(
+                            nowMillis,
+                            number,
+                            BrokerRanges.format(BrokerRanges.minus(before, after)),
+                            BrokerRanges.format(BrokerRanges.minus(after, before))));
+        }
+        seen = now;
+        watched.forEach((change, owner) -> {
+            if (!known.contains(change) && FleetReadings.knows(now, change, owner)) {
+                known.add(change);
+                to.changes().add(new ChangeSeen(nowMillis, number, change));
+            }
+        });
+    }
+
+    private static BitSet set(List<Integer> brokers) {
+        BitSet set = new BitSet();
+        brokers.forEach(set::set);
+        return set;
+    }
+
+    /** Adds the ages of the figures held of others; returns how many are missing. */
+    synchronized long figureAges(Histogram millis) {
+        return host == null ? 0 : FleetReadings.figureAges(host, startedMillis, millis);
+    }
+
+    synchronized long threadId() {
+        return host == null ? -1 : threadId;
+    }
+
+    synchronized boolean running() {
+        return host != null;
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HollowHandle.java
@@ -0,0 +1,118 @@
+package dockshed.scale;
+
+import com.google.gson.Gson;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** The driver's end of a {@link HollowProcess}: commands go out, and each is answered by one line. */
+final class HollowHandle {
+    private static final long PATIENCE_SECONDS = 60;
+    private static final String HEAP = "-Xmx384m";
+    /** In place of an answer: the process's output has ended. */
+    private static final String ENDED = "failed process has ended";
+
+    private static final Gson GSON = new Gson();
+
+    private final String name;
+    private final Process process;
+    private final Writer in;
+    private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+
+    /** Starts a process; its specification and its log are kept in a directory. */
+    HollowHandle(String name, HollowSpec spec, Path directory, ProcessGuard guard) throws IOException {
+        this.name = name;
+        Path specFile = Files.writeString(directory.resolve(name + ".json"), GSON.toJson(spec));
+        ProcessBuilder builder = new ProcessBuilder(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                HEAP,
+                "-Xss512k",
+                "-XX:TieredStopAtLevel=1",
+                "-Djava.net.preferIPv4Stack=true",
+                "-Dorg.slf4j.simpleLogger.defaultLogLevel=error",
+                "-Dorg.slf4j.simpleLogger.logFile=System.err",
+                "-cp",
+                System.getProperty("java.class.path"),
+                HollowProcess.class.getName(),
+                specFile.toString());
+        builder.redirectError(directory.resolve(name + ".log").toFile());
+        process = guard.watch(builder.start());
+        in = process.outputWriter(StandardCharsets.UTF_8);
+        Thread reader = new Thread(this::read, "answers of " + name);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read() {
+        try (BufferedReader out =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = out.readLine(); line != null; line = out.readLine()) {
+                answers.add(line);
+            }
+        } catch (IOException e) {
+            // its end, told below
+        }
+        answers.add(ENDED);
+    }
+
+    /** Waits until the process is ready for commands. */
+    void awaitReady() {
+        answer("start of the process");
+    }
+
+    /** Sends a command and returns the answer. Throws IllegalStateException where it failed. */
+    synchronized String call(String command) {
+        try {
+            in.write(command + "\n");
+            in.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException(name + ": " + command, e);
+        }
+        return answer(command);
+    }
+
+    <T> T call(String command, Class<T> type) {
+        return GSON.fromJson(call(command), type);
+    }
+
+    private String answer(String command) {
+        try {
+            String answer = answers.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            if (answer == null || answer.startsWith(HollowProcess.FAILED)) {
+                throw new IllegalStateException(name + ": " + command + ": " + answer);
+            }
+            return answer;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException(name + ": " + command + ": interrupted", e);
+        }
+    }
+
+    /** Whose brokers get it; those of other processes are passed over there. */
+    static void callAll(List<HollowHandle> handles, String command) {
+        handles.parallelStream().forEach(handle -> handle.call(command));
+    }
+
+    Process process() {
+        return process;
+    }
+
+    /** Ends the process by the end of its input, and waits for it. */
+    int end() throws IOException, InterruptedException {
+        in.close();
+        if (!process.waitFor(PATIENCE_SECONDS, TimeUnit.SECONDS)) {
+            throw new IllegalStateException(name + " did not end");
+        }
+        return process.exitValue();
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HollowProcess.java
@@ -0,0 +1,279 @@
+package dockshed.scale;
+
+import com.google.gson.Gson;
+import dockshed.fleet.FleetSettings;
+import dockshed.fleet.LocalEvent;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.HdrHistogram.Histogram;
+
+/**
+ * A process of hollow brokers. Commands come as lines on its standard input and are answered by one line each; the end of
+ * its input ends it, and with it the processes that it was told to take along, so that nothing outlives the driver.
+ */
+public final class HollowProcess {
+    /** The answer to a command that returns nothing; a failure's begins with {@link #FAILED}. */
+    static final String OK = "ok";
+
+    static final String FAILED = "failed ";
+
+    private static final long SAMPLE_MILLIS = 50;
+    private static final long FIGURES_MILLIS = 250;
+    /** Threads that start and end brokers. */
+    private static final int WORKERS = 4;
+    /** Requests of a quarter of a second, by step of rank: as {@code FleetCosts} has them. */
+    private static final int[] REQUESTS = requests();
+
+    private static final Gson GSON = new Gson();
+
+    private final Map<Integer, HollowBroker> brokers = new TreeMap<>();
+    private final Map<Integer, Integer> watched = new ConcurrentHashMap<>();
+    private final Map<Integer, Long> cpuOfEarlierLives = new HashMap<>();
+    private final List<Long> taken = new ArrayList<>();
+    private final ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(2, HollowProcess::daemon);
+    private final List<ExecutorService> workers = new ArrayList<>();
+    private final int heapBeforeKb;
+    private volatile LinkFaults faults = LinkFaults.NONE;
+    private volatile String failure;
+    private Observations observed = Observations.empty();
+
+    private HollowProcess(HollowSpec spec) {
+        List<InetSocketAddress> addresses = spec.addresses();
+        FleetSettings settings = Mechanism.of(spec.mechanism()).settings(new FleetLayout(addresses.size()));
+        BitSet real = BrokerRanges.parse(spec.real());
+        BrokerRanges.parse(spec.brokers()).stream()
+                .forEach(number -> brokers.put(
+                        number,
+                        new HollowBroker(
+                                number, settings, addresses, real, () -> faults, spec.seed() + 1000L * number)));
+        for (int i = 0; i < WORKERS; i++) {
+            workers.add(Executors.newSingleThreadExecutor(HollowProcess::daemon));
+        }
+        heapBeforeKb = heapKb();
+        timer.scheduleAtFixedRate(this::sample, SAMPLE_MILLIS, SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
+        timer.scheduleAtFixedRate(this::offerFigures, FIGURES_MILLIS, FIGURES_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Thread daemon(Runnable what) {
+        Thread thread = new Thread(what, "hollow");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private static int[] requests() {
+        int[] requests = new int[32];
+        requests[0] = 3;
+        requests[1] = 1;
+        requests[4] = 1;
+        return requests;
+    }
+
+    private void sample() {
+        long now = System.currentTimeMillis();
+        synchronized (this) {
+            for (HollowBroker broker : brokers.values()) {
+                broker.observe(now, watched, observed);
+            }
+            notifyAll();
+        }
+    }
+
+    private void offerFigures() {
+        for (HollowBroker broker : brokers.values()) {
+            broker.offer(new LocalEvent.LoadSample(REQUESTS.clone(), 4, 1, 0, FIGURES_MILLIS * 1000));
+        }
+    }
+
+    // ---- Commands.
+
+    private String answer(String line) throws InterruptedException {
+        if (failure != null) {
+            return FAILED + failure;
+        }
+        String[] words = line.split(" ");
+        switch (words[0]) {
+            case "start" -> each(words[1], this::start);
+            case "kill" -> each(words[1], this::kill);
+            case "leave" -> each(words[1], this::leave);
+            case "pause" -> pause(Integer.parseInt(words[1]), Long.parseLong(words[2]));
+            case "cut" -> faults = faults.withCut(BrokerRanges.parse(words[1]), BrokerRanges.parse(words[2]));
+            case "join" -> faults = faults.withoutCuts();
+            case "loss" -> faults = faults.withLoss(Double.parseDouble(words[1]));
+            case "change" -> change(Integer.parseInt(words[1]), Integer.parseInt(words[2]));
+            case "take" -> taken.add(Long.parseLong(words[1]));
+            case "collect" -> {
+                return collect(words.length > 1 ? Long.parseLong(words[1]) : 0);
+            }
+            case "totals" -> {
+                return totals();
+            }
+            case "ages" -> {
+                return ages();
+            }
+            case "memory" -> {
+                return Double.toString(memoryKb());
+            }
+            default -> {
+                return FAILED + "unknown command " + words[0];
+            }
+        }
+        return OK;
+    }
+
+    private void each(String ranges, Consumer<HollowBroker> what) {
+        BrokerRanges.parse(ranges).stream()
+                .mapToObj(brokers::get)
+                .filter(broker -> broker != null)
+                .forEach(broker -> workerOf(broker).execute(() -> guarded(() -> what.accept(broker))));
+    }
+
+    /** One broker's commands are carried out one after another. */
+    private ExecutorService workerOf(HollowBroker broker) {
+        return workers.get(broker.number % WORKERS);
+    }
+
+    /** What fails in the background is told in answer to the next command. */
+    private void guarded(Runnable what) {
+        try {
+            what.run();
+        } catch (RuntimeException e) {
+            failure = e.toString();
+        }
+    }
+
+    private void start(HollowBroker broker) {
+        try {
+            broker.start();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void kill(HollowBroker broker) {
+        keepCpu(broker);
+        broker.kill();
+    }
+
+    private void leave(HollowBroker broker) {
+        keepCpu(broker);
+        try {
+            broker.leave();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void pause(int number, long millis) {
+        HollowBroker broker = brokers.get(number);
+        if (broker != null) {
+            broker.pause(millis);
+        }
+    }
+
+    /** Every broker watches for the change; the one that is meant has it to tell. */
+    private void change(int owner, int change) {
+        watched.put(change, owner);
+        HollowBroker broker = brokers.get(owner);
+        if (broker != null) {
+            broker.offer(new LocalEvent.HealthReport(change, false));
+        }
+    }
+
+    /** What was observed since the last time; where that is nothing, waits so long for something. */
+    private synchronized String collect(long mostMillis) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(mostMillis);
+        for (long left = until - System.nanoTime(); observed.isEmpty() && left > 0; left = until - System.nanoTime()) {
+            TimeUnit.NANOSECONDS.timedWait(this, left);
+        }
+        Observations since = observed;
+        observed = Observations.empty();
+        return GSON.toJson(since);
+    }
+
+    private synchronized void keepCpu(HollowBroker broker) {
+        cpuOfEarlierLives.merge(broker.number, cpuOfThisLife(broker), Long::sum);
+    }
+
+    private long cpuOfThisLife(HollowBroker broker) {
+        long thread = broker.threadId();
+        return thread < 0 ? 0 : Math.max(0, threads.getThreadCpuTime(thread));
+    }
+
+    private synchronized String totals() {
+        List<BrokerTotals> totals = new ArrayList<>();
+        for (HollowBroker broker : brokers.values()) {
+            FaultyPeers.Counts counts = broker.counts;
+            totals.add(new BrokerTotals(
+                    broker.number,
+                    counts.bytesSent.get(),
+                    counts.bytesReceived.get(),
+                    cpuOfEarlierLives.getOrDefault(broker.number, 0L) + cpuOfThisLife(broker)));
+        }
+        return GSON.toJson(new HollowReport(totals));
+    }
+
+    private String ages() {
+        Histogram millis = FigureAges.histogram();
+        long missing = 0;
+        for (HollowBroker broker : brokers.values()) {
+            missing += broker.figureAges(millis);
+        }
+        return GSON.toJson(FigureAges.of(millis, missing));
+    }
+
+    private static int heapKb() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return (int) ((runtime.totalMemory() - runtime.freeMemory()) / 1024);
+    }
+
+    /** What the running brokers added to the heap, each, after a collection. */
+    private double memoryKb() {
+        long running = brokers.values().stream().filter(HollowBroker::running).count();
+        return running == 0 ? 0 : (heapKb() - heapBeforeKb) / (double) running;
+    }
+
+    /** Ends what it was told to take along: the driver is gone, or has done with it. */
+    private void end() {
+        for (long pid : taken) {
+            ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
+        }
+    }
+
+    /** The one argument names a file that holds a {@link HollowSpec} as JSON. */
+    public static void main(String[] args) throws IOException, InterruptedException {
+        PrintStream out = System.out;
+        HollowSpec spec = GSON.fromJson(Files.readString(Path.of(args[0])), HollowSpec.class);
+        HollowProcess process = new HollowProcess(spec);
+        out.println(OK);
+        try (BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.UTF_8))) {
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                out.println(process.answer(line));
+            }
+        } finally {
+            process.end();
+        }
+        System.exit(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HollowProcessTest.java
@@ -0,0 +1,77 @@
+package dockshed.scale;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Path;
+import java.util.BitSet;
+import java.util.function.BooleanSupplier;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two processes of four hollow brokers each: they find one another, notice a death and a change, and end. */
+class HollowProcessTest {
+    private static final int BROKERS = 8;
+    private static final int PER_PROCESS = 4;
+    private static final int CHANGE = SceneScript.FIRST_CHANGE;
+    private static final BitSet KILLED = BrokerRanges.of(5);
+
+    @TempDir
+    Path directory;
+
+    private final FleetLayout layout = new FleetLayout(BROKERS);
+    private final FleetRecorder recorder = new FleetRecorder(BROKERS);
+
+    private ProcessFleet fleet() throws Exception {
+        return new ProcessFleet(layout, Mechanism.FULL_MESH, 0, PER_PROCESS, null, directory);
+    }
+
+    /** Each process answers as soon as it has something to tell. */
+    private void awaitUntil(ProcessFleet fleet, BooleanSupplier condition) {
+        while (!condition.getAsBoolean()) {
+            for (HollowHandle handle : fleet.hollowProcesses()) {
+                recorder.take(handle.call("collect 1000", Observations.class));
+            }
+        }
+    }
+
+    private void startAll(ProcessFleet fleet) {
+        recorder.started(layout.all(), fleet.nowMillis());
+        fleet.start(layout.all());
+        awaitUntil(fleet, () -> recorder.all(layout.all(), layout.all(), true));
+    }
+
+    @Test
+    @Timeout(120) // only a failure takes so long
+    void brokersOfTwoProcessesFindOneAnotherNoticeADeathAndShareAChange() throws Exception {
+        try (ProcessFleet fleet = fleet()) {
+            startAll(fleet);
+            fleet.change(0, CHANGE);
+            awaitUntil(fleet, () -> recorder.knowing(layout.all(), CHANGE, 0).endedShare() == 1);
+            recorder.stopped(KILLED, fleet.nowMillis());
+            fleet.kill(KILLED);
+            BitSet others = recorder.running();
+            awaitUntil(fleet, () -> recorder.all(others, KILLED, false));
+            assertEquals(0, recorder.takeFalselyDead());
+            assertTrue(fleet.totals().stream().allMatch(each -> each.bytesSent() > 0 && each.bytesReceived() > 0));
+            for (HollowHandle handle : fleet.hollowProcesses()) {
+                assertEquals(0, handle.end());
+            }
+            assertEquals(0, fleet.alive());
+        }
+    }
+
+    @Test
+    @Timeout(120)
+    void aFailureIsToldAndEverythingEnds() throws Exception {
+        ProcessFleet fleet = fleet();
+        try (fleet) {
+            HollowHandle handle = fleet.hollowProcesses().get(0);
+            assertThrows(IllegalStateException.class, () -> handle.call("nonsense"));
+            assertEquals(2, fleet.alive());
+        }
+        assertEquals(0, fleet.alive());
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/HollowReport.java
@@ -0,0 +1,6 @@
+package dockshed.scale;
+
+import java.util.List;
+
+/** A hollow process's totals: one entry for each of its brokers. */
+record HollowReport(List<BrokerTotals> totals) {}
--- /dev/null
+++ b/src/test/java/dockshed/scale/ProcessFleet.java
@@ -0,0 +1,254 @@
+package dockshed.scale;
+
+import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+
+/** Real and hollow brokers as processes on loopback sockets. */
+final class ProcessFleet implements ScaleFleet {
+    private final FleetLayout layout;
+    private final BitSet real;
+    private final ProcessGuard guard = new ProcessGuard();
+    private final List<HollowHandle> hollow = new ArrayList<>();
+    private final List<DatagramSocket> heldPorts = new ArrayList<>();
+    private final RealBrokers realBrokers;
+    private LinkFaults faults = LinkFaults.NONE;
+
+    /**
+     * @param real      how many brokers are real
+     * @param perProcess hollow brokers of a process at most
+     * @param jar       of the program; not read where no broker is real
+     * @param directory for configurations and logs
+     */
+    ProcessFleet(FleetLayout layout, Mechanism mechanism, int real, int perProcess, Path jar, Path directory)
+            throws IOException {
+        this.layout = layout;
+        this.real = layout.spread(real);
+        int[] ports = takePorts(layout.brokers());
+        List<BitSet> parts = parts(BrokerRanges.minus(layout.all(), this.real), perProcess);
+        HollowSpec spec = null;
+        for (int i = 0; i < parts.size(); i++) {
+            spec = new HollowSpec(
+                    mechanism.label(),
+                    BrokerRanges.format(parts.get(i)),
+                    BrokerRanges.format(this.real),
+                    ports,
+                    System.nanoTime() + i);
+            hollow.add(new HollowHandle("hollow" + i, spec, directory, guard));
+        }
+        hollow.forEach(HollowHandle::awaitReady);
+        realBrokers = real == 0
+                ? null
+                : new RealBrokers(
+                        this.real,
+                        mechanism,
+                        spec.addresses(),
+                        jar,
+                        directory,
+                        guard,
+                        pid -> hollow.get(0).call("take " + pid));
+    }
+
+    /** Takes a free port for each broker; none of them is given to anybody else until {@link #releasePorts}. */
+    private int[] takePorts(int count) throws IOException {
+        int[] ports = new int[count];
+        for (int i = 0; i < count; i++) {
+            DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress());
+            heldPorts.add(socket);
+            ports[i] = socket.getLocalPort();
+        }
+        return ports;
+    }
+
+    private void releasePorts() {
+        heldPorts.forEach(DatagramSocket::close);
+        heldPorts.clear();
+    }
+
+    /** Each part has brokers of all zones, so that no process is a zone. */
+    private static List<BitSet> parts(BitSet brokers, int most) {
+        int count = (brokers.cardinality() + most - 1) / most;
+        List<BitSet> parts = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            parts.add(new BitSet());
+        }
+        int next = 0;
+        for (int broker = brokers.nextSetBit(0); broker >= 0; broker = brokers.nextSetBit(broker + 1)) {
+            parts.get(next++ % count).set(broker);
+        }
+        return parts;
+    }
+
+    @Override
+    public FleetLayout layout() {
+        return layout;
+    }
+
+    @Override
+    public long nowMillis() {
+        return System.currentTimeMillis();
+    }
+
+    @Override
+    public void advance(long millis) {
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    private void call(String command) {
+        HollowHandle.callAll(hollow, command);
+    }
+
+    @Override
+    public void start(BitSet brokers) {
+        releasePorts();
+        call("start " + BrokerRanges.format(brokers));
+        if (realBrokers != null) {
+            realBrokers.start(brokers);
+        }
+    }
+
+    @Override
+    public void kill(BitSet brokers) {
+        call("kill " + BrokerRanges.format(brokers));
+        if (realBrokers != null) {
+            realBrokers.kill(brokers);
+        }
+    }
+
+    @Override
+    public void leave(BitSet brokers) {
+        call("leave " + BrokerRanges.format(brokers));
+        if (realBrokers != null) {
+            realBrokers.leave(brokers);
+        }
+    }
+
+    @Override
+    public void pause(int broker, long millis) {
+        if (real.get(broker)) {
+            realBrokers.pause(broker, millis);
+        } else {
+            call("pause " + broker + " " + millis);
+        }
+    }
+
+    @Override
+    public void cut(BitSet from, BitSet to) {
+        faults = faults.withCut(from, to);
+        call("cut " + BrokerRanges.format(from) + " " + BrokerRanges.format(to));
+        faultsOfReal();
+    }
+
+    @Override
+    public void join() {
+        faults = faults.withoutCuts();
+        call("join");
+        faultsOfReal();
+    }
+
+    @Override
+    public void lose(double share) {
+        faults = faults.withLoss(share);
+        call("loss " + share);
+        faultsOfReal();
+    }
+
+    private void faultsOfReal() {
+        if (realBrokers != null) {
+            realBrokers.faults(faults);
+        }
+    }
+
+    @Override
+    public void change(int broker, int change) {
+        call("change " + broker + " " + change);
+    }
+
+    @Override
+    public boolean reportsChanges(int broker) {
+        return !real.get(broker);
+    }
+
+    @Override
+    public Observations collect() {
+        Observations since = Observations.empty();
+        for (HollowHandle handle : hollow) {
+            since.add(handle.call("collect", Observations.class));
+        }
+        if (realBrokers != null) {
+            since.add(realBrokers.collect());
+        }
+        return since;
+    }
+
+    @Override
+    public List<BrokerTotals> totals() {
+        return hollow.parallelStream()
+                .flatMap(handle -> handle.call("totals", HollowReport.class).totals().stream())
+                .toList();
+    }
+
+    @Override
+    public long figureAges(Histogram millis) {
+        List<FigureAges> ages = hollow.parallelStream()
+                .map(handle -> handle.call("ages", FigureAges.class))
+                .toList();
+        ages.forEach(each -> each.addTo(millis));
+        return ages.stream().mapToLong(FigureAges::missing).sum();
+    }
+
+    @Override
+    public double memoryKb() {
+        return hollow.parallelStream()
+                .mapToDouble(handle -> Double.parseDouble(handle.call("memory")))
+                .average()
+                .orElse(Double.NaN);
+    }
+
+    int realCount() {
+        return real.cardinality();
+    }
+
+    int hollowCount() {
+        return layout.brokers() - real.cardinality();
+    }
+
+    /** Processes of brokers, the driver not counted. */
+    int processes() {
+        return hollow.size() + real.cardinality();
+    }
+
+    /** The real brokers; null where there are none. */
+    RealBrokers realBrokers() {
+        return realBrokers;
+    }
+
+    List<HollowHandle> hollowProcesses() {
+        return hollow;
+    }
+
+    /** Processes that still run. */
+    long alive() {
+        return guard.alive();
+    }
+
+    @Override
+    public void close() {
+        releasePorts();
+        if (realBrokers != null) {
+            realBrokers.close();
+        }
+        guard.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/RealBroker.java
@@ -0,0 +1,155 @@
+package dockshed.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.LocalDate;
+import java.time.LocalDateTime;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The built jar as a process with the limits of the platform's {@code run} line; its log tells whom it lists. */
+final class RealBroker {
+    private static final Pattern MEMBERSHIP = Pattern.compile(
+            "(?<time>[0-9:.]{12}) .* living=\\d+ gone=\\[(?<gone>[^]]*)] come=\\[(?<come>[^]]*)] .* fleet");
+    private static final Pattern SERVING = Pattern.compile(".*serving: name=.* listen=/([0-9.]+):(\\d+) .*");
+    private static final long START_SECONDS = 30;
+
+    private final int number;
+    private final Process process;
+    private final CompletableFuture<InetSocketAddress> serving = new CompletableFuture<>();
+    private final List<MembershipChange> changes = new ArrayList<>();
+    private int errors;
+
+    RealBroker(int number, Path jar, Path config, Path operatorFile, ProcessGuard guard) throws IOException {
+        this.number = number;
+        ProcessBuilder builder = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Djava.net.preferIPv4Stack=true",
+                        "-XX:+UseSerialGC",
+                        "-Xms32m",
+                        "-Xmx64m",
+                        "-Xss512k",
+                        "-XX:MaxDirectMemorySize=16m",
+                        "-XX:ReservedCodeCacheSize=24m",
+                        "-XX:MaxMetaspaceSize=40m",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xshare:auto",
+                        "-jar",
+                        jar.toString(),
+                        "serve",
+                        "--conf",
+                        operatorFile.toString())
+                .redirectErrorStream(true);
+        builder.environment().put("EDGE_CONFIG", config.toString());
+        process = guard.watch(builder.start());
+        Thread reader = new Thread(this::read, "log of broker " + number);
+        reader.setDaemon(true);
+        reader.start();
+    }
+
+    private void read() {
+        String last = "";
+        try (BufferedReader log =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
+            for (String line = log.readLine(); line != null; line = log.readLine()) {
+                last = line;
+                take(line);
+            }
+        } catch (IOException e) {
+            // its end
+        }
+        serving.completeExceptionally(new IllegalStateException("broker " + number + " has ended: " + last));
+    }
+
+    private void take(String line) {
+        Matcher at = SERVING.matcher(line);
+        if (at.matches()) {
+            serving.complete(new InetSocketAddress(at.group(1), Integer.parseInt(at.group(2))));
+            return;
+        }
+        Matcher change = MEMBERSHIP.matcher(line);
+        synchronized (changes) {
+            errors += line.contains(" ERROR ") ? 1 : 0;
+            if (change.matches()) {
+                changes.add(new MembershipChange(
+                        millis(LocalTime.parse(change.group("time"))),
+                        number,
+                        ranges(change.group("gone")),
+                        ranges(change.group("come"))));
+            }
+        }
+    }
+
+    /** The log tells the time of the day: the latest such that is not later than now, but for a little. */
+    private static long millis(LocalTime time) {
+        ZoneId zone = ZoneId.systemDefault();
+        LocalDateTime at = LocalDate.now(zone).atTime(time);
+        LocalDateTime soon = LocalDateTime.now(zone).plusMinutes(1);
+        return (at.isAfter(soon) ? at.minusDays(1) : at)
+                .atZone(zone)
+                .toInstant()
+                .toEpochMilli();
+    }
+
+    private static String ranges(String list) {
+        BitSet brokers = new BitSet();
+        for (String broker : list.split(",")) {
+            if (!broker.isBlank()) {
+                brokers.set(Integer.parseInt(broker.trim()));
+            }
+        }
+        return BrokerRanges.format(brokers);
+    }
+
+    /** Where viewers can connect, once it serves. */
+    InetSocketAddress awaitServing() {
+        return serving.orTimeout(START_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** What its log has told since the last time. */
+    List<MembershipChange> collect() {
+        synchronized (changes) {
+            List<MembershipChange> since = List.copyOf(changes);
+            changes.clear();
+            return since;
+        }
+    }
+
+    int errors() {
+        synchronized (changes) {
+            return errors;
+        }
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    Duration cpu() {
+        return process.info().totalCpuDuration().orElse(Duration.ZERO);
+    }
+
+    void kill() {
+        process.destroyForcibly();
+        process.onExit().join();
+    }
+
+    /** TERM, STOP or CONT, to this process only. */
+    void signal(String name) throws IOException, InterruptedException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .start()
+                .waitFor();
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/ScaleBench.java
@@ -0,0 +1,121 @@
+package dockshed.scale;
+
+import dockshed.capacity.CapacityCsv;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.stream.Stream;
+
+/**
+ * The scale run: plays the script on processes and sockets, and on the simulated network beside it, for each mechanism;
+ * prints each scene's figures, how far both are apart, and the last line. Rows go to a file of the raw figures.
+ */
+public final class ScaleBench {
+    private static final Path JAR = Path.of("target", "dockshed.jar");
+    private static final Path CSV = Path.of("docs", "capacity", "scale.csv");
+    private static final long TWIN_SEED = 11;
+
+    private final ScaleOptions options;
+    private final List<SceneResult> rows = new ArrayList<>();
+
+    private ScaleBench(ScaleOptions options) {
+        this.options = options;
+    }
+
+    private synchronized void result(SceneResult result) {
+        rows.add(result);
+        System.out.println(result);
+    }
+
+    private ScaleLine play(Mechanism mechanism) throws IOException {
+        ExecutorService simulation = Executors.newSingleThreadExecutor(ScaleBench::daemon);
+        CompletableFuture<List<SceneResult>> simulated = options.twin()
+                ? CompletableFuture.supplyAsync(() -> simulate(mechanism), simulation)
+                : CompletableFuture.completedFuture(List.of());
+        ScaleRun run = onSockets(mechanism);
+        TwinComparison comparison = TwinComparison.of(run.results(), simulated.join());
+        simulation.shutdown();
+        System.out.println(comparison);
+        return ScaleLine.of(run, comparison.rSquared());
+    }
+
+    private static Thread daemon(Runnable what) {
+        Thread thread = new Thread(what, "simulation");
+        thread.setDaemon(true);
+        return thread;
+    }
+
+    private ScaleRun onSockets(Mechanism mechanism) throws IOException {
+        FleetLayout layout = new FleetLayout(options.brokers());
+        Path directory = Files.createTempDirectory("dockshed-scale");
+        List<SceneResult> results = new ArrayList<>();
+        try (ProcessFleet fleet = new ProcessFleet(
+                layout, mechanism, options.real(), options.perProcess(), JAR.toAbsolutePath(), directory)) {
+            SceneScript script = new SceneScript(fleet, mechanism, SceneResult.SOCKETS, options.times(), result -> {
+                results.add(result);
+                result(result);
+            });
+            options.only().forEach(script::play);
+            if (fleet.realBrokers() != null) {
+                System.out.printf(
+                        Locale.ROOT,
+                        "real connections=%d answers=%d errors=%d%n",
+                        fleet.realBrokers().connections(),
+                        fleet.realBrokers().answers(),
+                        fleet.realBrokers().errors());
+            }
+            return new ScaleRun(
+                    mechanism, layout.brokers(), fleet.realCount(), fleet.hollowCount(), fleet.processes(), results);
+        } finally {
+            delete(directory);
+        }
+    }
+
+    private List<SceneResult> simulate(Mechanism mechanism) {
+        List<SceneResult> results = new ArrayList<>();
+        try (SimulatedFleet fleet = new SimulatedFleet(new FleetLayout(options.brokers()), mechanism, TWIN_SEED)) {
+            SceneScript script = new SceneScript(fleet, mechanism, SceneResult.SIMULATED, options.times(), result -> {
+                results.add(result);
+                result(result);
+            });
+            options.only().forEach(script::play);
+        }
+        return results;
+    }
+
+    private static void delete(Path directory) throws IOException {
+        try (Stream<Path> files = Files.walk(directory)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.delete(file);
+            }
+        }
+    }
+
+    private void write(String command) throws IOException {
+        List<String> columns = List.of(SceneResult.csvHeader().split(","));
+        List<List<String>> cells =
+                rows.stream().map(row -> List.of(row.csvRow().split(",", -1))).toList();
+        new CapacityCsv(CSV.toString(), command, columns, cells).write(CSV);
+    }
+
+    public static void main(String[] args) throws IOException {
+        ScaleOptions options = ScaleOptions.parse(args);
+        ScaleBench bench = new ScaleBench(options);
+        List<ScaleLine> lines = new ArrayList<>();
+        for (Mechanism mechanism : options.mechanisms()) {
+            lines.add(bench.play(mechanism));
+        }
+        if (!options.quick()) {
+            bench.write(("sh bench/scale.sh " + String.join(" ", args)).trim());
+        }
+        lines.forEach(System.out::println);
+        System.exit(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/ScaleLine.java
@@ -0,0 +1,79 @@
+package dockshed.scale;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The last line of a run: {@code scale} and pairs of a key and a value.
+ *
+ * @param values by key, in the order printed
+ */
+record ScaleLine(Map<String, String> values) {
+    private static final String BEGINS = "scale ";
+
+    ScaleLine {
+        values = new LinkedHashMap<>(values);
+    }
+
+    /** Throws IllegalArgumentException where the line is none of these. */
+    static ScaleLine parse(String line) {
+        if (!line.startsWith(BEGINS)) {
+            throw new IllegalArgumentException("expected a line that begins with 'scale ', got: " + line);
+        }
+        Map<String, String> values = new LinkedHashMap<>();
+        for (String pair : line.substring(BEGINS.length()).split(" ")) {
+            int equals = pair.indexOf('=');
+            if (equals < 1) {
+                throw new IllegalArgumentException("expected key=value, got: " + pair);
+            }
+            values.put(pair.substring(0, equals), pair.substring(equals + 1));
+        }
+        return new ScaleLine(values);
+    }
+
+    /** Of the socket run's scenes; a figure whose scene was not played is {@code nan}. */
+    static ScaleLine of(ScaleRun run, double rSquared) {
+        List<SceneResult> scenes = run.results();
+        Map<String, String> values = new LinkedHashMap<>();
+        values.put("brokers", Integer.toString(run.brokers()));
+        values.put("real", Integer.toString(run.real()));
+        values.put("hollow", Integer.toString(run.hollow()));
+        values.put("processes", Integer.toString(run.processes()));
+        values.put("bytes_s", figure(scenes, SceneName.STEADY, Metric.BYTES_S));
+        values.put("bytes_s_max", figure(scenes, SceneName.STEADY, Metric.BYTES_S_MAX));
+        values.put("cpu", figure(scenes, SceneName.STEADY, Metric.CPU));
+        values.put("memory_kb", figure(scenes, SceneName.STEADY, Metric.MEMORY_KB));
+        values.put("detect_p99_s", figure(scenes, SceneName.MACHINES, Metric.DETECT_P99_S));
+        values.put("figure_age_p99_s", figure(scenes, SceneName.STEADY, Metric.FIGURE_AGE_P99_S));
+        values.put("change_p99_s", figure(scenes, SceneName.CHANGES, Metric.CHANGE_P99_S));
+        values.put("zone_gone_s", figure(scenes, SceneName.ZONE, Metric.GONE_S));
+        values.put("heal_s", figure(scenes, SceneName.REGIONS, Metric.HEAL_S));
+        values.put("false_dead", sum(scenes, Metric.FALSE_DEAD));
+        values.put("disagree", sum(scenes, Metric.DISAGREE));
+        values.put("r2", SceneResult.format(rSquared));
+        values.put("mechanism", run.mechanism().label());
+        return new ScaleLine(values);
+    }
+
+    private static String figure(List<SceneResult> scenes, SceneName name, Metric metric) {
+        return scenes.stream()
+                .filter(scene -> scene.scene() == name)
+                .map(scene -> SceneResult.format(scene.figure(metric)))
+                .findFirst()
+                .orElse("nan");
+    }
+
+    private static String sum(List<SceneResult> scenes, Metric metric) {
+        return SceneResult.format(scenes.stream()
+                .mapToDouble(scene -> scene.figures().getOrDefault(metric, 0.0))
+                .sum());
+    }
+
+    @Override
+    public String toString() {
+        StringBuilder line = new StringBuilder("scale");
+        values.forEach((key, value) -> line.append(' ').append(key).append('=').append(value));
+        return line.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/scale/ScaleOptions.java
@@ -0,0 +1,89 @@
+package dockshed.scale;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * The command line of the scale run.
+ *
+ * @param quick      the short script
+ * @param mechanisms one after another
+ * @param brokers    real and hollow
+ * @param real       processes of the built jar
+ * @param perProcess hollow brokers of a process at most
+ * @param twin       whether the simulated network plays the same
+ * @param only       the scenes played; the start is always
+ */
+record ScaleOptions(
+        boolean quick,
+        List<Mechanism> mechanisms,
+        int brokers,
+        int real,
+        int perProcess,
+        boolean twin,
+        List<SceneName> only) {
+    private static final int WANTED_BROKERS = 510;
+    private static final int REAL = 8;
+    private static final int PER_PROCESS = 72;
+    private static final List<SceneName> QUICK_SCENES =
+            List.of(SceneName.START, SceneName.STEADY, SceneName.CHANGES, SceneName.ZONE);
+
+    static final String USAGE = "scale.sh [--quick] [--mechanism full_mesh|zoned|both] [--brokers N] [--real N]"
+            + " [--per-process N] [--no-twin] [--scenes a,b,..]";
+
+    /** Throws IllegalArgumentException where the line says nothing that is known. */
+    static ScaleOptions parse(String... arguments) {
+        boolean quick = false;
+        boolean twin = true;
+        int brokers = WANTED_BROKERS;
+        int real = REAL;
+        int perProcess = PER_PROCESS;
+        List<Mechanism> mechanisms = List.of(Mechanism.values());
+        List<SceneName> only = null;
+        List<String> rest = new ArrayList<>(List.of(arguments));
+        while (!rest.isEmpty()) {
+            String option = rest.remove(0);
+            switch (option) {
+                case "--quick" -> quick = true;
+                case "--no-twin" -> twin = false;
+                case "--brokers" -> brokers = number(option, rest);
+                case "--real" -> real = number(option, rest);
+                case "--per-process" -> perProcess = number(option, rest);
+                case "--mechanism" -> mechanisms = mechanisms(value(option, rest));
+                case "--scenes" -> only = scenes(value(option, rest));
+                default -> throw new IllegalArgumentException("unknown option " + option + "; " + USAGE);
+            }
+        }
+        List<SceneName> scenes = only != null ? only : quick ? QUICK_SCENES : SceneScript.all();
+        return new ScaleOptions(quick, mechanisms, brokers, real, perProcess, twin, scenes);
+    }
+
+    private static String value(String option, List<String> rest) {
+        if (rest.isEmpty()) {
+            throw new IllegalArgumentException(option + " wants a value; " + USAGE);
+        }
+        return rest.remove(0);
+    }
+
+    private static int number(String option, List<String> rest) {
+        return Integer.parseInt(value(option, rest));
+    }
+
+    private static List<Mechanism> mechanisms(String label) {
+        return label.equals("both") ? List.of(Mechanism.values()) : List.of(Mechanism.of(label));
+    }
+
+    private static List<SceneName> scenes(String labels) {
+        List<SceneName> scenes = new ArrayList<>(List.of(SceneName.START));
+        Arrays.stream(labels.split(","))
+                .map(label -> SceneName.valueOf(label.toUpperCase(java.util.Locale.ROOT)))
+                .filter(scene -> scene != SceneName.START)
+                .forEach(scenes::add);
+        return scenes;
+    }
+
+    ScriptTimes times() {
+        return quick ? ScriptTimes.QUICK : ScriptTimes.FULL;
+    }
+}
