--- a/src/test/java/dockshed/fleet/FleetTwin.java
+++ b/src/test/java/dockshed/fleet/FleetTwin.java
@@ -101,7 +101,7 @@
     }
 
     public long bytesReceived(int broker) {
-        return simulation.receivedBy.getOrDefault(broker, 0L);
+        return simulation.receivedBy[broker];
     }
 
     /** Adds the ages of the figures that all hold of the others that they list; returns how many are missing. */
