--- a/src/test/java/dockshed/scale/TwinComparison.java
+++ b/src/test/java/dockshed/scale/TwinComparison.java
@@ -2,9 +2,11 @@
 
 import dockshed.capacity.LinearFit;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * How far the simulated network's figures are from those on sockets, over the scenes that both played.
@@ -12,7 +14,7 @@
  * @param pairs         delays compared
  * @param rSquared      of a line through the delays: the share of the sockets' variance that the twin tells; NaN: too few
  * @param delayError    median of the delays' relative differences, in parts of the sockets' figure
- * @param bytesError    largest of the relative differences of bytes a second
+ * @param bytesError    largest of the relative differences of bytes a second, in the scenes of a fixed length
  * @param onlyOneEnded  delays that came to an end in one of the two only
  */
 record TwinComparison(int pairs, double rSquared, double delayError, double bytesError, int onlyOneEnded) {
@@ -24,8 +26,12 @@
             Metric.HEAL_S,
             Metric.FIGURE_AGE_MEAN_S,
             Metric.FIGURE_AGE_P99_S,
+            Metric.SUMMARY_AGE_P99_S,
             Metric.CHANGE_P50_S,
             Metric.CHANGE_P99_S);
+    /** Scenes of a fixed length, in which processes do not start. */
+    private static final Set<SceneName> BYTES_COMPARED =
+            EnumSet.of(SceneName.STEADY, SceneName.LOSS_1, SceneName.LOSS_20);
     /** Delays under this are the sampling's: their relative difference says nothing. */
     private static final double LEAST_SECONDS = 0.2;
 
@@ -39,7 +45,9 @@
                 continue;
             }
             SceneResult twin = match.get();
-            bytesError = Math.max(bytesError, error(real.figure(Metric.BYTES_S), twin.figure(Metric.BYTES_S)));
+            if (BYTES_COMPARED.contains(real.scene())) {
+                bytesError = Math.max(bytesError, error(real.figure(Metric.BYTES_S), twin.figure(Metric.BYTES_S)));
+            }
             for (Metric metric : DELAYS) {
                 double a = real.figure(metric);
                 double b = twin.figure(metric);
