--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -34,7 +34,7 @@
 
     private static final long MIN_TICK_DELAY = 1000;
     /** Microseconds between two snapshots at least. */
-    private static final long MIN_PUBLISH_GAP = 20_000;
+    private static final long MIN_PUBLISH_GAP = 50_000;
 
     private static final Logger LOG = LoggerFactory.getLogger(FleetHost.class);
 
--- a/src/main/java/dockshed/fleet/ScopeSummaryStore.java
+++ b/src/main/java/dockshed/fleet/ScopeSummaryStore.java
@@ -152,6 +152,16 @@
         return null;
     }
 
+    /** Whether anything is known of another scope that is young enough. */
+    boolean isKnown(long now, Scope scope) {
+        for (Voice voice : voices.get(scope.number())) {
+            if (now - voice.summary().madeAt() <= MAX_AGE) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     /** What is known of another scope; null where nothing is that is young enough. */
     Estimate estimate(long now, Scope scope) {
         List<ScopeSummary> held = voices.get(scope.number()).stream()
@@ -188,10 +198,15 @@
         return out;
     }
 
-    /** The lower median. */
+    /** The lower median; each snapshot needs it some two hundred times, so without streams. */
     private static double median(Collection<ScopeSummary> of, ToDoubleFunction<ScopeSummary> figure) {
-        double[] sorted = of.stream().mapToDouble(figure).sorted().toArray();
-        return sorted[(sorted.length - 1) / 2];
+        double[] sorted = new double[of.size()];
+        int count = 0;
+        for (ScopeSummary summary : of) {
+            sorted[count++] = figure.applyAsDouble(summary);
+        }
+        Arrays.sort(sorted);
+        return sorted[(count - 1) / 2];
     }
 
     /** Summaries held, of all scopes. */
--- a/src/test/java/dockshed/fleet/FleetTwin.java
+++ b/src/test/java/dockshed/fleet/FleetTwin.java
@@ -1,5 +1,7 @@
 package dockshed.fleet;
 
+import dockshed.topology.Scope;
+import dockshed.topology.ZoneMap;
 import java.util.BitSet;
 
 /** A fleet on the simulated network and clock as the scale run drives it: the public face of {@link FleetSimulation}. */
@@ -10,10 +12,12 @@
     private static final long MILLI = FleetSimulation.MS;
 
     private final FleetSimulation simulation;
+    private final ZoneMap zones;
     private final long[] startedAt;
 
     public FleetTwin(int brokers, FleetSettings settings, long seed) {
         simulation = new FleetSimulation(brokers, settings, seed);
+        zones = settings.zoneMap(brokers);
         startedAt = new long[brokers];
     }
 
@@ -107,8 +111,9 @@
     public BitSet knownScopes(int broker) {
         FleetSimulation.Node node = simulation.nodes[broker];
         BitSet known = new BitSet();
-        for (ScopeSummaryStore.Estimate estimate : node.node.summaries().estimates(node.clock())) {
-            known.set(estimate.scope().number());
+        for (Scope scope : zones.scopes()) {
+            boolean own = scope.contains(broker);
+            known.set(scope.number(), !own && node.node.summaries().isKnown(node.clock(), scope));
         }
         return known;
     }
--- a/src/test/java/dockshed/scale/HollowHandle.java
+++ b/src/test/java/dockshed/scale/HollowHandle.java
@@ -37,7 +37,6 @@
                 "-XX:+UseSerialGC",
                 HEAP,
                 "-Xss512k",
-                "-XX:TieredStopAtLevel=1",
                 "-Djava.net.preferIPv4Stack=true",
                 "-Dorg.slf4j.simpleLogger.defaultLogLevel=error",
                 "-Dorg.slf4j.simpleLogger.logFile=System.err",
--- a/src/test/java/dockshed/scale/ScaleBench.java
+++ b/src/test/java/dockshed/scale/ScaleBench.java
@@ -21,6 +21,8 @@
     private static final Path JAR = Path.of("target", "dockshed.jar");
     private static final Path CSV = Path.of("docs", "capacity", "scale.csv");
     private static final long TWIN_SEED = 11;
+    /** Simulations beside one another. */
+    private static final int SIMULATIONS = 4;
 
     private final ScaleOptions options;
     private final List<SceneResult> rows = new ArrayList<>();
@@ -34,18 +36,43 @@
         System.out.println(result);
     }
 
+    /** The socket run first, undisturbed; the simulation's groups of scenes then, beside one another. */
     private ScaleLine play(Mechanism mechanism) throws IOException {
-        ExecutorService simulation = Executors.newSingleThreadExecutor(ScaleBench::daemon);
-        CompletableFuture<List<SceneResult>> simulated = options.twin()
-                ? CompletableFuture.supplyAsync(() -> simulate(mechanism), simulation)
-                : CompletableFuture.completedFuture(List.of());
-        ScaleRun run = onSockets(mechanism);
-        TwinComparison comparison = TwinComparison.of(run.results(), simulated.join());
-        simulation.shutdown();
+        ScaleRun run = options.sockets()
+                ? onSockets(mechanism)
+                : new ScaleRun(mechanism, options.brokers(), 0, 0, 0, List.of());
+        TwinComparison comparison = TwinComparison.of(run.results(), options.twin() ? simulate(mechanism) : List.of());
         System.out.println(comparison);
         return ScaleLine.of(run, comparison.rSquared());
     }
 
+    private List<SceneResult> simulate(Mechanism mechanism) {
+        ExecutorService threads = Executors.newFixedThreadPool(SIMULATIONS, ScaleBench::daemon);
+        List<CompletableFuture<List<SceneResult>>> groups = groups().stream()
+                .map(group -> CompletableFuture.supplyAsync(() -> simulate(mechanism, group), threads))
+                .toList();
+        List<SceneResult> results =
+                groups.stream().flatMap(group -> group.join().stream()).toList();
+        threads.shutdown();
+        return results;
+    }
+
+    /** Each simulation starts a fleet of its own; what it plays before a scene differs from the socket run's. */
+    private List<List<SceneName>> groups() {
+        List<List<SceneName>> groups = new ArrayList<>();
+        for (int i = 0; i < SIMULATIONS; i++) {
+            groups.add(new ArrayList<>());
+        }
+        List<SceneName> scenes = options.only().stream()
+                .filter(scene -> scene != SceneName.START)
+                .toList();
+        for (int i = 0; i < scenes.size(); i++) {
+            groups.get(i % SIMULATIONS).add(scenes.get(i));
+        }
+        groups.removeIf(List::isEmpty);
+        return groups;
+    }
+
     private static Thread daemon(Runnable what) {
         Thread thread = new Thread(what, "simulation");
         thread.setDaemon(true);
@@ -78,14 +105,15 @@
         }
     }
 
-    private List<SceneResult> simulate(Mechanism mechanism) {
+    private List<SceneResult> simulate(Mechanism mechanism, List<SceneName> scenes) {
         List<SceneResult> results = new ArrayList<>();
         try (SimulatedFleet fleet = new SimulatedFleet(new FleetLayout(options.brokers()), mechanism, TWIN_SEED)) {
             SceneScript script = new SceneScript(fleet, mechanism, SceneResult.SIMULATED, options.times(), result -> {
                 results.add(result);
                 result(result);
             });
-            options.only().forEach(script::play);
+            script.play(SceneName.START);
+            scenes.forEach(script::play);
         }
         return results;
     }
--- a/src/test/java/dockshed/scale/ScaleOptions.java
+++ b/src/test/java/dockshed/scale/ScaleOptions.java
@@ -12,7 +12,8 @@
  * @param brokers    real and hollow
  * @param real       processes of the built jar
  * @param perProcess hollow brokers of a process at most
- * @param twin       whether the simulated network plays the same
+ * @param sockets    whether processes play the script
+ * @param twin       whether the simulated network does
  * @param only       the scenes played; the start is always
  */
 record ScaleOptions(
@@ -21,6 +22,7 @@
         int brokers,
         int real,
         int perProcess,
+        boolean sockets,
         boolean twin,
         List<SceneName> only) {
     private static final int WANTED_BROKERS = 510;
@@ -30,11 +32,12 @@
             List.of(SceneName.START, SceneName.STEADY, SceneName.CHANGES, SceneName.ZONE);
 
     static final String USAGE = "scale.sh [--quick] [--mechanism full_mesh|zoned|both] [--brokers N] [--real N]"
-            + " [--per-process N] [--no-twin] [--scenes a,b,..]";
+            + " [--per-process N] [--no-twin|--twin-only] [--scenes a,b,..]";
 
     /** Throws IllegalArgumentException where the line says nothing that is known. */
     static ScaleOptions parse(String... arguments) {
         boolean quick = false;
+        boolean sockets = true;
         boolean twin = true;
         int brokers = WANTED_BROKERS;
         int real = REAL;
@@ -47,6 +50,7 @@
             switch (option) {
                 case "--quick" -> quick = true;
                 case "--no-twin" -> twin = false;
+                case "--twin-only" -> sockets = false;
                 case "--brokers" -> brokers = number(option, rest);
                 case "--real" -> real = number(option, rest);
                 case "--per-process" -> perProcess = number(option, rest);
@@ -56,7 +60,7 @@
             }
         }
         List<SceneName> scenes = only != null ? only : quick ? QUICK_SCENES : SceneScript.all();
-        return new ScaleOptions(quick, mechanisms, brokers, real, perProcess, twin, scenes);
+        return new ScaleOptions(quick, mechanisms, brokers, real, perProcess, sockets, twin, scenes);
     }
 
     private static String value(String option, List<String> rest) {
