--- a/src/test/java/dockshed/scale/ScaleLine.java
+++ b/src/test/java/dockshed/scale/ScaleLine.java
@@ -1,5 +1,6 @@
 package dockshed.scale;
 
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -64,10 +65,14 @@
                 .orElse("nan");
     }
 
+    /** Over all scenes; what no scene has measured is not zero. */
     private static String sum(List<SceneResult> scenes, Metric metric) {
-        return SceneResult.format(scenes.stream()
-                .mapToDouble(scene -> scene.figures().getOrDefault(metric, 0.0))
-                .sum());
+        double[] measured = scenes.stream()
+                .filter(scene -> scene.figures().containsKey(metric))
+                .mapToDouble(scene -> scene.figure(metric))
+                .toArray();
+        return SceneResult.format(
+                measured.length == 0 ? Double.NaN : Arrays.stream(measured).sum());
     }
 
     @Override
--- a/src/test/java/dockshed/scale/ScaleReportTest.java
+++ b/src/test/java/dockshed/scale/ScaleReportTest.java
@@ -114,6 +114,7 @@
         assertEquals("21.5", line.values().get("zone_gone_s"));
         assertEquals("nan", line.values().get("heal_s"));
         assertEquals("0", line.values().get("false_dead"));
+        assertEquals("nan", line.values().get("disagree"), "what was not measured is not zero");
         assertEquals("0.9876", line.values().get("r2"));
         assertThrows(IllegalArgumentException.class, () -> ScaleLine.parse("scale brokers"));
         assertThrows(IllegalArgumentException.class, () -> ScaleLine.parse("something else"));
