Keep the scale run's configurations and logs under target

Cause: a run that was interrupted left its temporary directory behind.

Change: they are written to target/scale, in place of the last run's.

--- a/src/test/java/dockshed/scale/ScaleBench.java
+++ b/src/test/java/dockshed/scale/ScaleBench.java
@@ -5,13 +5,11 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.stream.Stream;
 
 /**
  * The scale run: plays the script on processes and sockets, and on the simulated network beside it, for each mechanism;
@@ -20,6 +18,9 @@
 public final class ScaleBench {
     private static final Path JAR = Path.of("target", "dockshed.jar");
     private static final Path CSV = Path.of("docs", "capacity", "scale.csv");
+    /** Configurations and logs of the processes of the last run. */
+    private static final Path LOGS = Path.of("target", "scale");
+
     private static final long TWIN_SEED = 11;
     /** Simulations beside one another. */
     private static final int SIMULATIONS = 4;
@@ -81,7 +82,7 @@
 
     private ScaleRun onSockets(Mechanism mechanism) throws IOException {
         FleetLayout layout = new FleetLayout(options.brokers());
-        Path directory = Files.createTempDirectory("dockshed-scale");
+        Path directory = Files.createDirectories(LOGS);
         List<SceneResult> results = new ArrayList<>();
         try (ProcessFleet fleet = new ProcessFleet(
                 layout, mechanism, options.real(), options.perProcess(), JAR.toAbsolutePath(), directory)) {
@@ -100,8 +101,6 @@
             }
             return new ScaleRun(
                     mechanism, layout.brokers(), fleet.realCount(), fleet.hollowCount(), fleet.processes(), results);
-        } finally {
-            delete(directory);
         }
     }
 
@@ -118,14 +117,6 @@
         return results;
     }
 
-    private static void delete(Path directory) throws IOException {
-        try (Stream<Path> files = Files.walk(directory)) {
-            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.delete(file);
-            }
-        }
-    }
-
     private void write(String command) throws IOException {
         List<String> columns = List.of(SceneResult.csvHeader().split(","));
         List<List<String>> cells =
