Read the capacity page in a test: each figure computed again from its files

Need: a page of figures goes stale unnoticed. Change: docs/CAPACITY.md holds targets, constants of the program (with the text in the source that says so), guesses with reasons, measured rows (file, measure, command) and rows worked out by a formula over ids (EvalEx, test scope).

--- /dev/null
+++ b/src/test/java/dockshed/capacity/CapacityCells.java
@@ -0,0 +1,103 @@
+package dockshed.capacity;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.OptionalDouble;
+
+/** The computed cells of a row, by column, as the page has to write them. */
+final class CapacityCells {
+    static final String WORKED_OUT = "worked out";
+    static final String ON_A_GUESS = "on a guess";
+
+    /**
+     * One computed cell.
+     *
+     * @param text as the page writer writes it
+     * @param number what the text stands for; empty where it must stand word for word
+     */
+    record Cell(String text, OptionalDouble number) {
+        /** Whether the page's text says the same. */
+        boolean agrees(String written) {
+            return number.isPresent() ? Figure.agrees(written, number.getAsDouble()) : written.equals(text);
+        }
+    }
+
+    private final CapacityModel model;
+
+    CapacityCells(CapacityModel model) {
+        this.model = model;
+    }
+
+    /** The cells of a row that are computed; none for targets, constants and guesses. */
+    Map<String, Cell> of(CapacityRow row) {
+        Map<String, Cell> cells = new LinkedHashMap<>();
+        if (row instanceof CapacityRow.Measured) {
+            addMeasured(cells, model.resolve(row));
+        } else if (row instanceof CapacityRow.Derived derived) {
+            addDerived(cells, derived);
+        } else if (row instanceof CapacityRow.Ranked ranked) {
+            addRanked(cells, ranked);
+        }
+        return cells;
+    }
+
+    private static void addMeasured(Map<String, Cell> cells, Resolved resolved) {
+        cells.put(CapacityRows.VALUE, value(resolved));
+        cells.put(CapacityRows.MARGIN, brief(resolved.margin()));
+        cells.put(CapacityRows.R_SQUARED, figure(resolved.rSquared(), CapacityRows.EMPTY));
+    }
+
+    private void addDerived(Map<String, Cell> cells, CapacityRow.Derived row) {
+        Resolved resolved = model.resolve(row);
+        cells.put(CapacityRows.VALUE, value(resolved));
+        cells.put(CapacityRows.MARGIN, brief(resolved.margin()));
+        cells.put(CapacityRows.REMAINS, remains(row, resolved));
+        cells.put(CapacityRows.BASIS, basis(resolved));
+    }
+
+    private void addRanked(Map<String, Cell> cells, CapacityRow.Ranked row) {
+        Resolved resolved = model.resolve(row);
+        if (row.hasMechanism()) {
+            cells.put(CapacityRows.VALUE, value(resolved));
+            cells.put(CapacityRows.BASIS, basis(resolved));
+        } else {
+            cells.put(CapacityRows.VALUE, words("no mechanism"));
+            cells.put(CapacityRows.BASIS, words(CapacityRows.EMPTY));
+        }
+    }
+
+    /** The budget divided by the value: above 1 there is room, below 1 it is missed. */
+    private Cell remains(CapacityRow.Derived row, Resolved resolved) {
+        if (row.budget().isEmpty()) {
+            return words(CapacityRows.EMPTY);
+        }
+        Resolved budget = model.evaluate(row, row.budget().orElseThrow());
+        if (!budget.isMeasured() || !resolved.isMeasured()) {
+            return words(Figure.NOT_MEASURED);
+        }
+        return brief(OptionalDouble.of(
+                budget.value().getAsDouble() / resolved.value().getAsDouble()));
+    }
+
+    private static Cell basis(Resolved resolved) {
+        return words(resolved.onGuess() ? ON_A_GUESS : WORKED_OUT);
+    }
+
+    private static Cell value(Resolved resolved) {
+        return figure(resolved.value(), Figure.NOT_MEASURED);
+    }
+
+    private static Cell figure(OptionalDouble number, String otherwise) {
+        return number.isPresent() ? new Cell(Figure.format(number.getAsDouble()), number) : words(otherwise);
+    }
+
+    private static Cell brief(OptionalDouble number) {
+        return number.isPresent()
+                ? new Cell(Figure.formatBriefly(number.getAsDouble()), number)
+                : words(CapacityRows.EMPTY);
+    }
+
+    private static Cell words(String text) {
+        return new Cell(text, OptionalDouble.empty());
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/CapacityModel.java
@@ -0,0 +1,167 @@
+package dockshed.capacity;
+
+import com.ezylang.evalex.EvaluationException;
+import com.ezylang.evalex.Expression;
+import com.ezylang.evalex.parser.ParseException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+
+/** Computes the rows of the page from its targets and the files of measurements. */
+final class CapacityModel {
+    private final Map<String, CapacityRow> rows;
+    private final Path measurements;
+    private final Map<String, Resolved> known = new HashMap<>();
+    private final Deque<String> underWay = new ArrayDeque<>();
+
+    /**
+     * @param page the page whose rows are computed
+     * @param measurements the folder of the files of measurements
+     */
+    CapacityModel(CapacityPage page, Path measurements) {
+        this.rows = page.rows();
+        this.measurements = measurements;
+    }
+
+    /** The row's value. */
+    Resolved resolve(CapacityRow row) {
+        Resolved found = known.get(row.id());
+        if (found == null) {
+            found = compute(row);
+            known.put(row.id(), found);
+        }
+        return found;
+    }
+
+    /** The value of an expression over ids, as a row writes it. */
+    Resolved evaluate(CapacityRow row, String formula) {
+        Map<String, Resolved> terms = termsOf(row, formula);
+        boolean onGuess = terms.values().stream().anyMatch(Resolved::onGuess);
+        if (!terms.values().stream().allMatch(Resolved::isMeasured)) {
+            return Resolved.notMeasured(onGuess);
+        }
+        Map<String, Double> values = new LinkedHashMap<>();
+        terms.forEach((id, term) -> values.put(id, term.value().orElseThrow()));
+        double value = number(row, formula, values);
+        OptionalDouble margin = margin(row, formula, terms, values, value);
+        return new Resolved(OptionalDouble.of(value), margin, OptionalDouble.empty(), onGuess);
+    }
+
+    /** The file of measurements, whether it is there or not. */
+    Path fileOf(CapacityRow.Measured row) {
+        return measurements.resolve(row.file());
+    }
+
+    /** Reads a row's file of measurements. */
+    CapacityCsv read(CapacityRow.Measured row) {
+        try {
+            return CapacityCsv.read(fileOf(row));
+        } catch (IllegalArgumentException malformed) {
+            throw PageFaultException.of(row, malformed.getMessage());
+        } catch (IOException unreadable) {
+            throw new UncheckedIOException(unreadable);
+        }
+    }
+
+    private Resolved compute(CapacityRow row) {
+        if (underWay.contains(row.id())) {
+            throw PageFaultException.of(row, "the formula needs its own result, through " + underWay);
+        }
+        underWay.push(row.id());
+        try {
+            if (row instanceof CapacityRow.Target target) {
+                return Resolved.exact(Figure.exact(row, target.value()), false);
+            }
+            if (row instanceof CapacityRow.Constant constant) {
+                return Resolved.exact(Figure.exact(row, constant.value()), false);
+            }
+            if (row instanceof CapacityRow.Guess guess) {
+                return Resolved.exact(Figure.exact(row, guess.value()), true);
+            }
+            if (row instanceof CapacityRow.Measured measured) {
+                return measure(measured);
+            }
+            if (row instanceof CapacityRow.Derived derived) {
+                return evaluate(row, derived.formula());
+            }
+            return rank((CapacityRow.Ranked) row);
+        } finally {
+            underWay.pop();
+        }
+    }
+
+    private Resolved rank(CapacityRow.Ranked row) {
+        return row.hasMechanism() ? evaluate(row, row.formula()) : Resolved.notMeasured(false);
+    }
+
+    private Resolved measure(CapacityRow.Measured row) {
+        if (!Files.exists(fileOf(row))) {
+            return Resolved.notMeasured(false);
+        }
+        try {
+            return Resolved.measured(row.measure().of(read(row)));
+        } catch (IllegalArgumentException misfit) {
+            throw PageFaultException.of(row, misfit.getMessage());
+        }
+    }
+
+    private Map<String, Resolved> termsOf(CapacityRow row, String formula) {
+        Map<String, Resolved> terms = new LinkedHashMap<>();
+        for (String name : namesIn(row, formula)) {
+            String id = name.toLowerCase(Locale.ROOT);
+            CapacityRow term = rows.get(id);
+            if (term == null) {
+                throw PageFaultException.of(row, "the formula names `" + id + "`, and no row has that id");
+            }
+            terms.put(id, resolve(term));
+        }
+        return terms;
+    }
+
+    private static Set<String> namesIn(CapacityRow row, String formula) {
+        try {
+            return new Expression(formula).getUsedVariables();
+        } catch (ParseException malformed) {
+            throw PageFaultException.of(row, "no formula: " + malformed.getMessage());
+        }
+    }
+
+    private static double number(CapacityRow row, String formula, Map<String, Double> values) {
+        try {
+            return new Expression(formula)
+                    .withValues(values)
+                    .evaluate()
+                    .getNumberValue()
+                    .doubleValue();
+        } catch (ParseException | EvaluationException malformed) {
+            throw PageFaultException.of(row, "no formula: " + malformed.getMessage());
+        }
+    }
+
+    /** Margins of the terms carried through the formula to first order, as if they were independent. */
+    private static OptionalDouble margin(
+            CapacityRow row, String formula, Map<String, Resolved> terms, Map<String, Double> values, double value) {
+        double squares = 0;
+        boolean any = false;
+        for (Map.Entry<String, Resolved> term : terms.entrySet()) {
+            OptionalDouble margin = term.getValue().margin();
+            if (margin.isPresent()) {
+                Map<String, Double> moved = new HashMap<>(values);
+                moved.merge(term.getKey(), margin.getAsDouble(), Double::sum);
+                double change = number(row, formula, moved) - value;
+                squares += change * change;
+                any = true;
+            }
+        }
+        return any ? OptionalDouble.of(Math.sqrt(squares)) : OptionalDouble.empty();
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/CapacityPageWriter.java
@@ -0,0 +1,87 @@
+package dockshed.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.regex.MatchResult;
+import java.util.regex.Matcher;
+
+/** Prints every computed row of the page; with {@code --write} puts the computed cells and figures into it. */
+public final class CapacityPageWriter {
+    static final Path PAGE = Path.of("docs/CAPACITY.md");
+    static final Path MEASUREMENTS = Path.of("docs/capacity");
+    private static final String WRITE = "--write";
+
+    private CapacityPageWriter() {}
+
+    /** Runs from the project's folder; the one option is {@code --write}. */
+    public static void main(String[] arguments) throws IOException {
+        String text = Files.readString(PAGE);
+        CapacityPage page = CapacityPage.parse(text);
+        CapacityModel model = new CapacityModel(page, MEASUREMENTS);
+        print(page, model);
+        if (List.of(arguments).contains(WRITE)) {
+            Files.writeString(PAGE, rewritten(page, model));
+        }
+        CapacityPageCheck.faultsOf(Files.readString(PAGE), Path.of("."), MEASUREMENTS)
+                .forEach(System.out::println);
+    }
+
+    private static void print(CapacityPage page, CapacityModel model) {
+        CapacityCells cells = new CapacityCells(model);
+        for (CapacityRow row : page.rows().values()) {
+            Map<String, CapacityCells.Cell> computed = cells.of(row);
+            if (!computed.isEmpty()) {
+                StringBuilder line = new StringBuilder(row.id());
+                computed.forEach((column, cell) ->
+                        line.append("  ").append(column).append('=').append(cell.text()));
+                System.out.println(line);
+            }
+        }
+    }
+
+    /** The page's text with all that is computed written anew. */
+    static String rewritten(CapacityPage page, CapacityModel model) {
+        String[] lines = ProseFigure.FORM
+                .matcher(page.prose())
+                .replaceAll(found -> Matcher.quoteReplacement(figure(page, model, found)))
+                .split("\n", -1);
+        for (int i = 0; i < lines.length; i++) {
+            if (page.proseLines().get(i).isEmpty()) {
+                lines[i] = page.lines().get(i);
+            }
+        }
+        for (PageTable table : page.tables()) {
+            for (PageRow row : table.rows()) {
+                lines[row.line() - 1] = line(table, row, page, model);
+            }
+        }
+        return CapacityPage.join(lines);
+    }
+
+    private static String figure(CapacityPage page, CapacityModel model, MatchResult found) {
+        CapacityRow row = page.rows().get(found.group(3));
+        if (row == null) {
+            return found.group();
+        }
+        OptionalDouble value = model.resolve(row).value();
+        String text = value.isPresent() ? Figure.format(value.getAsDouble()) : Figure.NOT_MEASURED;
+        boolean stands = value.isPresent() && Figure.agrees(found.group(1), value.getAsDouble());
+        return (stands ? found.group(1) : text) + found.group(2) + found.group(3) + found.group(4);
+    }
+
+    private static String line(PageTable table, PageRow row, CapacityPage page, CapacityModel model) {
+        Map<String, CapacityCells.Cell> computed =
+                new CapacityCells(model).of(page.rows().get(row.code(CapacityRows.ID)));
+        List<String> cells = new ArrayList<>();
+        for (String column : table.columns()) {
+            CapacityCells.Cell cell = computed.get(column);
+            cells.add(cell == null || cell.agrees(row.text(column)) ? row.text(column) : cell.text());
+        }
+        return "| " + String.join(" | ", cells) + " |";
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/Figure.java
@@ -0,0 +1,76 @@
+package dockshed.capacity;
+
+import java.math.BigDecimal;
+import java.math.MathContext;
+import java.math.RoundingMode;
+import java.text.DecimalFormat;
+import java.text.DecimalFormatSymbols;
+import java.util.Locale;
+import java.util.OptionalDouble;
+import java.util.regex.Pattern;
+
+/** Figures as the page writes them: two or three significant digits, commas between thousands. */
+final class Figure {
+    /** What the page writes where the file of measurements is not there. */
+    static final String NOT_MEASURED = "not measured";
+    /** A figure of the page. */
+    static final String FORM = "-?\\d[\\d,]*(?:\\.\\d+)?";
+
+    private static final Pattern PATTERN = Pattern.compile(FORM);
+    private static final int FEWEST_DIGITS = 2;
+    private static final int MOST_DIGITS = 3;
+    private static final double LEAST_GROUPED = 1000;
+
+    private Figure() {}
+
+    /** The figure to three significant digits. */
+    static String format(double value) {
+        return format(value, MOST_DIGITS);
+    }
+
+    /** The figure to two significant digits, as margins and factors are written. */
+    static String formatBriefly(double value) {
+        return format(value, FEWEST_DIGITS);
+    }
+
+    /** The exact number that a cell of a target, a constant or a guess holds. */
+    static double exact(CapacityRow row, String text) {
+        return parse(text).orElseThrow(() -> PageFaultException.of(row, "\"" + text + "\" is no number"));
+    }
+
+    /** Whether the text is the value, rounded to two or three significant digits or not at all. */
+    static boolean agrees(String text, double value) {
+        OptionalDouble written = parse(text);
+        return written.isPresent()
+                && (same(written.getAsDouble(), value)
+                        || same(
+                                written.getAsDouble(),
+                                rounded(value, FEWEST_DIGITS).doubleValue())
+                        || same(
+                                written.getAsDouble(),
+                                rounded(value, MOST_DIGITS).doubleValue()));
+    }
+
+    private static OptionalDouble parse(String text) {
+        if (!PATTERN.matcher(text).matches()) {
+            return OptionalDouble.empty();
+        }
+        return OptionalDouble.of(Double.parseDouble(text.replace(",", "")));
+    }
+
+    private static String format(double value, int digits) {
+        BigDecimal rounded = rounded(value, digits);
+        if (rounded.abs().doubleValue() >= LEAST_GROUPED) {
+            return new DecimalFormat("#,##0", DecimalFormatSymbols.getInstance(Locale.ROOT)).format(rounded);
+        }
+        return rounded.toPlainString();
+    }
+
+    private static BigDecimal rounded(double value, int digits) {
+        return new BigDecimal(Double.toString(value)).round(new MathContext(digits, RoundingMode.HALF_UP));
+    }
+
+    private static boolean same(double one, double other) {
+        return Math.abs(one - other) <= Math.ulp(Math.max(Math.abs(one), Math.abs(other)));
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/PageFaultException.java
@@ -0,0 +1,20 @@
+package dockshed.capacity;
+
+/** Something on the capacity page that cannot be read or computed; the message names the row. */
+class PageFaultException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    PageFaultException(String message) {
+        super(message);
+    }
+
+    /** A fault of one row. */
+    static PageFaultException of(CapacityRow row, String message) {
+        return new PageFaultException(describe(row, message));
+    }
+
+    /** The text of a fault of one row: its line, its id, what is wrong. */
+    static String describe(CapacityRow row, String message) {
+        return "line " + row.line() + ", row `" + row.id() + "`: " + message;
+    }
+}
--- /dev/null
+++ b/src/test/java/dockshed/capacity/ProseFigure.java
@@ -0,0 +1,60 @@
+package dockshed.capacity;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.MatchResult;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * A figure in the page's prose, followed by the id of its row: {@code 41,200 connections (`broker_connections`)}.
+ *
+ * @param line its line on the page, from 1
+ * @param text the figure as written
+ * @param id the row that it is taken from
+ */
+record ProseFigure(int line, String text, String id) {
+    /** The figure, what stands between, and the id. */
+    static final Pattern FORM = Pattern.compile(
+            "(" + Figure.NOT_MEASURED + "|" + Figure.FORM + ")([^`\\d(|;.:]{0,60}?\\(`)([a-z][a-z0-9_]*)(`\\))");
+
+    private static final Pattern CODE = Pattern.compile("`[^`]*`");
+    private static final Pattern LINK_TARGET = Pattern.compile("\\]\\([^)]*\\)");
+    /** Numbers that a reader would take for figures: of two digits or more, or with decimals. */
+    private static final Pattern BARE = Pattern.compile("(?<![\\p{L}\\d.,])\\d(?:[\\d,]*\\d|\\.\\d+)");
+
+    /** The figures with ids, in the order of the text. */
+    static List<ProseFigure> in(String prose) {
+        List<ProseFigure> figures = new ArrayList<>();
+        Matcher found = FORM.matcher(prose);
+        while (found.find()) {
+            figures.add(new ProseFigure(lineOf(prose, found.start()), found.group(1), found.group(3)));
+        }
+        return figures;
+    }
+
+    /** Faults for figures that no id follows. */
+    static List<String> bareIn(String prose) {
+        String left = blank(LINK_TARGET, blank(CODE, blank(FORM, prose)));
+        List<String> faults = new ArrayList<>();
+        Matcher found = BARE.matcher(left);
+        while (found.find()) {
+            faults.add("line " + lineOf(left, found.start()) + ": the figure " + found.group()
+                    + " is followed by no id of a row");
+        }
+        return faults;
+    }
+
+    private static String blank(Pattern pattern, String text) {
+        return pattern.matcher(text).replaceAll(ProseFigure::spaces);
+    }
+
+    private static String spaces(MatchResult found) {
+        return found.group().replaceAll("[^\n]", " ");
+    }
+
+    private static int lineOf(String text, int offset) {
+        return 1
+                + (int) text.substring(0, offset).chars().filter(c -> c == '\n').count();
+    }
+}
