--- a/src/test/java/dockshed/capacity/CapacityCells.java
+++ b/src/test/java/dockshed/capacity/CapacityCells.java
@@ -52,14 +52,18 @@
         cells.put(CapacityRows.VALUE, value(resolved));
         cells.put(CapacityRows.MARGIN, brief(resolved.margin()));
         cells.put(CapacityRows.REMAINS, remains(row, resolved));
-        cells.put(CapacityRows.BASIS, basis(resolved));
+        cells.put(CapacityRows.BASIS, basis(resolved.onGuess() || budgetIsOnGuess(row)));
+    }
+
+    private boolean budgetIsOnGuess(CapacityRow.Derived row) {
+        return row.budget().map(budget -> model.evaluate(row, budget).onGuess()).orElse(false);
     }
 
     private void addRanked(Map<String, Cell> cells, CapacityRow.Ranked row) {
         Resolved resolved = model.resolve(row);
         if (row.hasMechanism()) {
             cells.put(CapacityRows.VALUE, value(resolved));
-            cells.put(CapacityRows.BASIS, basis(resolved));
+            cells.put(CapacityRows.BASIS, basis(resolved.onGuess()));
         } else {
             cells.put(CapacityRows.VALUE, words("no mechanism"));
             cells.put(CapacityRows.BASIS, words(CapacityRows.EMPTY));
@@ -79,8 +83,8 @@
                 budget.value().getAsDouble() / resolved.value().getAsDouble()));
     }
 
-    private static Cell basis(Resolved resolved) {
-        return words(resolved.onGuess() ? ON_A_GUESS : WORKED_OUT);
+    private static Cell basis(boolean onGuess) {
+        return words(onGuess ? ON_A_GUESS : WORKED_OUT);
     }
 
     private static Cell value(Resolved resolved) {
--- a/src/test/java/dockshed/capacity/CapacityPageTest.java
+++ b/src/test/java/dockshed/capacity/CapacityPageTest.java
@@ -205,6 +205,14 @@
         assertFault("row `heap_miss`: misses by 0.772, more than the row before", "| 2 | heap_miss |", small);
     }
 
+    @Test
+    void aBudgetThatIsAGuessMakesTheRowRestOnOne() {
+        assertFault(
+                "row `each`: basis: the page says \"worked out\", computed is \"on a guess\"",
+                "| connections | - | - | worked out |",
+                "| connections | rack | 0.00049 | worked out |");
+    }
+
     @Test
     void aFigureInTheProseIsHeldAgainstItsRow() {
         assertFault("the text says \"41,300\" for `each`, computed is \"41,200\"", "holds 41,200", "holds 41,300");
