--- a/src/main/java/dockshed/config/ConfFile.java
+++ b/src/main/java/dockshed/config/ConfFile.java
@@ -1,6 +1,7 @@
 package dockshed.config;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -34,11 +35,15 @@
     /** A directive with what follows it, or a section. */
     private record Entry(int line, List<String> values, Section section) {}
 
+    /** One line of a directive that may stand several times. */
+    record Line(int number, List<String> values) {}
+
     /** The directives between two braces, or of the whole file; each is asked for by name, and what is left is a fault. */
     final class Section {
         private final String name;
         private final int line;
         private final Map<String, Entry> entries = new LinkedHashMap<>();
+        private final Map<String, List<Entry>> repeats = new LinkedHashMap<>(); // further lines of a directive
         private final List<String> asked = new ArrayList<>();
         /** Keys that stand in the file under a name of an earlier version; their fault is recorded. */
         private final Set<String> outdated = new HashSet<>();
@@ -52,9 +57,44 @@
             return entries.containsKey(key);
         }
 
+        /** All lines of a directive that may stand several times, in their order. */
+        List<Line> lines(String key, String expected) {
+            asked.add(key);
+            List<Entry> all = new ArrayList<>();
+            if (entries.containsKey(key)) {
+                all.add(entries.get(key));
+                all.addAll(repeats.getOrDefault(key, List.of()));
+            }
+            List<Line> out = new ArrayList<>();
+            for (Entry e : all) {
+                if (e.section() != null) {
+                    fault(e.line(), key, expected, "a section");
+                } else {
+                    out.add(new Line(e.line(), e.values()));
+                }
+            }
+            return out;
+        }
+
+        /** A fault of one of a directive's lines. */
+        void faultAt(Line of, String key, String expected, String got) {
+            fault(of.number(), key, expected, got);
+        }
+
+        private void once(String key) {
+            for (Entry again : repeats.getOrDefault(key, List.of())) {
+                fault(
+                        again.line(),
+                        key,
+                        "it once, and it stands in line " + entries.get(key).line(),
+                        "it again");
+            }
+        }
+
         /** The section of that name, or an empty one. */
         Section section(String key) {
             asked.add(key);
+            once(key);
             Entry e = entries.get(key);
             if (e != null && e.section() == null) {
                 fault(e.line(), key, "a section: '" + key + " {'", String.join(" ", e.values()));
@@ -64,6 +104,7 @@
 
         private String value(String key, String expected) {
             asked.add(key);
+            once(key);
             Entry e = entries.get(key);
             if (e == null) {
                 return null;
@@ -144,6 +185,70 @@
             return (int) read;
         }
 
+        /** A whole number that may be larger than an {@code int}. */
+        long number(String key, long absent, long least, long most) {
+            String expected = "a whole number from " + least + " to " + most;
+            String text = value(key, expected);
+            if (text == null) {
+                return absent;
+            }
+            long read = text.matches("[0-9]{1,18}") ? Long.parseLong(text) : -1;
+            if (read < least || read > most) {
+                fault(entries.get(key).line(), key, expected, text);
+                return absent;
+            }
+            return read;
+        }
+
+        /** Several whole numbers on one line; empty where the directive does not stand. */
+        List<Integer> counts(String key, int least, int most, String expected) {
+            asked.add(key);
+            Entry e = entries.get(key);
+            List<Integer> out = new ArrayList<>();
+            if (e == null) {
+                return out;
+            }
+            for (String text : e.values()) {
+                int read = text.matches("[0-9]{1,9}") ? Integer.parseInt(text) : -1;
+                if (read < least || read > most) {
+                    fault(e.line(), key, expected, text);
+                    return List.of();
+                }
+                out.add(read);
+            }
+            return out;
+        }
+
+        /** One value as it stands; null where the directive does not. */
+        String text(String key, String expected) {
+            return value(key, expected);
+        }
+
+        /** An address and port in figures; null where the directive does not stand. */
+        InetSocketAddress address(String key) {
+            String expected = "an address and a port: '127.0.0.1:53'";
+            String text = value(key, expected);
+            if (text == null) {
+                return null;
+            }
+            try {
+                return Config.address(text, key);
+            } catch (Fields.Malformed e) {
+                fault(entries.get(key).line(), key, expected, text);
+                return null;
+            }
+        }
+
+        /** Whether a directive stands before all others. */
+        boolean first(String key) {
+            return !entries.isEmpty() && entries.keySet().iterator().next().equals(key);
+        }
+
+        /** The line of a directive, or of the section where it does not stand. */
+        int line(String key) {
+            return has(key) ? entries.get(key).line() : line;
+        }
+
         boolean flag(String key, boolean absent) {
             String text = value(key, "yes or no");
             if (text != null && !text.equals("yes") && !text.equals("no")) {
@@ -187,6 +292,7 @@
         void end() {
             entries.forEach((key, e) -> {
                 if (!asked.contains(key) && !outdated.contains(key)) {
+                    once(key);
                     fault(
                             e.line(),
                             key,
@@ -279,9 +385,9 @@
                         words.size() != 2 ? "a name and a brace" : "at most " + MOST_DEPTH + " sections in sections",
                         lines[i].strip());
             }
-            Entry was = in.entries.putIfAbsent(key, new Entry(line, words.subList(1, words.size()), inner));
-            if (was != null) {
-                fault(line, key, "it once, and it stands in line " + was.line(), "it again");
+            Entry read = new Entry(line, words.subList(1, words.size()), inner);
+            if (in.entries.putIfAbsent(key, read) != null) {
+                in.repeats.computeIfAbsent(key, k -> new ArrayList<>()).add(read);
             }
             if (section) {
                 open.add(inner);
