--- a/src/test/java/dockshed/capacity/CapacityModel.java
+++ b/src/test/java/dockshed/capacity/CapacityModel.java
@@ -42,7 +42,7 @@
         return found;
     }
 
-    /** The value of an expression over ids, as a row writes it. */
+    /** The value of an expression over ids, as a row writes it; what needs a delay that was not reached is not reached. */
     Resolved evaluate(CapacityRow row, String formula) {
         Map<String, Resolved> terms = termsOf(row, formula);
         boolean onGuess = terms.values().stream().anyMatch(Resolved::onGuess);
@@ -51,6 +51,9 @@
         }
         Map<String, Double> values = new LinkedHashMap<>();
         terms.forEach((id, term) -> values.put(id, term.value().orElseThrow()));
+        if (values.values().stream().anyMatch(value -> value.isInfinite())) {
+            return Resolved.exact(Double.POSITIVE_INFINITY, onGuess);
+        }
         double value = number(row, formula, values);
         OptionalDouble margin = margin(row, formula, terms, values, value);
         return new Resolved(OptionalDouble.of(value), margin, OptionalDouble.empty(), onGuess);
--- a/src/test/java/dockshed/capacity/CapacityPageTest.java
+++ b/src/test/java/dockshed/capacity/CapacityPageTest.java
@@ -181,6 +181,17 @@
                 .contains("row `pace`: value: the page says \"not measured\", computed is \"90.0\""));
     }
 
+    @Test
+    void aDelayThatWasNotReachedIsSaidSo() throws IOException {
+        Files.write(folder.resolve("pace.csv"), List.of("# sh bench/pace.sh", "pace", "90", "none"));
+        CapacityPage page = CapacityPage.parse(SMALL_PAGE);
+        String rewritten = CapacityPageWriter.rewritten(page, new CapacityModel(page, folder));
+        assertTrue(rewritten.contains("its pace is not reached (`pace`)"), rewritten);
+        assertEquals("line 33, row `pace_miss`: misses by not reached, more than the row before", faultsOf(rewritten));
+        String faults = faultsOf(SMALL_PAGE);
+        assertTrue(faults.contains("row `pace`: value: the page says \"not measured\", computed is \"not reached\""));
+    }
+
     @Test
     void aFormulaThatNeedsItselfIsAFault() {
         assertFault("needs its own result", "connections / brokers", "all_heap / brokers");
--- a/src/test/java/dockshed/capacity/Figure.java
+++ b/src/test/java/dockshed/capacity/Figure.java
@@ -13,6 +13,8 @@
 final class Figure {
     /** What the page writes where the file of measurements is not there. */
     static final String NOT_MEASURED = "not measured";
+    /** What the page writes of a delay that was not reached while it was waited for. */
+    static final String NOT_REACHED = "not reached";
     /** A figure of the page. */
     static final String FORM = "-?\\d[\\d,]*(?:\\.\\d+)?";
 
@@ -40,6 +42,9 @@
 
     /** Whether the text is the value, rounded to two or three significant digits or not at all. */
     static boolean agrees(String text, double value) {
+        if (Double.isInfinite(value)) {
+            return text.equals(NOT_REACHED);
+        }
         OptionalDouble written = parse(text);
         return written.isPresent()
                 && (same(written.getAsDouble(), value)
@@ -59,6 +64,9 @@
     }
 
     private static String format(double value, int digits) {
+        if (Double.isInfinite(value)) {
+            return NOT_REACHED;
+        }
         BigDecimal rounded = rounded(value, digits);
         if (rounded.abs().doubleValue() >= LEAST_GROUPED) {
             return new DecimalFormat("#,##0", DecimalFormatSymbols.getInstance(Locale.ROOT)).format(rounded);
--- a/src/test/java/dockshed/capacity/Measure.java
+++ b/src/test/java/dockshed/capacity/Measure.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.apache.commons.math3.distribution.TDistribution;
@@ -45,6 +46,8 @@
     private static final Pattern FORM = Pattern.compile(
             "(slope|intercept|mean|max|min|value) of (\\w+)(?: by (\\w+))?(?: where (\\w+=\\S+(?: and \\w+=\\S+)*))?");
     private static final double CONFIDENCE_UPPER_TAIL = 0.975;
+    /** Cells of a delay that was not reached while it was waited for. */
+    private static final Set<String> NOT_REACHED = Set.of("inf", "none");
 
     /**
      * Reads the page's words.
@@ -77,7 +80,7 @@
     }
 
     /**
-     * Computes the figure.
+     * Computes the figure; infinity where one of its cells says that a delay was not reached.
      *
      * @throws IllegalArgumentException if the file lacks a column, or no row fits the conditions
      */
@@ -86,6 +89,9 @@
         for (Map.Entry<String, String> condition : conditions.entrySet()) {
             kept = kept.where(condition.getKey(), condition.getValue());
         }
+        if (kept.column(column).stream().anyMatch(NOT_REACHED::contains)) {
+            return plain(Double.POSITIVE_INFINITY);
+        }
         double[] numbers = kept.numbers(column);
         if (numbers.length == 0) {
             throw new IllegalArgumentException(file.name() + ": no row with " + conditions);
--- a/src/test/java/dockshed/capacity/ProseFigure.java
+++ b/src/test/java/dockshed/capacity/ProseFigure.java
@@ -15,8 +15,8 @@
  */
 record ProseFigure(int line, String text, String id) {
     /** The figure, what stands between, and the id. */
-    static final Pattern FORM = Pattern.compile(
-            "(" + Figure.NOT_MEASURED + "|" + Figure.FORM + ")([^`\\d(|;.:]{0,60}?\\(`)([a-z][a-z0-9_]*)(`\\))");
+    static final Pattern FORM = Pattern.compile("(" + Figure.NOT_MEASURED + "|" + Figure.NOT_REACHED + "|" + Figure.FORM
+            + ")([^`\\d(|;.:]{0,60}?\\(`)([a-z][a-z0-9_]*)(`\\))");
 
     private static final Pattern CODE = Pattern.compile("`[^`]*`");
     private static final Pattern LINK_TARGET = Pattern.compile("\\]\\([^)]*\\)");
--- a/src/test/java/dockshed/scale/ScaleBench.java
+++ b/src/test/java/dockshed/scale/ScaleBench.java
@@ -102,7 +102,7 @@
         List<String> columns = List.of(SceneResult.csvHeader().split(","));
         List<List<String>> cells =
                 rows.stream().map(row -> List.of(row.csvRow().split(",", -1))).toList();
-        new CapacityCsv(CSV.toString(), command, columns, cells).write(CSV);
+        CapacityCsv.of(CSV.toString(), command, columns, cells).write(CSV);
     }
 
     public static void main(String[] args) throws IOException {
