--- a/src/test/java/dockshed/fleet/ControlMeasurementTest.java
+++ b/src/test/java/dockshed/fleet/ControlMeasurementTest.java
@@ -10,8 +10,10 @@
     private static final int BROKERS = 7;
 
     private static ControlFigures measure(double loss, double changesPerMinute, int entries, long seed) {
-        ControlScenario scenario =
-                new ControlScenario(ControlMechanism.FULL_MESH, BROKERS, loss, changesPerMinute, entries, seed);
+        return measure(new ControlScenario(ControlMechanism.FULL_MESH, BROKERS, loss, changesPerMinute, entries, seed));
+    }
+
+    private static ControlFigures measure(ControlScenario scenario) {
         ControlDurations durations = new ControlDurations(
                 6 * FleetSimulation.S, 35 * FleetSimulation.S, 2, 5 * FleetSimulation.S, 30 * FleetSimulation.S);
         return ControlMeasurement.of(scenario, durations);
@@ -33,6 +35,8 @@
                 figures.figureAgeMean(),
                 figures.figureAgeP99(),
                 figures.figuresMissing(),
+                figures.otherAgeMean(),
+                figures.otherAgeP99(),
                 figures.reportMedian(),
                 figures.reportMost(),
                 figures.reportsReached(),
@@ -70,4 +74,13 @@
         double without = measure(0, 0, 0, 7).entriesHeld();
         assertEquals(without + entries * BROKERS, measure(0, 0, entries, 7).entriesHeld(), 1e-9);
     }
+
+    @Test
+    void aZonedFleetKnowsItsZoneInFullAndTheOthersInSum() {
+        ControlScenario scenario = new ControlScenario(ControlMechanism.ZONED, 21, 0.01, 0, 0, 3);
+        ControlFigures figures = withoutMachine(measure(scenario));
+        assertEquals(figures, withoutMachine(measure(scenario)));
+        assertTrue(figures.otherAgeP99().isPresent());
+        assertEquals(0, figures.falseDeaths());
+    }
 }
--- a/src/test/java/dockshed/fleet/ControlMechanism.java
+++ b/src/test/java/dockshed/fleet/ControlMechanism.java
@@ -37,4 +37,32 @@
             return peers;
         }
     };
+
+    /** Gossip within zones, and summaries of the other zones between them. */
+    ControlMechanism ZONED = new ControlMechanism() {
+        private static final int ZONES = 7;
+
+        @Override
+        public String label() {
+            return "zoned";
+        }
+
+        @Override
+        public FleetSimulation fleet(int brokers, long seed) {
+            return new ZonedFleet(brokers, ZONES, seed).simulation;
+        }
+
+        @Override
+        public List<Integer> peersOf(int broker, int brokers) {
+            return FleetSettings.DEFAULTS
+                    .withZones(ZonedFleet.evenly(brokers, ZONES))
+                    .zoneMap(brokers)
+                    .scopes()
+                    .stream()
+                    .filter(scope -> scope.contains(broker))
+                    .flatMap(scope -> scope.brokers().boxed())
+                    .filter(peer -> peer != broker)
+                    .toList();
+        }
+    };
 }
