--- a/src/test/java/dockshed/capacity/CapacityModel.java
+++ b/src/test/java/dockshed/capacity/CapacityModel.java
@@ -42,6 +42,11 @@
         return found;
     }
 
+    /** What the ranking is sorted by: infinity where nothing serves the need, nothing where it is not measured. */
+    double missOf(CapacityRow.Ranked row) {
+        return row.hasMechanism() ? resolve(row).value().orElse(0) : Double.POSITIVE_INFINITY;
+    }
+
     /** The value of an expression over ids, as a row writes it; what needs a delay that was not reached is not reached. */
     Resolved evaluate(CapacityRow row, String formula) {
         Map<String, Resolved> terms = termsOf(row, formula);
--- a/src/test/java/dockshed/capacity/CapacityPageCheck.java
+++ b/src/test/java/dockshed/capacity/CapacityPageCheck.java
@@ -116,7 +116,7 @@
             if (row.rank() != rank) {
                 throw PageFaultException.of(row, "rank " + row.rank() + " stands at place " + rank);
             }
-            double miss = missOf(row);
+            double miss = model.missOf(row);
             if (miss > last) {
                 throw PageFaultException.of(row, "misses by " + Figure.format(miss) + ", more than the row before");
             }
@@ -124,14 +124,6 @@
         }
     }
 
-    private double missOf(CapacityRow.Ranked row) {
-        if (!row.hasMechanism()) {
-            return Double.POSITIVE_INFINITY;
-        }
-        OptionalDouble value = model.resolve(row).value();
-        return value.orElse(0);
-    }
-
     private void checkProse(ProseFigure figure) {
         CapacityRow row = page.rows().get(figure.id());
         if (row == null) {
--- a/src/test/java/dockshed/capacity/CapacityPageTest.java
+++ b/src/test/java/dockshed/capacity/CapacityPageTest.java
@@ -186,8 +186,9 @@
         Files.write(folder.resolve("pace.csv"), List.of("# sh bench/pace.sh", "pace", "90", "none"));
         CapacityPage page = CapacityPage.parse(SMALL_PAGE);
         String rewritten = CapacityPageWriter.rewritten(page, new CapacityModel(page, folder));
+        assertEquals("", faultsOf(rewritten));
         assertTrue(rewritten.contains("its pace is not reached (`pace`)"), rewritten);
-        assertEquals("line 33, row `pace_miss`: misses by not reached, more than the row before", faultsOf(rewritten));
+        assertTrue(rewritten.contains("| 2 | pace_miss | pace | `1 / pace` | not reached |"), rewritten);
         String faults = faultsOf(SMALL_PAGE);
         assertTrue(faults.contains("row `pace`: value: the page says \"not measured\", computed is \"not reached\""));
     }
--- a/src/test/java/dockshed/capacity/CapacityPageWriter.java
+++ b/src/test/java/dockshed/capacity/CapacityPageWriter.java
@@ -4,13 +4,14 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalDouble;
 import java.util.regex.MatchResult;
 import java.util.regex.Matcher;
 
-/** Prints every computed row of the page; with {@code --write} puts the computed cells and figures into it. */
+/** Prints every computed row of the page; with {@code --write} puts the computed cells and figures into it and sorts the ranking. */
 public final class CapacityPageWriter {
     static final Path PAGE = Path.of("docs/CAPACITY.md");
     static final Path MEASUREMENTS = Path.of("docs/capacity");
@@ -56,13 +57,29 @@
             }
         }
         for (PageTable table : page.tables()) {
-            for (PageRow row : table.rows()) {
-                lines[row.line() - 1] = line(table, row, page, model);
-            }
+            writeRows(table, page, model, lines);
         }
         return CapacityPage.join(lines);
     }
 
+    /** Writes a table's rows; those of the ranking in its order, with ranks from 1. */
+    private static void writeRows(PageTable table, CapacityPage page, CapacityModel model, String[] lines) {
+        List<PageRow> rows = new ArrayList<>(table.rows());
+        boolean ranking = table.has(CapacityRows.RANK);
+        if (ranking) {
+            rows.sort(Comparator.comparingDouble((PageRow row) -> -miss(row, page, model)));
+        }
+        int first = table.rows().isEmpty() ? 0 : table.rows().get(0).line() - 1;
+        for (int i = 0; i < rows.size(); i++) {
+            String rank = ranking ? Integer.toString(i + 1) : "";
+            lines[first + i] = line(table, rows.get(i), rank, page, model);
+        }
+    }
+
+    private static double miss(PageRow row, CapacityPage page, CapacityModel model) {
+        return model.missOf((CapacityRow.Ranked) page.rows().get(row.code(CapacityRows.ID)));
+    }
+
     private static String figure(CapacityPage page, CapacityModel model, MatchResult found) {
         CapacityRow row = page.rows().get(found.group(3));
         if (row == null) {
@@ -74,12 +91,16 @@
         return (stands ? found.group(1) : text) + found.group(2) + found.group(3) + found.group(4);
     }
 
-    private static String line(PageTable table, PageRow row, CapacityPage page, CapacityModel model) {
+    private static String line(PageTable table, PageRow row, String rank, CapacityPage page, CapacityModel model) {
         Map<String, CapacityCells.Cell> computed =
                 new CapacityCells(model).of(page.rows().get(row.code(CapacityRows.ID)));
         List<String> cells = new ArrayList<>();
         for (String column : table.columns()) {
             CapacityCells.Cell cell = computed.get(column);
+            if (column.equals(CapacityRows.RANK)) {
+                cells.add(rank);
+                continue;
+            }
             cells.add(cell == null || cell.agrees(row.text(column)) ? row.text(column) : cell.text());
         }
         return "| " + String.join(" | ", cells) + " |";
--- a/src/test/java/dockshed/capacity/CapacityRows.java
+++ b/src/test/java/dockshed/capacity/CapacityRows.java
@@ -12,6 +12,7 @@
     static final String VALUE = "value";
     static final String MARGIN = "±";
     static final String R_SQUARED = "r²";
+    static final String RANK = "rank";
     static final String REMAINS = "remains";
     static final String BASIS = "basis";
     /** A cell without content. */
@@ -52,7 +53,7 @@
         if (table.has("measure")) {
             return measured(row);
         }
-        if (table.has("rank")) {
+        if (table.has(RANK)) {
             return ranked(row);
         }
         if (table.has("formula")) {
@@ -111,13 +112,13 @@
 
     private static CapacityRow ranked(PageRow row) {
         requireFilled(row, "formula");
-        if (!row.text("rank").matches("[1-9]\\d?")) {
-            throw fault(row, "expected a rank, got \"" + row.text("rank") + "\"");
+        if (!row.text(RANK).matches("[1-9]\\d?")) {
+            throw fault(row, "expected a rank, got \"" + row.text(RANK) + "\"");
         }
         return new CapacityRow.Ranked(
                 row.code(ID),
                 row.line(),
-                Integer.parseInt(row.text("rank")),
+                Integer.parseInt(row.text(RANK)),
                 row.code("formula"),
                 row.text(VALUE),
                 row.text(BASIS));
