--- a/src/test/java/dockshed/capacity/SetupFixture.java
+++ b/src/test/java/dockshed/capacity/SetupFixture.java
@@ -1,6 +1,6 @@
 package dockshed.capacity;
 
-import dockshed.Choice;
+import dockshed.choice.Choice;
 import dockshed.Director;
 import dockshed.Director.Effect;
 import dockshed.Director.Field;
