--- a/src/test/java/dockshed/capacity/SetupFixture.java
+++ b/src/test/java/dockshed/capacity/SetupFixture.java
@@ -1,6 +1,5 @@
 package dockshed.capacity;
 
-import dockshed.choice.Choice;
 import dockshed.Director;
 import dockshed.Director.Effect;
 import dockshed.Director.Field;
@@ -18,6 +17,7 @@
 import dockshed.Director.Settings;
 import dockshed.Director.State;
 import dockshed.Director.Topic;
+import dockshed.choice.Choice;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
