--- a/src/main/java/dockshed/net/Signals.java
+++ b/src/main/java/dockshed/net/Signals.java
@@ -5,6 +5,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import sun.misc.Signal;
+import sun.misc.SignalHandler;
 
 /** The signals: SIGTERM begins the planned end, whose steps {@link PlannedEnd} names; SIGHUP runs what it is given. */
 public final class Signals {
@@ -51,7 +52,7 @@
 
     /** From now on a SIGHUP no longer ends the program; one that comes before {@link #onHangUp} waits for it. */
     public static void expectHangUps() {
-        Signal.handle(new Signal("HUP"), signal -> {
+        SignalHandler inherited = Signal.handle(new Signal("HUP"), signal -> {
             Runnable what;
             synchronized (Signals.class) {
                 what = hungUp;
@@ -61,6 +62,10 @@
                 what.run();
             }
         });
+        if (inherited == SignalHandler.SIG_IGN) { // the JVM then leaves it ignored
+            LOG.warn(
+                    "SIGHUP was ignored when the program was started, and stays so: a new configuration needs a restart");
+        }
     }
 
     /** Runs something at each SIGHUP; not on the loop's thread, so that reading a file holds nobody up. */
--- a/src/test/java/dockshed/ProgramTest.java
+++ b/src/test/java/dockshed/ProgramTest.java
@@ -32,6 +32,7 @@
 
     private Process process;
     private int limit; // of descriptors; 0: as it is here
+    private boolean ignoresHangUps; // inherited from whoever starts it, as under nohup
     private BufferedReader log;
 
     private void start(String config, String... arguments) throws Exception {
@@ -43,6 +44,9 @@
         if (limit > 0) {
             command.addAll(0, List.of("sh", "-c", "ulimit -n " + limit + "; exec \"$@\"", "sh"));
         }
+        if (ignoresHangUps) {
+            command.addAll(0, List.of("sh", "-c", "trap '' HUP; exec \"$@\"", "sh"));
+        }
         ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true);
         b.environment().put("EDGE_CONFIG", file.toString());
         process = b.start();
@@ -167,6 +171,16 @@
         }
     }
 
+    @Test
+    void whoIsStartedWithSighupIgnoredSaysThatItCannotReadTheConfigurationAgain() throws Exception {
+        ignoresHangUps = true;
+        start(ConfigTest.WHOLE, "serve");
+        assertTrue(line("SIGHUP was ignored").contains("needs a restart"));
+        line("serving:");
+        hangUp();
+        assertTrue(process.isAlive());
+    }
+
     @Test
     void idleViewersThatFillTheDescriptorsWhileDiscoveryIsDownLeaveRoomForWhoAsks() throws Exception {
         try (ServerSocket box = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
