--- a/src/test/java/dockshed/peers/UdpPeersTest.java
+++ b/src/test/java/dockshed/peers/UdpPeersTest.java
@@ -32,7 +32,9 @@
 
     @Test
     void messagesComeAndGoWithinTheirLengthAndFromKnownSendersOnly() throws Exception {
-        try (DatagramSocket peer = socket(); DatagramSocket stranger = socket(); DatagramSocket free = socket()) {
+        try (DatagramSocket peer = socket();
+                DatagramSocket stranger = socket();
+                DatagramSocket free = socket()) {
             InetSocketAddress own = new InetSocketAddress("127.0.0.1", free.getLocalPort());
             InetSocketAddress other = new InetSocketAddress("127.0.0.1", peer.getLocalPort());
             free.close();
@@ -40,7 +42,7 @@
             peers.listen(net, own, (from, message) -> stage.broker.told(stage.now, from, message));
 
             net.call(() -> {
-                peers.tell(new byte[257]);          // would void the run
+                peers.tell(new byte[257]); // would void the run
                 peers.tell(new byte[] {1, 2});
                 return null;
             });
--- a/src/test/java/dockshed/rig/BrokerProcess.java
+++ b/src/test/java/dockshed/rig/BrokerProcess.java
@@ -13,7 +13,7 @@
 
 /** A broker in a process of its own, with what it logs; tests wait on its lines. */
 final class BrokerProcess {
-    private static final long PATIENCE = 60;     // seconds for a line to come; only a failure takes so long
+    private static final long PATIENCE = 60; // seconds for a line to come; only a failure takes so long
 
     private final List<String> command;
     private final Path config;
@@ -23,10 +23,20 @@
 
     BrokerProcess(Path config, Path conf) {
         this.config = config;
-        command = List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-XX:+UseSerialGC", "-Xmx64m",
-                "-XX:TieredStopAtLevel=1", "-Xshare:auto", "-Djava.net.preferIPv4Stack=true",
-                "-Dorg.slf4j.simpleLogger.log.dockshed.fleet=debug", "-cp", System.getProperty("java.class.path"),
-                "dockshed.Main", "serve", "--conf", conf.toString());
+        command = List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-Xmx64m",
+                "-XX:TieredStopAtLevel=1",
+                "-Xshare:auto",
+                "-Djava.net.preferIPv4Stack=true",
+                "-Dorg.slf4j.simpleLogger.log.dockshed.fleet=debug",
+                "-cp",
+                System.getProperty("java.class.path"),
+                "dockshed.Main",
+                "serve",
+                "--conf",
+                conf.toString());
     }
 
     BrokerProcess start() throws Exception {
@@ -34,23 +44,27 @@
         b.environment().put("EDGE_CONFIG", config.toString());
         process = b.start();
         Process mine = process;
-        Thread reader = new Thread(() -> {
-            try (BufferedReader in = new BufferedReader(new InputStreamReader(mine.getInputStream(), StandardCharsets.UTF_8))) {
-                for (String line = in.readLine(); line != null; line = in.readLine()) {
-                    synchronized (lines) {
-                        lines.add(line);
-                        lines.notifyAll();
+        Thread reader = new Thread(
+                () -> {
+                    try (BufferedReader in =
+                            new BufferedReader(new InputStreamReader(mine.getInputStream(), StandardCharsets.UTF_8))) {
+                        for (String line = in.readLine(); line != null; line = in.readLine()) {
+                            synchronized (lines) {
+                                lines.add(line);
+                                lines.notifyAll();
+                            }
+                        }
+                    } catch (IOException e) {
+                        // its end
                     }
-                }
-            } catch (IOException e) {
-                // its end
-            }
-        }, "log of a broker");
+                },
+                "log of a broker");
         reader.setDaemon(true);
         reader.start();
         String serving = await(mark() == 0 ? 0 : mark() - 1, l -> l.contains("serving: name="));
         String at = serving.replaceAll(".*listen=/([0-9.:]+) .*", "$1");
-        listens = new InetSocketAddress(at.substring(0, at.indexOf(':')), Integer.parseInt(at.substring(at.indexOf(':') + 1)));
+        listens = new InetSocketAddress(
+                at.substring(0, at.indexOf(':')), Integer.parseInt(at.substring(at.indexOf(':') + 1)));
         return this;
     }
 
@@ -79,11 +93,12 @@
     String await(int mark, Predicate<String> what) throws InterruptedException {
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE);
         synchronized (lines) {
-            for (int i = mark;; i++) {
+            for (int i = mark; ; i++) {
                 while (i >= lines.size()) {
                     long left = until - System.nanoTime();
                     if (left <= 0 || !process.isAlive() && i >= lines.size()) {
-                        throw new AssertionError("never logged; the last: " + lines.subList(Math.max(0, lines.size() - 5), lines.size()));
+                        throw new AssertionError("never logged; the last: "
+                                + lines.subList(Math.max(0, lines.size() - 5), lines.size()));
                     }
                     lines.wait(left / 1_000_000 + 1);
                 }
@@ -96,7 +111,10 @@
 
     /** STOP, CONT, TERM: by its process id only. */
     void signal(String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).inheritIO().start().waitFor();
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid()))
+                .inheritIO()
+                .start()
+                .waitFor();
     }
 
     void kill() throws Exception {
--- a/src/test/java/dockshed/rig/EndingsTest.java
+++ b/src/test/java/dockshed/rig/EndingsTest.java
@@ -60,8 +60,8 @@
                 return "end";
             }
             String cause = text.contains("\"cause\"") ? " " + text.replaceAll(".*\"cause\":([0-9]+).*", "$1") : "";
-            return text.replaceAll(".*\"type\":\"([a-z]+)\".*", "$1") + " " + text.replaceAll(".*\"id\":\"([0-9a-f]+)\".*", "$1")
-                    + cause;
+            return text.replaceAll(".*\"type\":\"([a-z]+)\".*", "$1") + " "
+                    + text.replaceAll(".*\"id\":\"([0-9a-f]+)\".*", "$1") + cause;
         }
 
         /** The next set-up; a release before it is of one that was given up before its end had been read. */
@@ -164,24 +164,39 @@
         RtspFront front = net.call(() -> {
             LoopClock clock = new LoopClock(net.loop());
             Deadlines deadlines = new Deadlines(clock::wake);
-            broker = new Broker(module.settings, actions -> {
-                act = actions;
-                return module;
-            }, m -> { }, deadlines);
+            broker = new Broker(
+                    module.settings,
+                    actions -> {
+                        act = actions;
+                        return module;
+                    },
+                    m -> {},
+                    deadlines);
             clock.onDue(broker::tick);
-            Edges edges = new Edges(broker, net, clock, deadlines,
+            Edges edges = new Edges(
+                    broker,
+                    net,
+                    clock,
+                    deadlines,
                     new Edges.Terms(250_000, 30_000_000, 0, 0, List.of("busy_reqs", "x0"), 256));
             module.onRequest = r -> act.send(r.id(), "a", 0);
             module.onOutcome = id -> act.send(id, "b", 0);
-            broker.members(clock.now(), "names", Director.Scope.DISK, List.of(
-                    new Director.Server("a", "z", "k", 0, Director.State.UP, 1, 0),
-                    new Director.Server("b", "z", "k", 0, Director.State.UP, 1, 0)));
-            edges.addresses(Map.of("a", (InetSocketAddress) a.at.getLocalSocketAddress(),
-                    "b", (InetSocketAddress) b.at.getLocalSocketAddress()));
+            broker.members(
+                    clock.now(),
+                    "names",
+                    Director.Scope.DISK,
+                    List.of(
+                            new Director.Server("a", "z", "k", 0, Director.State.UP, 1, 0),
+                            new Director.Server("b", "z", "k", 0, Director.State.UP, 1, 0)));
+            edges.addresses(Map.of("a", (InetSocketAddress) a.at.getLocalSocketAddress(), "b", (InetSocketAddress)
+                    b.at.getLocalSocketAddress()));
             return new RtspFront(broker, edges, clock, deadlines, 10);
         });
-        at = (InetSocketAddress) net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept,
-                () -> { }, true).sync().channel().localAddress();
+        at = (InetSocketAddress)
+                net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept, () -> {}, true)
+                        .sync()
+                        .channel()
+                        .localAddress();
         viewer = new Viewer(at);
     }
 
@@ -212,7 +227,7 @@
         a.release(other, 34);
         b.accept();
         assertEquals("setup " + other, b.read());
-        b.release(other, 102);      // tried at b once more, as the script says
+        b.release(other, 102); // tried at b once more, as the script says
         assertEquals("setup " + other, b.read());
         viewer.tearDown(other);
         assertEquals("200 2 " + other, viewer.hear());
@@ -228,7 +243,7 @@
                 leaves.setUp(id, cls);
                 assertEquals("setup " + id, a.setUp());
                 CountDownLatch go = HeldLoop.hold(net);
-                a.release(id, 34);      // it never ran: another attempt would be in order
+                a.release(id, 34); // it never ran: another attempt would be in order
                 leaves.close();
                 go.countDown();
             }
@@ -255,7 +270,9 @@
         List<String> heard = new ArrayList<>(List.of(viewer.hear()));
         heard.addAll(viewer.settled());
         // Either was read first: the session stood and was ended by its viewer, or was given up before it stood.
-        assertTrue(heard.equals(List.of("200 2 " + ID)) || heard.equals(List.of("200 1 " + ID, "200 2 " + ID)), heard.toString());
+        assertTrue(
+                heard.equals(List.of("200 2 " + ID)) || heard.equals(List.of("200 1 " + ID, "200 2 " + ID)),
+                heard.toString());
         String told = a.read();
         assertEquals(heard.size() == 1 ? "release " + ID + " 16" : "release " + ID + " 31", told);
         empty();
--- a/src/test/java/dockshed/rig/Fabric.java
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -16,7 +16,7 @@
  */
 final class Fabric {
     private final Net net;
-    private final Channel[][] from;         // [a][b]: what a knows as b
+    private final Channel[][] from; // [a][b]: what a knows as b
     private final InetSocketAddress[] listens;
     private final boolean[][] cut;
     private final SplittableRandom random = new SplittableRandom(5);
@@ -37,16 +37,20 @@
     }
 
     private Channel open(int a, int b) {
-        return net.datagrams(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                new SimpleChannelInboundHandler<DatagramPacket>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
-                        carry(a, b, Net.bytes(p.content()));
-                    }
+        return net.datagrams(
+                        new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
+                        new SimpleChannelInboundHandler<DatagramPacket>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket p) {
+                                carry(a, b, Net.bytes(p.content()));
+                            }
 
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) { }     // nobody listens there now
-                }).syncUninterruptibly().channel();
+                            @Override
+                            public void exceptionCaught(
+                                    ChannelHandlerContext ctx, Throwable cause) {} // nobody listens there now
+                        })
+                .syncUninterruptibly()
+                .channel();
     }
 
     /** The address under which a knows b. */
--- a/src/test/java/dockshed/rig/FleetBench.java
+++ b/src/test/java/dockshed/rig/FleetBench.java
@@ -10,9 +10,14 @@
     private static final long S = World.S;
     private static final int FROM = 40, TO = 60, END = 90;
 
-    private FleetBench() { }
+    private FleetBench() {}
 
-    private enum Variant { OFF, ON, AT_ONCE, LIAR }
+    private enum Variant {
+        OFF,
+        ON,
+        AT_ONCE,
+        LIAR
+    }
 
     /** Twice the room for 20 s, half the boxes slow, a broker killed. */
     static World.Script overload(int brokers) {
@@ -21,7 +26,7 @@
         s.length = END * S;
         s.arrivals = 48;
         s.surge = 2.4;
-        s.stayLeast = 4 * S;        // so that the load's end is the end of what is asked for, too
+        s.stayLeast = 4 * S; // so that the load's end is the end of what is asked for, too
         s.stayMore = 8 * S;
         s.surgeFrom = FROM * S;
         s.surgeTo = TO * S;
@@ -56,11 +61,16 @@
         boolean quick = List.of(args).contains("--quick");
         int seeds = quick ? 2 : 6;
         int brokers = List.of(args).contains("--many") ? 24 : 7;
-        double[] during = new double[4], after = new double[4], recover = new double[4], paid = new double[4],
-                further = new double[4], people = new double[4];
+        double[] during = new double[4],
+                after = new double[4],
+                recover = new double[4],
+                paid = new double[4],
+                further = new double[4],
+                people = new double[4];
         double alike = 0, judged = 0, shares = 0, bytes = 0;
         int lost = 0, twice = 0;
-        System.out.println("| variant | seed | before | load | after | recovered, s | refused | paid kept | further | shares | alike |");
+        System.out.println(
+                "| variant | seed | before | load | after | recovered, s | refused | paid kept | further | shares | alike |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         for (Variant v : Variant.values()) {
             int i = v.ordinal();
@@ -80,27 +90,70 @@
                     shares = Math.max(shares, w.shareSumMax);
                     bytes += w.fleetBytes / (double) END / brokers / seeds;
                 }
-                System.out.printf(Locale.ROOT, "| %s | %d | %.3f | %.3f | %.3f | %.0f | %d | %.3f | %.3f | %.3f | %.3f |%n", v, seed,
-                        w.service(FROM - 10, FROM), w.service(FROM, TO), w.service(TO, TO + 15), r, w.refused,
-                        w.paidServed / (double) Math.max(1, w.paidAsked), w.furtherAttempts / (double) w.people(),
-                        w.shareSumMax, w.judged == 0 ? 1 : w.judgedAlike / w.judged);
+                System.out.printf(
+                        Locale.ROOT,
+                        "| %s | %d | %.3f | %.3f | %.3f | %.0f | %d | %.3f | %.3f | %.3f | %.3f |%n",
+                        v,
+                        seed,
+                        w.service(FROM - 10, FROM),
+                        w.service(FROM, TO),
+                        w.service(TO, TO + 15),
+                        r,
+                        w.refused,
+                        w.paidServed / (double) Math.max(1, w.paidAsked),
+                        w.furtherAttempts / (double) w.people(),
+                        w.shareSumMax,
+                        w.judged == 0 ? 1 : w.judgedAlike / w.judged);
             }
         }
         double[] five = FleetCosts.bytes(5, 30);
         double[] hundred = FleetCosts.bytes(100, 30);
         double[] few = FleetCosts.probes(7);
         double[] many = FleetCosts.probes(100);
-        System.out.printf(Locale.ROOT, "bytes a second and broker: 5 brokers %.0f (most %.0f), 100 brokers %.0f (most %.0f)%n", five[0],
-                five[1], hundred[0], hundred[1]);
-        System.out.printf(Locale.ROOT, "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%.0f do not); "
-                + "100 brokers %.2f, %.1f s (%.0f)%n", few[0], few[1], few[2], many[0], many[1], many[2]);
+        System.out.printf(
+                Locale.ROOT,
+                "bytes a second and broker: 5 brokers %.0f (most %.0f), 100 brokers %.0f (most %.0f)%n",
+                five[0],
+                five[1],
+                hundred[0],
+                hundred[1]);
+        System.out.printf(
+                Locale.ROOT,
+                "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%.0f do not); "
+                        + "100 brokers %.2f, %.1f s (%.0f)%n",
+                few[0],
+                few[1],
+                few[2],
+                many[0],
+                many[1],
+                many[2]);
         double gap = during[2] - during[0];
         String closed = gap < 0.01 ? "none" : String.format(Locale.ROOT, "%.2f", (during[1] - during[0]) / gap);
-        System.out.printf(Locale.ROOT, "fleet n=%d service_on=%.3f service_off=%.3f service_at_once=%.3f gap_closed=%s recover_on_s=%.1f "
+        System.out.printf(
+                Locale.ROOT,
+                "fleet n=%d service_on=%.3f service_off=%.3f service_at_once=%.3f gap_closed=%s recover_on_s=%.1f "
                         + "recover_off_s=%.1f extra_per_fresh=%.3f shed_agree=%.3f paid_kept=%.3f paid_kept_off=%.3f share_sum_max=%.3f "
                         + "liar_cost=%.3f lost=%d paid_twice=%d probes_per_box_s=%.2f probes_per_box_s_100=%.2f bytes_s=%.0f bytes_s_100=%.0f "
                         + "growth_5_to_100=%.2f%n",
-                brokers, during[1], during[0], during[2], closed, recover[1], recover[0], further[1], judged == 0 ? 1 : alike / judged,
-                paid[1], paid[0], shares, during[1] - during[3], lost, twice, few[0], many[0], bytes, hundred[0], hundred[0] / five[0]);
+                brokers,
+                during[1],
+                during[0],
+                during[2],
+                closed,
+                recover[1],
+                recover[0],
+                further[1],
+                judged == 0 ? 1 : alike / judged,
+                paid[1],
+                paid[0],
+                shares,
+                during[1] - during[3],
+                lost,
+                twice,
+                few[0],
+                many[0],
+                bytes,
+                hundred[0],
+                hundred[0] / five[0]);
     }
 }
--- a/src/test/java/dockshed/rig/FleetProcessTest.java
+++ b/src/test/java/dockshed/rig/FleetProcessTest.java
@@ -38,7 +38,7 @@
     }
 
     @Test
-    @Timeout(170)       // each wait is for a line that comes; suspicions take some seconds each
+    @Timeout(170) // each wait is for a line that comes; suspicions take some seconds each
     void brokersFindLoseAndFindOneAnotherAndServeAllTheWhile() throws Exception {
         try (FleetRig rig = new FleetRig(dir, N, 3, "fleet {\n}\n")) {
             rig.fabric.loss = 0.05;
@@ -72,7 +72,8 @@
             rig.brokers.get(1).signal("CONT");
             rig.brokers.get(0).await(marks[0], living(N));
             rig.brokers.get(1).await(marks[1], l -> l.contains("stood_still=1"));
-            assertTrue(rig.brokers.get(1).since(marks[1]).stream().noneMatch(l -> l.matches(".* gone=\\[\\d.* fleet")),
+            assertTrue(
+                    rig.brokers.get(1).since(marks[1]).stream().noneMatch(l -> l.matches(".* gone=\\[\\d.* fleet")),
                     "it called somebody dead: " + rig.brokers.get(1).since(marks[1]));
             serves(rig, 1);
 
@@ -97,7 +98,9 @@
             rig.lie(4, 1000);
             for (int i = 0; i < 4; i++) {
                 int me = i;
-                assertTrue(rig.brokers.get(i).since(marks[i]).stream().noneMatch(l -> l.matches(".* gone=\\[[0-3].* fleet")),
+                assertTrue(
+                        rig.brokers.get(i).since(marks[i]).stream()
+                                .noneMatch(l -> l.matches(".* gone=\\[[0-3].* fleet")),
                         "a liar took somebody away at " + me);
                 assertTrue(rig.brokers.get(i).since(marks[i]).stream().noneMatch(l -> l.contains("ERROR")));
             }
@@ -121,12 +124,15 @@
             for (String line : b.since(0)) {
                 Matcher m = LEASE.matcher(line);
                 if (m.matches()) {
-                    mine.add(new double[] {Double.parseDouble(m.group(1)), Double.parseDouble(m.group(2)),
-                        Double.parseDouble(m.group(3)) - 0.5 / N});
+                    mine.add(new double[] {
+                        Double.parseDouble(m.group(1)),
+                        Double.parseDouble(m.group(2)),
+                        Double.parseDouble(m.group(3)) - 0.5 / N
+                    });
                 }
             }
             leases += mine.size();
-            for (int i = 0; i < mine.size(); i++) {     // one lease takes the place of the one before
+            for (int i = 0; i < mine.size(); i++) { // one lease takes the place of the one before
                 double end = i + 1 < mine.size() ? Math.min(mine.get(i)[1], mine.get(i + 1)[0]) : mine.get(i)[1];
                 change.merge((long) mine.get(i)[0], mine.get(i)[2], Double::sum);
                 change.merge((long) end, -mine.get(i)[2], Double::sum);
--- a/src/test/java/dockshed/rig/FleetRig.java
+++ b/src/test/java/dockshed/rig/FleetRig.java
@@ -29,7 +29,7 @@
     final List<BrokerProcess> brokers = new ArrayList<>();
     final Fabric fabric;
     final AtomicInteger answered = new AtomicInteger(), failed = new AtomicInteger();
-    final Map<String, Integer> paid = new ConcurrentHashMap<>();      // set-ups of the paid class by session
+    final Map<String, Integer> paid = new ConcurrentHashMap<>(); // set-ups of the paid class by session
     private final Net net = new Net("rig");
     private final List<ServerSocket> boxes = new ArrayList<>();
     private final AtomicInteger names = new AtomicInteger();
@@ -69,15 +69,25 @@
         StringBuilder peers = new StringBuilder();
         for (int j = 0; j < count; j++) {
             InetSocketAddress a = fabric.address(me, j);
-            peers.append(j == 0 ? "" : ",").append("\"127.0.0.1:").append(a.getPort()).append('"');
+            peers.append(j == 0 ? "" : ",")
+                    .append("\"127.0.0.1:")
+                    .append(a.getPort())
+                    .append('"');
         }
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < boxes.size(); i++) {
-            members.append(i == 0 ? "" : ",").append(String.format(Locale.ROOT, "{'id':'s-%d','host_port':'127.0.0.1:%d',"
-                    + "'locality':'east','flavor':'std','cell':%d,'phase':'active','size':1}", i, boxes.get(i).getLocalPort(),
-                    i % 3).replace('\'', '"'));
+            members.append(i == 0 ? "" : ",")
+                    .append(String.format(
+                                    Locale.ROOT,
+                                    "{'id':'s-%d','host_port':'127.0.0.1:%d',"
+                                            + "'locality':'east','flavor':'std','cell':%d,'phase':'active','size':1}",
+                                    i,
+                                    boxes.get(i).getLocalPort(),
+                                    i % 3)
+                            .replace('\'', '"'));
         }
-        return String.format(Locale.ROOT, TEMPLATE.replace('\'', '"'), me, me + 1, listens.getPort(), peers, members, me, count);
+        return String.format(
+                Locale.ROOT, TEMPLATE.replace('\'', '"'), me, me + 1, listens.getPort(), peers, members, me, count);
     }
 
     private static final String TEMPLATE = "{'name':'n%d','listen':'127.0.0.1:0','seed':'%016x','limits':{'cores':1,"
@@ -106,7 +116,9 @@
     }
 
     private void answer(Socket line) {
-        try (line; BufferedReader in = new BufferedReader(new InputStreamReader(line.getInputStream(), StandardCharsets.UTF_8))) {
+        try (line;
+                BufferedReader in =
+                        new BufferedReader(new InputStreamReader(line.getInputStream(), StandardCharsets.UTF_8))) {
             for (String text = in.readLine(); text != null; text = in.readLine()) {
                 var m = com.google.gson.JsonParser.parseString(text).getAsJsonObject();
                 if (m.get("type").getAsString().equals("setup")) {
@@ -114,8 +126,9 @@
                     if (m.getAsJsonObject("fields").get("class").getAsString().equals("cert-lesson")) {
                         paid.merge(id, 1, Integer::sum);
                     }
-                    line.getOutputStream().write(("{\"type\":\"answer\",\"id\":\"" + id + "\",\"fields\":{},\"sdp\":\"v=0\"}\n")
-                            .getBytes(StandardCharsets.UTF_8));
+                    line.getOutputStream()
+                            .write(("{\"type\":\"answer\",\"id\":\"" + id + "\",\"fields\":{},\"sdp\":\"v=0\"}\n")
+                                    .getBytes(StandardCharsets.UTF_8));
                 }
             }
         } catch (IOException e) {
@@ -135,10 +148,14 @@
             h.put("Priority-Class", cls);
             h.put("Expires-Ms", "3000");
             h.put("P-Trunk-Info", "home:0;copies:3;top:2;viewer:" + session);
-            s.getOutputStream().write(Headed.encode("SETUP rtsp://media/lesson RTSP/1.0", h, "v=0\r\n".getBytes(StandardCharsets.UTF_8)));
+            s.getOutputStream()
+                    .write(Headed.encode(
+                            "SETUP rtsp://media/lesson RTSP/1.0", h, "v=0\r\n".getBytes(StandardCharsets.UTF_8)));
             HeadedDecoder decoder = new HeadedDecoder(1 << 16);
             byte[] room = new byte[4096];
-            for (int n = s.getInputStream().read(room); n >= 0; n = s.getInputStream().read(room)) {
+            for (int n = s.getInputStream().read(room);
+                    n >= 0;
+                    n = s.getInputStream().read(room)) {
                 decoder.add(room, 0, n);
                 Headed m = decoder.next();
                 if (m != null) {
@@ -156,15 +173,19 @@
     void lie(int liar, int datagrams) throws Exception {
         Nonsense nonsense = new Nonsense(liar, brokers.size(), System.currentTimeMillis() * 1000 + 5_000_000, 3);
         for (int i = 0; i < datagrams; i++) {
-            net.loop().schedule(() -> {
-                for (int to = 0; to < brokers.size(); to++) {
-                    if (to != liar) {
-                        fabric.carry(liar, to, nonsense.next(System.currentTimeMillis() * 1000));
-                    }
-                }
-            }, 5L * i, TimeUnit.MILLISECONDS);
+            net.loop()
+                    .schedule(
+                            () -> {
+                                for (int to = 0; to < brokers.size(); to++) {
+                                    if (to != liar) {
+                                        fabric.carry(liar, to, nonsense.next(System.currentTimeMillis() * 1000));
+                                    }
+                                }
+                            },
+                            5L * i,
+                            TimeUnit.MILLISECONDS);
         }
-        net.loop().schedule(() -> { }, 5L * datagrams + 5, TimeUnit.MILLISECONDS).sync();
+        net.loop().schedule(() -> {}, 5L * datagrams + 5, TimeUnit.MILLISECONDS).sync();
     }
 
     @Override
--- a/src/test/java/dockshed/rig/ReadyBench.java
+++ b/src/test/java/dockshed/rig/ReadyBench.java
@@ -26,13 +26,16 @@
     /** Seconds after which a broker is not waited for any more: the platform's bound, twice. */
     private static final long PATIENCE = 60;
 
-    private ReadyBench() { }
+    private ReadyBench() {}
 
     public static void main(String[] args) throws Exception {
         int count = args.length > 0 ? Integer.parseInt(args[0]) : 100;
         String cores = args.length > 1 ? "taskset -c 0-" + (Integer.parseInt(args[1]) - 1) + " " : "";
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .map(l -> l.substring(l.indexOf('"') + 1, l.indexOf('"', l.indexOf('"') + 1))).findFirst().orElseThrow();
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .map(l -> l.substring(l.indexOf('"') + 1, l.indexOf('"', l.indexOf('"') + 1)))
+                .findFirst()
+                .orElseThrow();
         Path dir = Files.createTempDirectory("ready");
         List<Process> all = new ArrayList<>();
         try {
@@ -44,10 +47,13 @@
                 try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
                     port = free.getLocalPort();
                 }
-                Path config = Files.writeString(dir.resolve(i + ".json"), ConfigTest.WHOLE.replace("\"127.0.0.1:0\",\"seed\"",
-                        "\"127.0.0.1:" + port + "\",\"seed\""));
+                Path config = Files.writeString(
+                        dir.resolve(i + ".json"),
+                        ConfigTest.WHOLE.replace("\"127.0.0.1:0\",\"seed\"", "\"127.0.0.1:" + port + "\",\"seed\""));
                 ProcessBuilder b = new ProcessBuilder("/bin/sh", "-c", run.replaceFirst("exec ", "exec " + cores))
-                        .directory(new File(".")).redirectErrorStream(true).redirectOutput(dir.resolve(i + ".log").toFile());
+                        .directory(new File("."))
+                        .redirectErrorStream(true)
+                        .redirectOutput(dir.resolve(i + ".log").toFile());
                 b.environment().put("EDGE_CONFIG", config.toString());
                 all.add(b.start());
                 int me = i;
@@ -59,8 +65,14 @@
                 t.join();
             }
             java.util.Arrays.sort(ready);
-            System.out.printf("brokers=%d cores=%s ready: first=%.1f median=%.1f nine in ten=%.1f last=%.1f s%n", count,
-                    args.length > 1 ? args[1] : "all", ready[0], ready[count / 2], ready[(count * 9 + 9) / 10 - 1], ready[count - 1]);
+            System.out.printf(
+                    "brokers=%d cores=%s ready: first=%.1f median=%.1f nine in ten=%.1f last=%.1f s%n",
+                    count,
+                    args.length > 1 ? args[1] : "all",
+                    ready[0],
+                    ready[count / 2],
+                    ready[(count * 9 + 9) / 10 - 1],
+                    ready[count - 1]);
         } finally {
             for (Process p : all) {
                 p.destroyForcibly().waitFor();
@@ -81,7 +93,7 @@
                 }
             } catch (IOException e) {
                 try {
-                    Thread.sleep(50);       // not there yet; this is a measurement, not a test
+                    Thread.sleep(50); // not there yet; this is a measurement, not a test
                 } catch (InterruptedException i) {
                     Thread.currentThread().interrupt();
                     return PATIENCE;
--- a/src/test/java/dockshed/rig/SocketStorm.java
+++ b/src/test/java/dockshed/rig/SocketStorm.java
@@ -41,7 +41,7 @@
     private final Net net = new Net();
     private final SplittableRandom random = new SplittableRandom(17);
     private final Path dir;
-    private final String conf;          // null: without the part
+    private final String conf; // null: without the part
     private final List<Box> boxes = new ArrayList<>();
     private final List<Node> nodes = new ArrayList<>();
     private final List<Viewer> viewers = new ArrayList<>();
@@ -73,7 +73,10 @@
         int port;
 
         double fill() {
-            return playing.values().stream().mapToDouble(v -> RATES[v.rung] * v.scale).sum() / LINK;
+            return playing.values().stream()
+                            .mapToDouble(v -> RATES[v.rung] * v.scale)
+                            .sum()
+                    / LINK;
         }
 
         private final class Line extends ByteHandler {
@@ -92,7 +95,8 @@
                         held.write(b);
                         continue;
                     }
-                    JsonObject m = JsonParser.parseString(held.toString(StandardCharsets.UTF_8)).getAsJsonObject();
+                    JsonObject m = JsonParser.parseString(held.toString(StandardCharsets.UTF_8))
+                            .getAsJsonObject();
                     held.reset();
                     message(m, m.get("id").getAsString());
                 }
@@ -112,21 +116,27 @@
                             playing.put(id, v);
                             lineOf.put(id, this);
                             after(20, () -> {
-                                say("answer", id, -1, "\"load\":\"" + load() + "\"", m.get("sdp").getAsString());
+                                say(
+                                        "answer",
+                                        id,
+                                        -1,
+                                        "\"load\":\"" + load() + "\"",
+                                        m.get("sdp").getAsString());
                                 note(id);
                             });
                         }
                     }
                     case "rate" -> {
                         if (playing.containsKey(id)) {
-                            playing.get(id).rung = m.getAsJsonObject("fields").get("rung").getAsInt();
+                            playing.get(id).rung =
+                                    m.getAsJsonObject("fields").get("rung").getAsInt();
                         }
                     }
                     case "release" -> {
                         playing.remove(id);
                         lineOf.remove(id);
                     }
-                    default -> { }
+                    default -> {}
                 }
             }
 
@@ -155,7 +165,10 @@
             @Override
             protected void closed(ChannelHandlerContext ctx, boolean reset) {
                 // A broker that died takes its sessions along.
-                List<String> gone = lineOf.entrySet().stream().filter(e -> e.getValue() == this).map(Map.Entry::getKey).toList();
+                List<String> gone = lineOf.entrySet().stream()
+                        .filter(e -> e.getValue() == this)
+                        .map(Map.Entry::getKey)
+                        .toList();
                 gone.forEach(id -> {
                     lineOf.remove(id);
                     if (!playing.get(id).node.up()) {
@@ -204,14 +217,23 @@
         void begin(List<Integer> peerPorts) throws IOException {
             Path file = dir.resolve("broker" + me + ".json");
             Files.writeString(file, config(this, peerPorts));
-            List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:+UseSerialGC", "-Xmx64m", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true", "-cp",
-                    System.getProperty("java.class.path"), "dockshed.Main", "serve"));
+            List<String> command = new ArrayList<>(List.of(
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:+UseSerialGC",
+                    "-Xmx64m",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Djava.net.preferIPv4Stack=true",
+                    "-cp",
+                    System.getProperty("java.class.path"),
+                    "dockshed.Main",
+                    "serve"));
             if (conf != null) {
                 command.addAll(List.of("--conf", conf));
             }
-            ProcessBuilder b = new ProcessBuilder(command).redirectErrorStream(true)
-                    .redirectOutput(ProcessBuilder.Redirect.appendTo(dir.resolve("broker" + me + ".log").toFile()));
+            ProcessBuilder b = new ProcessBuilder(command)
+                    .redirectErrorStream(true)
+                    .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                            dir.resolve("broker" + me + ".log").toFile()));
             b.environment().put("EDGE_CONFIG", file.toString());
             process = b.start();
         }
@@ -230,11 +252,12 @@
             }
             if (lanes[i] == null) {
                 lanes[i] = new Lane(this, i);
-                net.connect(new InetSocketAddress("127.0.0.1", port), 500, lanes[i]::handler).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        lanes[i].gone();
-                    }
-                });
+                net.connect(new InetSocketAddress("127.0.0.1", port), 500, lanes[i]::handler)
+                        .addListener(done -> {
+                            if (!done.isSuccess()) {
+                                lanes[i].gone();
+                            }
+                        });
             }
             lanes[i].send(v, bytes);
         }
@@ -284,7 +307,12 @@
                             if (v != null && m.first().startsWith("RTSP/")) {
                                 v.answered(m);
                             } else if (v != null && !m.word(0).equals("SET_PARAMETER")) {
-                                send(null, Headed.encode("RTSP/1.0 200 OK", Map.of("CSeq", "2", "Session", v.name), new byte[0]));
+                                send(
+                                        null,
+                                        Headed.encode(
+                                                "RTSP/1.0 200 OK",
+                                                Map.of("CSeq", "2", "Session", v.name),
+                                                new byte[0]));
                                 v.cut();
                             }
                         }
@@ -318,7 +346,7 @@
     private static final class Viewer {
         private static final String[] CLASSES = {"refresher", "cert-lesson", "audio-guide"};
         private final SocketStorm in;
-        final int cls, floor, top, heeds;       // heeds 0: P-Back-Off, 1: Retry-After, 2: nothing, 3: doubles its wait
+        final int cls, floor, top, heeds; // heeds 0: P-Back-Off, 1: Retry-After, 2: nothing, 3: doubles its wait
         final double scale;
         final long until, patience;
         final String id;
@@ -342,8 +370,9 @@
         }
 
         static Viewer of(List<Viewer> all, String name) {
-            return name.length() != 16 ? null : all.get((int) (Long.parseLong(name.substring(0, 8), 16)))
-                    .mine(name);
+            return name.length() != 16
+                    ? null
+                    : all.get((int) (Long.parseLong(name.substring(0, 8), 16))).mine(name);
         }
 
         private Viewer mine(String session) {
@@ -372,7 +401,9 @@
             }
             h.put("P-Trunk-Info", "home:0;copies:3;top:" + top + ";viewer:" + id + (again ? ";again:1" : ""));
             String asked = name;
-            node.send(this, Headed.encode("SETUP rtsp://media/lesson RTSP/1.0", h, "v=0\r\n".getBytes(StandardCharsets.UTF_8)));
+            node.send(
+                    this,
+                    Headed.encode("SETUP rtsp://media/lesson RTSP/1.0", h, "v=0\r\n".getBytes(StandardCharsets.UTF_8)));
             in.after(patience + 300, () -> {
                 if (asked.equals(name) && !plays) {
                     in.unanswered += node.up() ? 1 : 0;
@@ -394,7 +425,8 @@
             long own = 740 + in.random.nextLong(2160);
             String millis = m.header("p-back-off");
             String seconds = m.header("retry-after");
-            long back = heeds == 0 && millis != null ? Long.parseLong(millis)
+            long back = heeds == 0 && millis != null
+                    ? Long.parseLong(millis)
                     : heeds == 1 && seconds != null ? 1000 * Long.parseLong(seconds) : heeds == 3 ? wait : own;
             wait *= 2;
             if (no || cls != 1) {
@@ -413,7 +445,7 @@
 
         /** Its session or request was lost. */
         void cut() {
-            boolean again = plays || cls != 1;      // a paid request that was lost may have run
+            boolean again = plays || cls != 1; // a paid request that was lost may have run
             plays = false;
             name = null;
             if (again) {
@@ -441,11 +473,19 @@
         peerPorts.forEach(p -> c.getAsJsonArray("peers").add("127.0.0.1:" + p));
         StringBuilder members = new StringBuilder();
         for (int i = 0; i < BOXES; i++) {
-            members.append(i == 0 ? "" : ",").append(String.format(Locale.ROOT, "{'id':'s-%d','host_port':'127.0.0.1:%d',"
-                    + "'locality':'east','flavor':'std','cell':%d,'phase':'active','size':1}", i, boxes.get(i).port, i % 3));
+            members.append(i == 0 ? "" : ",")
+                    .append(String.format(
+                            Locale.ROOT,
+                            "{'id':'s-%d','host_port':'127.0.0.1:%d',"
+                                    + "'locality':'east','flavor':'std','cell':%d,'phase':'active','size':1}",
+                            i,
+                            boxes.get(i).port,
+                            i % 3));
         }
-        c.add("known", JsonParser.parseString("{'rev':2,'notices':[{'rev':1,'pool':{'complete':true,'members':[" + members
-                + "]}},{'rev':2,'pool':{'complete':false,'members':[]}}]}"));
+        c.add(
+                "known",
+                JsonParser.parseString("{'rev':2,'notices':[{'rev':1,'pool':{'complete':true,'members':[" + members
+                        + "]}},{'rev':2,'pool':{'complete':false,'members':[]}}]}"));
         JsonObject s = c.getAsJsonObject("settings");
         s.addProperty("me", n.me);
         s.getAsJsonObject("family_info").addProperty("links_kb", LINK * BOXES);
@@ -494,7 +534,10 @@
             Box b = new Box();
             boxes.add(b);
             b.port = ((InetSocketAddress) net.listen(new InetSocketAddress("127.0.0.1", 0), () -> b.new Line())
-                    .sync().channel().localAddress()).getPort();
+                            .sync()
+                            .channel()
+                            .localAddress())
+                    .getPort();
         }
         for (int i = 0; i < BROKERS; i++) {
             peerPorts.add(free());
@@ -503,9 +546,9 @@
         for (Node n : nodes) {
             n.begin(peerPorts);
         }
-        Thread.sleep(2500);             // a measurement, no test: the brokers come up
+        Thread.sleep(2500); // a measurement, no test: the brokers come up
         net.call(() -> {
-            for (Node n : nodes) {      // starting costs the same each time, and is no part of the overhead
+            for (Node n : nodes) { // starting costs the same each time, and is no part of the overhead
                 used = used.minus(n.process.info().totalCpuDuration().orElse(Duration.ZERO));
             }
             start = clock.now();
@@ -545,19 +588,31 @@
             return new double[] {worst, got / asked, tries / (double) viewers.size(), used.toMillis(), viewers.size()};
         });
         net.close();
-        System.out.printf(Locale.ROOT, "| %s | %.3f | %.3f | %d | %d | %d | %.2f | %.0f | %d | %d |%n",
-                (conf == null ? "off" : "on") + (killAt > 0 ? ", outage" : ", calm"), out[0], out[1], viewers.size(), refused,
-                failed, out[2], out[3], paidTwice, unanswered);
+        System.out.printf(
+                Locale.ROOT,
+                "| %s | %.3f | %.3f | %d | %d | %d | %.2f | %.0f | %d | %d |%n",
+                (conf == null ? "off" : "on") + (killAt > 0 ? ", outage" : ", calm"),
+                out[0],
+                out[1],
+                viewers.size(),
+                refused,
+                failed,
+                out[2],
+                out[3],
+                paidTwice,
+                unanswered);
         return out;
     }
 
     public static void main(String[] args) throws Exception {
         boolean quick = List.of(args).contains("--quick");
         Path dir = Files.createTempDirectory("socket-storm");
-        System.out.println("| run | worst 5 s | whole | viewers | refused | failed | tries a viewer | processor after the start, ms | paid twice | "
-                + "unanswered |");
+        System.out.println(
+                "| run | worst 5 s | whole | viewers | refused | failed | tries a viewer | processor after the start, ms | paid twice | "
+                        + "unanswered |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
-        String conf = Files.writeString(dir.resolve("storm.conf"), "storm {\n}\n").toString();
+        String conf =
+                Files.writeString(dir.resolve("storm.conf"), "storm {\n}\n").toString();
         int seconds = quick ? 16 : 45;
         int at = quick ? 8 : 15;
         double[][] seen = new double[2][];
@@ -577,9 +632,18 @@
             System.out.printf(Locale.ROOT, "storm-sockets overhead=%.3f%n", calm[1][3] / calm[0][3] - 1);
             System.exit(0);
         }
-        System.out.printf(Locale.ROOT, "storm-sockets worst5_on=%.3f worst5_off=%.3f tries_on=%.2f tries_off=%.2f viewers=%.0f "
-                + "overhead=%s paid_twice=%d unanswered=%d%n", seen[1][0], seen[0][0], seen[1][2], seen[0][2], seen[1][4],
-                quick ? "unmeasured" : String.format(Locale.ROOT, "%.3f", calm[1][3] / calm[0][3] - 1), twice, unanswered);
+        System.out.printf(
+                Locale.ROOT,
+                "storm-sockets worst5_on=%.3f worst5_off=%.3f tries_on=%.2f tries_off=%.2f viewers=%.0f "
+                        + "overhead=%s paid_twice=%d unanswered=%d%n",
+                seen[1][0],
+                seen[0][0],
+                seen[1][2],
+                seen[0][2],
+                seen[1][4],
+                quick ? "unmeasured" : String.format(Locale.ROOT, "%.3f", calm[1][3] / calm[0][3] - 1),
+                twice,
+                unanswered);
         System.exit(0);
     }
 }
--- a/src/test/java/dockshed/rig/StormBench.java
+++ b/src/test/java/dockshed/rig/StormBench.java
@@ -3,7 +3,6 @@
 import dockshed.storm.Damper;
 import dockshed.storm.Terms;
 import dockshed.storm.Terms.Returns;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
@@ -14,14 +13,17 @@
 /** The measurement behind bench/storm.sh: scripted outages, the part on and off, several seeds, on the virtual clock. */
 public final class StormBench {
     static final long S = World.S;
-    private static final int FROM = 30;         // second from which the fleet is full
+    private static final int FROM = 30; // second from which the fleet is full
     private static final String OFF = "off", ON = "calendar+notes";
 
-    private StormBench() { }
+    private StormBench() {}
 
     /** One variant in one scenario, over the seeds; thousandths in the histograms. */
     private static final class Row {
-        final Histogram worst = new Histogram(3), whole = new Histogram(3), tries = new Histogram(3), calm = new Histogram(3);
+        final Histogram worst = new Histogram(3),
+                whole = new Histogram(3),
+                tries = new Histogram(3),
+                calm = new Histogram(3);
         double refused, cold, kept;
         int twice, lost, fallen, below, after, runs, never;
 
@@ -53,19 +55,36 @@
         }
 
         static String mean(Histogram h) {
-            return String.format(Locale.ROOT, "%.3f ±%.3f", h.getMean() / 1000,
+            return String.format(
+                    Locale.ROOT,
+                    "%.3f ±%.3f",
+                    h.getMean() / 1000,
                     h.getStdDeviation() / 1000 / Math.sqrt(Math.max(1, h.getTotalCount())));
         }
     }
 
     static Terms terms(Returns returns, boolean notes) {
         Terms u = Terms.USUAL;
-        return new Terms(returns, u.soonest(), u.longest(), u.slot(), u.early(), u.remember(), u.hold(), u.waiting(),
-                u.rush(), u.repeats(), u.trouble(), u.calmAfter(), u.retryShare(), u.retryLeast(), u.coldAim(),
+        return new Terms(
+                returns,
+                u.soonest(),
+                u.longest(),
+                u.slot(),
+                u.early(),
+                u.remember(),
+                u.hold(),
+                u.waiting(),
+                u.rush(),
+                u.repeats(),
+                u.trouble(),
+                u.calmAfter(),
+                u.retryShare(),
+                u.retryLeast(),
+                u.coldAim(),
                 notes ? u.notesEvery() : 0);
     }
 
-    private record Scenario(String name, long lastRestart, Supplier<World.Script> script) { }
+    private record Scenario(String name, long lastRestart, Supplier<World.Script> script) {}
 
     static World.Script base() {
         World.Script s = new World.Script();
@@ -97,7 +116,8 @@
     }
 
     private static List<Scenario> scenarios() {
-        return List.of(new Scenario("no outage", 35 * S, StormBench::base),
+        return List.of(
+                new Scenario("no outage", 35 * S, StormBench::base),
                 new Scenario("one of three", 39 * S, StormBench::one),
                 new Scenario("all in turn", 55 * S, StormBench::inTurn),
                 new Scenario("in turn, list out of reach", 55 * S, () -> {
@@ -126,7 +146,8 @@
         variants.put("calendar", terms(Returns.CALENDAR, false));
         variants.put(ON, terms(Returns.CALENDAR, true));
         Map<String, Row> rows = new LinkedHashMap<>();
-        System.out.println("| scenario | variant | worst 10 s | whole | refused | tries a viewer | cold peak | kept | calm after, s |");
+        System.out.println(
+                "| scenario | variant | worst 10 s | whole | refused | tries a viewer | cold peak | kept | calm after, s |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
         int fallen = 0;
         int broken = 0;
@@ -140,29 +161,55 @@
                 }
                 fallen += r.fallen;
                 broken += r.below + r.after;
-                System.out.printf(Locale.ROOT, "| %s | %s | %s | %s | %.0f | %s | %.2f | %s | %s |%n", sc.name(), v.getKey(),
-                        Row.mean(r.worst), Row.mean(r.whole), r.refused / r.runs, Row.mean(r.tries), r.cold,
+                System.out.printf(
+                        Locale.ROOT,
+                        "| %s | %s | %s | %s | %.0f | %s | %.2f | %s | %s |%n",
+                        sc.name(),
+                        v.getKey(),
+                        Row.mean(r.worst),
+                        Row.mean(r.whole),
+                        r.refused / r.runs,
+                        Row.mean(r.tries),
+                        r.cold,
                         v.getValue() == null ? "-" : String.format(Locale.ROOT, "%.2f", r.kept / r.runs),
-                        v.getValue() == null ? "-" : r.never > 0 ? "not in " + r.never + " of " + r.runs
-                                : String.format(Locale.ROOT, "%.1f", r.calm.getMean() / 1000));
+                        v.getValue() == null
+                                ? "-"
+                                : r.never > 0
+                                        ? "not in " + r.never + " of " + r.runs
+                                        : String.format(Locale.ROOT, "%.1f", r.calm.getMean() / 1000));
             }
         }
         double[] cost = overhead(quick ? 2 : 6);
-        System.out.printf(Locale.ROOT, "processor in the brokers on a calm run: off %.1f ms, on %.1f ms%n", cost[0], cost[1]);
+        System.out.printf(
+                Locale.ROOT, "processor in the brokers on a calm run: off %.1f ms, on %.1f ms%n", cost[0], cost[1]);
         Row off = rows.get("one of three/" + OFF);
         Row on = rows.get("one of three/" + ON);
         Row coldOff = rows.get("one, fleet cold, 10 s/" + OFF);
         Row coldOn = rows.get("one, fleet cold, 10 s/" + ON);
         int twice = rows.values().stream().mapToInt(r -> r.twice).sum();
         int lost = rows.values().stream().mapToInt(r -> r.lost).sum();
-        System.out.printf(Locale.ROOT, "storm worst10_on=%.3f worst10_off=%.3f ratio=%.2f worst10_none=%.3f cold_worst10_on=%.3f "
+        System.out.printf(
+                Locale.ROOT,
+                "storm worst10_on=%.3f worst10_off=%.3f ratio=%.2f worst10_none=%.3f cold_worst10_on=%.3f "
                         + "cold_worst10_off=%.3f cold_ratio=%.2f cold_peak_on=%.2f cold_peak_off=%.2f tries_on=%.2f tries_off=%.2f "
                         + "calm_s=%.1f overhead=%.3f boxes_fallen=%d rules_broken=%d paid_twice=%d lost=%d%n",
-                on.worst.getMean() / 1000, off.worst.getMean() / 1000, on.worst.getMean() / off.worst.getMean(),
-                rows.get("no outage/" + OFF).worst.getMean() / 1000, coldOn.worst.getMean() / 1000,
-                coldOff.worst.getMean() / 1000, coldOn.worst.getMean() / coldOff.worst.getMean(), coldOn.cold, coldOff.cold,
-                on.tries.getMean() / 1000, off.tries.getMean() / 1000, on.calm.getMean() / 1000, cost[1] / cost[0] - 1,
-                fallen, broken, twice, lost);
+                on.worst.getMean() / 1000,
+                off.worst.getMean() / 1000,
+                on.worst.getMean() / off.worst.getMean(),
+                rows.get("no outage/" + OFF).worst.getMean() / 1000,
+                coldOn.worst.getMean() / 1000,
+                coldOff.worst.getMean() / 1000,
+                coldOn.worst.getMean() / coldOff.worst.getMean(),
+                coldOn.cold,
+                coldOff.cold,
+                on.tries.getMean() / 1000,
+                off.tries.getMean() / 1000,
+                on.calm.getMean() / 1000,
+                cost[1] / cost[0] - 1,
+                fallen,
+                broken,
+                twice,
+                lost);
     }
 
     /** Milliseconds that the brokers take of a calm run, off and on in turn; the least of several. */
--- a/src/test/java/dockshed/rig/World.java
+++ b/src/test/java/dockshed/rig/World.java
@@ -53,26 +53,31 @@
     private static final long SEE = S, TELL = 2_750 * MS, TICK = 100 * MS;
 
     /** What viewers heed of a refusal's advice. */
-    public enum Heeds { MILLIS, SECONDS, NOTHING, DOUBLES }
+    public enum Heeds {
+        MILLIS,
+        SECONDS,
+        NOTHING,
+        DOUBLES
+    }
 
     /** What happens, all of it set before the run. */
     public static final class Script {
         public int brokers = 3, boxes = 16, streams = 110;
         public double arrivals = 12, surge = 1;
         public long surgeFrom, surgeTo, length = 60 * S, longest = 2 * S;
-        public double ignore = 0.2;             // of the viewers; of the rest a third each heeds one way
-        public double lostReplies;              // set-ups that run and whose answer is lost
+        public double ignore = 0.2; // of the viewers; of the rest a third each heeds one way
+        public double lostReplies; // set-ups that run and whose answer is lost
         public double datagramLoss = 0.05;
-        public Terms terms;                     // null: without the part
-        public FleetTerms fleet;                // null: without the part
-        public boolean atOnce;                  // all brokers are told everything without loss or delay
-        public int liar = -1;                   // a broker that talks nonsense to the others, at full rate
-        public long stayLeast = 22 * S, stayMore = 40 * S;      // of viewers, evenly between the one and both
-        public int slow;                        // so many boxes give a third of their links, between these times
+        public Terms terms; // null: without the part
+        public FleetTerms fleet; // null: without the part
+        public boolean atOnce; // all brokers are told everything without loss or delay
+        public int liar = -1; // a broker that talks nonsense to the others, at full rate
+        public long stayLeast = 22 * S, stayMore = 40 * S; // of viewers, evenly between the one and both
+        public int slow; // so many boxes give a third of their links, between these times
         public long slowFrom, slowTo;
         public boolean namesReachable = true;
-        final List<long[]> outages = new ArrayList<>();     // broker, from, to
-        final List<long[]> restarts = new ArrayList<>();    // box, at
+        final List<long[]> outages = new ArrayList<>(); // broker, from, to
+        final List<long[]> restarts = new ArrayList<>(); // box, at
         long stallAt = -1, stallFor;
 
         public Script outage(int broker, long from, long to) {
@@ -114,18 +119,28 @@
     private long now = START;
 
     // What is measured.
-    public final double[] offered, earned;      // worth by second
-    public final int[] came, refusedIn;         // requests and refusals, by second
-    public final int[] playing;                 // sessions, by second
-    public final double[] fill, rungs;          // asked of all links over what they give; mean rung
-    public int tries, people, refused, failed, served, lost, paidTwice, keptTimes, earlyTimes, boxesFallen, belowFloor,
+    public final double[] offered, earned; // worth by second
+    public final int[] came, refusedIn; // requests and refusals, by second
+    public final int[] playing; // sessions, by second
+    public final double[] fill, rungs; // asked of all links over what they give; mean rung
+    public int tries,
+            people,
+            refused,
+            failed,
+            served,
+            lost,
+            paidTwice,
+            keptTimes,
+            earlyTimes,
+            boxesFallen,
+            belowFloor,
             refusedAfterRun;
-    public double coldPeak;                     // most set-ups within the rule's window at a cold box, over its allowed ones
-    public long brokerNanos;                    // processor's time in the brokers
-    public int furtherAttempts, paidAsked, paidServed;      // the last two: first tries within the surge
+    public double coldPeak; // most set-ups within the rule's window at a cold box, over its allowed ones
+    public long brokerNanos; // processor's time in the brokers
+    public int furtherAttempts, paidAsked, paidServed; // the last two: first tries within the surge
     public double shareSumMax, judged, judgedAlike;
     public long fleetBytes;
-    private final java.util.BitSet calm = new java.util.BitSet();       // by tick: every broker is calm
+    private final java.util.BitSet calm = new java.util.BitSet(); // by tick: every broker is calm
     public final List<String> stormLog = new ArrayList<>();
 
     private World(Script script, long seed) {
@@ -199,8 +214,13 @@
             fleetBytes += s.heart == null ? 0 : s.heart.counts().bytes;
         }
         for (Viewer v : viewers) {
-            lost += v.name != null && !v.answered && now - v.askedAt > v.patience() + 50 * MS
-                    && v.at.alive() && v.at.since <= v.askedAt ? 1 : 0;
+            lost += v.name != null
+                            && !v.answered
+                            && now - v.askedAt > v.patience() + 50 * MS
+                            && v.at.alive()
+                            && v.at.since <= v.askedAt
+                    ? 1
+                    : 0;
         }
     }
 
@@ -236,7 +256,8 @@
         final SessionClass cls = classes.get(random.nextDouble() < .3 ? 0 : random.nextDouble() < .36 ? 1 : 2);
         final int top = random.nextDouble() < .26 ? 2 : 4;
         final long firstTry = now, until = now + script.stayLeast + random.nextLong(script.stayMore);
-        final Heeds heeds = random.nextDouble() < script.ignore ? Heeds.NOTHING
+        final Heeds heeds = random.nextDouble() < script.ignore
+                ? Heeds.NOTHING
                 : Heeds.values()[new int[] {0, 1, 3}[random.nextInt(3)]];
         int mine;
         long wait = 500 * MS, askedAt;
@@ -263,17 +284,20 @@
             askedAt = now;
             answered = false;
             Station to = stations.get(random.nextInt(script.brokers));
-            if (!to.admitted()) {       // the front has noticed: another one
+            if (!to.admitted()) { // the front has noticed: another one
                 List<Station> up = stations.stream().filter(Station::admitted).toList();
                 to = up.isEmpty() ? to : up.get(random.nextInt(up.size()));
             }
             at = to;
-            inSurge = cls.effect() != Effect.SAFE && mine == 1 && now - START >= script.surgeFrom && now - START < script.surgeTo;
+            inSurge = cls.effect() != Effect.SAFE
+                    && mine == 1
+                    && now - START >= script.surgeFrom
+                    && now - START < script.surgeTo;
             paidAsked += inSurge ? 1 : 0;
             name = String.format("%016x", ++names);
             if (!to.alive()) {
                 name = null;
-                back(740 * MS + random.nextLong(2_160 * MS));       // the connection is refused
+                back(740 * MS + random.nextLong(2_160 * MS)); // the connection is refused
                 return;
             }
             String asked = name;
@@ -303,7 +327,7 @@
             ended();
             long own = 740 * MS + random.nextLong(2_160 * MS);
             if (random.nextDouble() < 0.1) {
-                return;                 // stays away
+                return; // stays away
             }
             long jitter = random.nextLong(30 * MS);
             switch (heeds) {
@@ -346,7 +370,7 @@
         final Map<String, Viewer> load = new LinkedHashMap<>();
         final ArrayDeque<Long> cold = new ArrayDeque<>();
         final Set<String> ran = new HashSet<>();
-        long since;             // of its start; 0 long ago
+        long since; // of its start; 0 long ago
         boolean fallen;
 
         Box(int number) {
@@ -369,7 +393,9 @@
         }
 
         double asked() {
-            return load.values().stream().mapToDouble(v -> RATES[v.rung] * v.cls.scale()).sum();
+            return load.values().stream()
+                    .mapToDouble(v -> RATES[v.rung] * v.cls.scale())
+                    .sum();
         }
 
         double share() {
@@ -482,43 +508,81 @@
             long next = deadlines.next();
             long stall = START + script.stallAt;
             return me == 0 && script.stallAt >= 0 && next >= stall && next < stall + script.stallFor
-                    ? stall + script.stallFor : next;
+                    ? stall + script.stallFor
+                    : next;
         }
 
         void start() {
             since = now;
-            deadlines = new Deadlines(t -> { });
-            Settings s = new Settings(me, script.brokers, "east", classes, List.of(new Kind("std", script.streams)),
-                    new Ladder(list(RATES), list(WORTHS), LINK * script.boxes, LINK, LINK * script.boxes, 2, 3, 0, STALL, 490 * MS),
+            deadlines = new Deadlines(t -> {});
+            Settings s = new Settings(
+                    me,
+                    script.brokers,
+                    "east",
+                    classes,
+                    List.of(new Kind("std", script.streams)),
+                    new Ladder(
+                            list(RATES),
+                            list(WORTHS),
+                            LINK * script.boxes,
+                            LINK,
+                            LINK * script.boxes,
+                            2,
+                            3,
+                            0,
+                            STALL,
+                            490 * MS),
                     new Limits(5, false, true, 250 * MS, script.longest, SEE, TELL),
-                    new Rules(S, 0.4, 12 * S, 2.5, 2 * S, 0, 0, 0), new Prices(0, 0, 0, 0), List.of(Field.LINK));
+                    new Rules(S, 0.4, 12 * S, 2.5, 2 * S, 0, 0, 0),
+                    new Prices(0, 0, 0, 0),
+                    List.of(Field.LINK));
             long seed = random.nextLong();
             Function<Director.Actions, Director> module = a -> new Choice(s, seed, a);
-            Function<Director.Actions, Director> whole = script.terms == null ? module : a -> {
-                Director d = Damper.before(s, script.terms, seed ^ 0x5eed, module).apply(a);
-                damper = (Damper) d;
-                return d;
-            };
+            Function<Director.Actions, Director> whole = script.terms == null
+                    ? module
+                    : a -> {
+                        Director d = Damper.before(s, script.terms, seed ^ 0x5eed, module)
+                                .apply(a);
+                        damper = (Damper) d;
+                        return d;
+                    };
             if (script.fleet != null) {
                 heart = new Heart(script.fleet, me, script.brokers, now / 1000, now, seed ^ 0xf1ee7);
                 view = View.ALONE;
-                broker = new Broker(s, a -> {
-                    gate = Gate.before(s, () -> view, n -> {
-                        heart.news(now, n, this::carry);
-                        return true;
-                    }, whole).apply(a);
-                    return gate;
-                }, this::datagram, deadlines);
+                broker = new Broker(
+                        s,
+                        a -> {
+                            gate = Gate.before(
+                                            s,
+                                            () -> view,
+                                            n -> {
+                                                heart.news(now, n, this::carry);
+                                                return true;
+                                            },
+                                            whole)
+                                    .apply(a);
+                            return gate;
+                        },
+                        this::datagram,
+                        deadlines);
                 beat(heart);
             } else {
                 broker = new Broker(s, whole, this::datagram, deadlines);
             }
-            broker.members(now, "names", now == START ? Scope.SNAPSHOT : Scope.DISK, boxes.stream().map(Box::listed).toList());
+            broker.members(
+                    now,
+                    "names",
+                    now == START ? Scope.SNAPSHOT : Scope.DISK,
+                    boxes.stream().map(Box::listed).toList());
             Broker mine = broker;
             if (now > START && script.namesReachable) {
                 at(now + 300 * MS + random.nextLong(500 * MS), () -> {
                     if (broker == mine) {
-                        broker.members(now, "names", Scope.SNAPSHOT, boxes.stream().map(Box::listed).toList());
+                        broker.members(
+                                now,
+                                "names",
+                                Scope.SNAPSHOT,
+                                boxes.stream().map(Box::listed).toList());
                     }
                 });
             }
@@ -576,9 +640,26 @@
 
         void ask(Viewer v, boolean again) {
             asking.put(v.name, v);
-            long connection = broker.connected(now, this, h -> { });
-            if (!broker.request(now, connection, this, this, new Wish(v.name, v.cls.name(), v.id, "lesson", v.patience(),
-                    (long) ((v.until - now) * (.8 + .4 * random.nextDouble())), 0, 3, v.top, again, false, again, "sdp\n"))) {
+            long connection = broker.connected(now, this, h -> {});
+            if (!broker.request(
+                    now,
+                    connection,
+                    this,
+                    this,
+                    new Wish(
+                            v.name,
+                            v.cls.name(),
+                            v.id,
+                            "lesson",
+                            v.patience(),
+                            (long) ((v.until - now) * (.8 + .4 * random.nextDouble())),
+                            0,
+                            3,
+                            v.top,
+                            again,
+                            false,
+                            again,
+                            "sdp\n"))) {
                 throw new IllegalStateException("a viewer's request was malformed");
             }
         }
@@ -617,7 +698,8 @@
         public void refused(long connection, String name, long comeBack) {
             Viewer v = asking.remove(name);
             if (v != null && name.equals(v.name)) {
-                refusedAfterRun += v.cls.effect() != Effect.SAFE && boxes.stream().anyMatch(b -> b.ran.contains(name)) ? 1 : 0;
+                refusedAfterRun +=
+                        v.cls.effect() != Effect.SAFE && boxes.stream().anyMatch(b -> b.ran.contains(name)) ? 1 : 0;
                 v.refused(comeBack);
             }
         }
@@ -667,18 +749,23 @@
             at(now + 3 * MS, () -> {
                 if (b.takes(s.name(), v.cls)) {
                     if (noAnswer) {
-                        return;         // it ran, and its answer is lost
+                        return; // it ran, and its answer is lost
                     }
-                    at(now + 15 * MS + random.nextLong(25 * MS) + (b.slow() ? 300 * MS + random.nextLong(900 * MS) : 0), () -> {
-                        if (broker == mine && !b.fallen && v.name != null && v.name.equals(s.name())) {
-                            v.rung = s.rung();
-                            timed(() -> mine.answered(now, server, s.name(), "sdp\n"));
-                            if (s.name().equals(v.name) && v.plays) {
-                                b.load.put(s.name(), v);
-                                broker.note(now, server, s.name(), Topic.LINK, b.asked() / (LINK * b.gives()));
-                            }
-                        }
-                    });
+                    at(
+                            now
+                                    + 15 * MS
+                                    + random.nextLong(25 * MS)
+                                    + (b.slow() ? 300 * MS + random.nextLong(900 * MS) : 0),
+                            () -> {
+                                if (broker == mine && !b.fallen && v.name != null && v.name.equals(s.name())) {
+                                    v.rung = s.rung();
+                                    timed(() -> mine.answered(now, server, s.name(), "sdp\n"));
+                                    if (s.name().equals(v.name) && v.plays) {
+                                        b.load.put(s.name(), v);
+                                        broker.note(now, server, s.name(), Topic.LINK, b.asked() / (LINK * b.gives()));
+                                    }
+                                }
+                            });
                 } else if (broker == mine) {
                     broker.ended(now, server, s.name(), Outcome.CONNECT_FAILED, LoadReport.NONE);
                 }
@@ -700,10 +787,10 @@
         }
 
         @Override
-        public void giveUp(String server, String name) { }
+        public void giveUp(String server, String name) {}
 
         @Override
-        public void hold(String server, boolean sessions) { }
+        public void hold(String server, boolean sessions) {}
     }
 
     // ---- Measures.
@@ -734,13 +821,19 @@
             }
         }
         playing[sec] = boxes.stream().mapToInt(b -> b.load.size()).sum();
-        fill[sec] = boxes.stream().mapToDouble(Box::asked).sum() / (LINK * boxes.stream().mapToDouble(Box::warmth).sum());
-        rungs[sec] = viewers.stream().filter(v -> v.plays).mapToInt(v -> v.rung).average().orElse(0);
+        fill[sec] = boxes.stream().mapToDouble(Box::asked).sum()
+                / (LINK * boxes.stream().mapToDouble(Box::warmth).sum());
+        rungs[sec] = viewers.stream()
+                .filter(v -> v.plays)
+                .mapToInt(v -> v.rung)
+                .average()
+                .orElse(0);
         for (Viewer v : viewers) {
             if (now < v.until) {
                 offered[sec] += v.cls.worth() * WORTHS[v.top] * TICK / S;
                 earned[sec] += v.plays && v.box != null
-                        ? v.cls.worth() * WORTHS[Math.min(v.rung, v.top)] * worth.get(v.box) * TICK / S : 0;
+                        ? v.cls.worth() * WORTHS[Math.min(v.rung, v.top)] * worth.get(v.box) * TICK / S
+                        : 0;
             } else if (v.plays && v.at.alive() && v.box != null) {
                 v.at.broker.ended(now, v.box.id, v.name, Outcome.OK, v.box.report());
             }
@@ -750,7 +843,8 @@
         for (Station s : stations) {
             String state = s.damper == null ? "NONE" : s.damper.state();
             if (!state.equals(s.state)) {
-                stormLog.add(String.format(java.util.Locale.ROOT, "%.1f broker=%d %s", (now - START) / 1e6, s.me, state));
+                stormLog.add(
+                        String.format(java.util.Locale.ROOT, "%.1f broker=%d %s", (now - START) / 1e6, s.me, state));
                 s.state = state;
             }
             uncalm += s.damper != null && !s.damper.state().equals("CALM") ? 1 : 0;
@@ -765,8 +859,19 @@
         int under = 0;
         int asked = 0;
         boolean cut = false;
-        Director.Request r = new Director.Request("x", classes.get(random.nextInt(classes.size())).name(),
-                "v" + random.nextInt(100_000), "lesson", S, 0, 0, 3, 4, false, false, false);
+        Director.Request r = new Director.Request(
+                "x",
+                classes.get(random.nextInt(classes.size())).name(),
+                "v" + random.nextInt(100_000),
+                "lesson",
+                S,
+                0,
+                0,
+                3,
+                4,
+                false,
+                false,
+                false);
         for (Station s : stations) {
             if (s.heart != null && s.me != script.liar) {
                 sum += s.heart.newcomers(now);
@@ -821,6 +926,9 @@
     }
 
     public List<Damper> dampers() {
-        return stations.stream().filter(s -> s.damper != null).map(s -> s.damper).toList();
+        return stations.stream()
+                .filter(s -> s.damper != null)
+                .map(s -> s.damper)
+                .toList();
     }
 }
--- a/src/test/java/dockshed/rtsp/ConnectionModelTest.java
+++ b/src/test/java/dockshed/rtsp/ConnectionModelTest.java
@@ -23,12 +23,16 @@
  * on its own connection, else on any open one that asked, else on the next that asks.
  */
 class ConnectionModelTest {
-    private enum At { ASKED, STANDS, OVER }
+    private enum At {
+        ASKED,
+        STANDS,
+        OVER
+    }
 
     private static final class Viewer {
         At at = At.ASKED;
         final int connection;
-        int steps;          // since it asked
+        int steps; // since it asked
 
         Viewer(int connection) {
             this.connection = connection;
@@ -38,13 +42,13 @@
     private final Stage s = new Stage();
     private final RtspFront front = new RtspFront(s.broker, s, () -> s.now, s.deadlines, 100);
     private final List<EmbeddedChannel> channels = new ArrayList<>();
-    private final Set<Integer> asked = new HashSet<>();         // connections that brought a set-up
+    private final Set<Integer> asked = new HashSet<>(); // connections that brought a set-up
     private final Map<String, Viewer> viewers = new LinkedHashMap<>();
-    private final Map<String, Long> owed = new LinkedHashMap<>();      // since when; for eight seconds
+    private final Map<String, Long> owed = new LinkedHashMap<>(); // since when; for eight seconds
 
     @Property(seed = "20261201", tries = 300)
-    void whatIsOwedIsPaidOnce(@ForAll @Size(max = 60) List<@IntRange(max = 7) Integer> kinds,
-                              @ForAll @IntRange(max = 1000) int salt) {
+    void whatIsOwedIsPaidOnce(
+            @ForAll @Size(max = 60) List<@IntRange(max = 7) Integer> kinds, @ForAll @IntRange(max = 1000) int salt) {
         ConnectionModelTest fresh = new ConnectionModelTest();
         fresh.s.onOutcome = id -> fresh.s.actions.refuse(id, 0);
         int turn = salt;
@@ -63,7 +67,9 @@
             channels.add(new EmbeddedChannel(front.accept()));
         } else if (kind == 1 && c >= 0) {
             channels.get(c).close();
-            viewers.values().stream().filter(x -> x.connection == c && x.at == At.ASKED).forEach(x -> x.at = At.OVER);
+            viewers.values().stream()
+                    .filter(x -> x.connection == c && x.at == At.ASKED)
+                    .forEach(x -> x.at = At.OVER);
         } else if (kind <= 3 && c >= 0 && channels.get(c).isOpen()) {
             String fresh = RtspFrontTest.id(viewers.size());
             viewers.put(fresh, new Viewer(c));
@@ -101,12 +107,12 @@
             anywhere.clear();
         }
         check(due, anywhere, v);
-        s.pass(400 * Stage.MS);         // so that no end may be taken for unheard; a request lives for eight steps
+        s.pass(400 * Stage.MS); // so that no end may be taken for unheard; a request lives for eight steps
         Map<Integer, List<String>> late = new LinkedHashMap<>();
         viewers.forEach((id, x) -> {
             if (++x.steps == 8 && x.at == At.ASKED) {
                 x.at = At.OVER;
-                late.computeIfAbsent(x.connection, k -> new ArrayList<>()).add("453 " + id);    // as the module says
+                late.computeIfAbsent(x.connection, k -> new ArrayList<>()).add("453 " + id); // as the module says
             }
         });
         check(late, List.of(), null);
@@ -120,7 +126,9 @@
             for (String text : RtspFrontTest.heard(channels.get(i))) {
                 String id = text.replaceAll("(?s).*\r\nSession: ([0-9a-f]+).*", "$1");
                 if (text.startsWith("TEARDOWN")) {
-                    boolean mine = own == null || own.connection == i || !channels.get(own.connection).isOpen();
+                    boolean mine = own == null
+                            || own.connection == i
+                            || !channels.get(own.connection).isOpen();
                     assertTrue(expected.remove(id) || mine && left.remove(id), "an end not owed: " + text);
                 } else {
                     assertTrue(expected.remove(text.split(" ")[1] + " " + id), "an answer not owed: " + text);
--- a/src/test/java/dockshed/rtsp/GoneTest.java
+++ b/src/test/java/dockshed/rtsp/GoneTest.java
@@ -33,8 +33,11 @@
             clock.onDue(deadlines::run);
             return new RtspFront(stage.broker, stage, clock, deadlines, 10);
         });
-        at = (InetSocketAddress) net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept,
-                () -> { }, true).sync().channel().localAddress();
+        at = (InetSocketAddress)
+                net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept, () -> {}, true)
+                        .sync()
+                        .channel()
+                        .localAddress();
     }
 
     @AfterEach
@@ -126,27 +129,33 @@
             go.countDown();
             heard(s, "RTSP/1.0 200 OK\r\nCSeq: 2\r\nSession: " + RtspFrontTest.id(1) + "\r\nContent-Length: 0\r\n\r\n");
             assertEquals(0, attempts());
-            assertEquals(0, unanswered());      // its own is open
+            assertEquals(0, unanswered()); // its own is open
         }
     }
 
     @Test
     void whoOnlyHalfClosesHasOneWholeAnswerToEachAndNoFurtherAttempt() throws Exception {
-        // Nobody can tell it from one that has left; the connection ended without a word, and what it had asked was lost.
+        // Nobody can tell it from one that has left; the connection ended without a word, and what it had asked was
+        // lost.
         try (Socket s = viewer()) {
-            say(s, RtspFrontTest.setUp(RtspFrontTest.id(1), "").replace("Class: safe", "Class: paid")
-                    + RtspFrontTest.setUp(RtspFrontTest.id(2), ""));
+            say(
+                    s,
+                    RtspFrontTest.setUp(RtspFrontTest.id(1), "").replace("Class: safe", "Class: paid")
+                            + RtspFrontTest.setUp(RtspFrontTest.id(2), ""));
             stage.await("box a setUp " + RtspFrontTest.id(2));
             CountDownLatch go = HeldLoop.hold(net);
             say(s, RtspFrontTest.setUp(RtspFrontTest.id(3), ""));
             s.shutdownOutput();
             go.countDown();
-            List<String> answers = List.of(new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8)
-                    .split("(?=RTSP/1.0 )"));
+            List<String> answers = List.of(
+                    new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8).split("(?=RTSP/1.0 )"));
             assertEquals(3, answers.size(), answers.toString());
             for (int i = 1; i <= 3; i++) {
                 String own = RtspFrontTest.id(i);
-                String answer = answers.stream().filter(a -> a.contains(own)).findFirst().orElse("none");
+                String answer = answers.stream()
+                        .filter(a -> a.contains(own))
+                        .findFirst()
+                        .orElse("none");
                 assertTrue(answer.startsWith(i == 1 ? "RTSP/1.0 500 " : "RTSP/1.0 503 "), answer);
             }
             settled();
--- a/src/test/java/dockshed/rtsp/LingerTest.java
+++ b/src/test/java/dockshed/rtsp/LingerTest.java
@@ -28,12 +28,16 @@
             clock.onDue(deadlines::run);
             return new RtspFront(stage.broker, stage, clock, deadlines, 10);
         });
-        InetSocketAddress at = (InetSocketAddress) net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0),
-                front::accept).sync().channel().localAddress();
+        InetSocketAddress at = (InetSocketAddress)
+                net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept)
+                        .sync()
+                        .channel()
+                        .localAddress();
         try (Socket s = new Socket(at.getAddress(), at.getPort())) {
             s.setSoTimeout(20_000);
             OutputStream out = s.getOutputStream();
-            out.write("SETUP rtsp://media/x RTSP/1.0\r\nContent-Length: 33554432\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+            out.write("SETUP rtsp://media/x RTSP/1.0\r\nContent-Length: 33554432\r\n\r\n"
+                    .getBytes(StandardCharsets.UTF_8));
             byte[] piece = new byte[1 << 16];
             for (int i = 0; i < 512; i++) {
                 out.write(piece);
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -50,23 +50,39 @@
         assertEquals(List.of("box a setUp " + id(1) + " left=2990"), s.log);
         s.broker.answered(s.now, "a", id(1), "x\r\né");
         s.ended("a", id(1), Outcome.OK);
-        assertEquals(List.of(
-                "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1) + "\r\nContent-Length: 5\r\n\r\nx\r\né",
-                "TEARDOWN rtsp://media/" + id(1) + " RTSP/1.0\r\nCSeq: 2\r\nSession: " + id(1)
-                        + "\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"), heard(ch));
+        assertEquals(
+                List.of(
+                        "RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1) + "\r\nContent-Length: 5\r\n\r\nx\r\né",
+                        "TEARDOWN rtsp://media/" + id(1) + " RTSP/1.0\r\nCSeq: 2\r\nSession: " + id(1)
+                                + "\r\nReason: cause=16\r\nContent-Length: 0\r\n\r\n"),
+                heard(ch));
     }
 
     @Test
     void everyFieldOfASetUpReachesTheModule() {
         List<Object> seen = new ArrayList<>();
         s.onRequest = r -> {
-            seen.addAll(List.of(r.className(), r.viewer(), r.title(), r.patience(), r.length(), r.home(), r.copies(),
-                    r.top(), r.retry(), r.back()));
+            seen.addAll(List.of(
+                    r.className(),
+                    r.viewer(),
+                    r.title(),
+                    r.patience(),
+                    r.length(),
+                    r.home(),
+                    r.copies(),
+                    r.top(),
+                    r.retry(),
+                    r.back()));
             s.actions.fail(r.id());
         };
-        say(ch, setUp(id(1), "P-Repeat: 1\r\nExpected-Ms: 8200.5\r\n"
-                + "P-Trunk-Info: home:2;copies:3;top:2;viewer:00000000b4d65521;again:1\r\n"));
-        assertEquals(List.of("safe", "00000000b4d65521", "7f3a9c21e0b4d655", 3 * S, 8_200_500L, 2, 3, 2, true, true), seen);
+        say(
+                ch,
+                setUp(
+                        id(1),
+                        "P-Repeat: 1\r\nExpected-Ms: 8200.5\r\n"
+                                + "P-Trunk-Info: home:2;copies:3;top:2;viewer:00000000b4d65521;again:1\r\n"));
+        assertEquals(
+                List.of("safe", "00000000b4d65521", "7f3a9c21e0b4d655", 3 * S, 8_200_500L, 2, 3, 2, true, true), seen);
         assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 500 "));
     }
 
@@ -75,8 +91,11 @@
         s.onRequest = r -> s.actions.refuse(r.id(), 700 * MS);
         say(ch, setUp(id(1), ""));
         String answer = heard(ch).get(0);
-        assertTrue(answer.startsWith("RTSP/1.0 503 ") && answer.contains("\r\nP-Back-Off: 700\r\n")
-                && answer.contains("\r\nRetry-After: 1\r\n"), answer);
+        assertTrue(
+                answer.startsWith("RTSP/1.0 503 ")
+                        && answer.contains("\r\nP-Back-Off: 700\r\n")
+                        && answer.contains("\r\nRetry-After: 1\r\n"),
+                answer);
     }
 
     @Test
@@ -104,10 +123,15 @@
 
     @Test
     void aSetUpThatSaysTooLittleGetsA400AndTheConnectionGoesOn() {
-        for (String bad : List.of(setUp("xyz", ""), setUp(id(1), "").replace("safe", "none"),
-                setUp(id(1), "").replace("3000", "soon"), setUp(id(1), "").replace("3000", "-5"),
-                setUp(id(1), "").replace("3000", "NaN"), setUp(id(1), "P-Trunk-Info: home:x\r\n"),
-                setUp(id(1), "").replace("Expires-Ms: 3000\r\n", ""), setUp(id(1), "").replace("media/", "other/"))) {
+        for (String bad : List.of(
+                setUp("xyz", ""),
+                setUp(id(1), "").replace("safe", "none"),
+                setUp(id(1), "").replace("3000", "soon"),
+                setUp(id(1), "").replace("3000", "-5"),
+                setUp(id(1), "").replace("3000", "NaN"),
+                setUp(id(1), "P-Trunk-Info: home:x\r\n"),
+                setUp(id(1), "").replace("Expires-Ms: 3000\r\n", ""),
+                setUp(id(1), "").replace("media/", "other/"))) {
             say(ch, bad);
             List<String> answers = heard(ch);
             assertEquals(1, answers.size(), bad);
@@ -123,9 +147,12 @@
         for (int i = 0; i < RtspFront.MOST_FAULTS; i++) {
             faults += setUp(id(100 + i), "").replace("safe", "none");
         }
-        return List.of("GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n" + setUp(id(2), ""),
+        return List.of(
+                "GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\n\r\n" + setUp(id(2), ""),
                 setUp(id(2), "X: " + "y".repeat(16 * 1024) + "\r\n"),
-                setUp(id(2), "").replace("Length: 9", "Length: nine"), faults, setUp(id(2), "") + setUp(id(2), ""));
+                setUp(id(2), "").replace("Length: 9", "Length: nine"),
+                faults,
+                setUp(id(2), "") + setUp(id(2), ""));
     }
 
     @Test
@@ -133,8 +160,8 @@
         // A half message after a whole one ended the connection, and the first set-up, paid and taken, had no answer.
         for (String spoiler : spoilers()) {
             Stage stage = new Stage();
-            EmbeddedChannel c = new EmbeddedChannel(new RtspFront(stage.broker, stage, () -> stage.now, stage.deadlines, 3)
-                    .accept());
+            EmbeddedChannel c = new EmbeddedChannel(
+                    new RtspFront(stage.broker, stage, () -> stage.now, stage.deadlines, 3).accept());
             say(c, setUp(id(1), ""));
             say(c, spoiler);
             List<String> answers = heard(c);
@@ -144,8 +171,13 @@
             assertEquals(0, stage.count("box a setUp " + id(3)), "taken after the end: " + spoiler);
             stage.broker.answered(stage.now, "a", id(1), "x");
             c.runPendingTasks();
-            assertEquals(1, heard(c).stream().filter(a -> a.startsWith("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1)
-                    + "\r\n") && a.endsWith("x")).count(), spoiler);
+            assertEquals(
+                    1,
+                    heard(c).stream()
+                            .filter(a -> a.startsWith("RTSP/1.0 200 OK\r\nCSeq: 1\r\nSession: " + id(1) + "\r\n")
+                                    && a.endsWith("x"))
+                            .count(),
+                    spoiler);
             assertFalse(c.isOpen(), spoiler);
             assertEquals(1, stage.broker.standing());
         }
@@ -159,7 +191,7 @@
         List<String> half = heard(ch);
         assertEquals(1, half.size());
         assertTrue(half.get(0).startsWith("RTSP/1.0 400 ") && !half.get(0).contains("Session"), half.get(0));
-        s.pass(S);                  // the box stays silent, until the viewer's time is up
+        s.pass(S); // the box stays silent, until the viewer's time is up
         assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 504 Gateway Time-out\r\nCSeq: 1\r\nSession: " + id(1)));
         assertFalse(ch.isOpen());
         assertEquals(0, s.broker.unanswered());
@@ -179,14 +211,16 @@
         // A close throws away what the system has not taken yet; the viewer would have had half an answer.
         List<Object> held = new ArrayList<>();
         List<io.netty.channel.ChannelPromise> promises = new ArrayList<>();
-        EmbeddedChannel slow = new EmbeddedChannel(new io.netty.channel.ChannelOutboundHandlerAdapter() {
-            @Override
-            public void flush(io.netty.channel.ChannelHandlerContext ctx) {
-                if (promises.isEmpty()) {
-                    held.add(ctx);      // the viewer makes no room yet
-                }
-            }
-        }, front.accept());
+        EmbeddedChannel slow = new EmbeddedChannel(
+                new io.netty.channel.ChannelOutboundHandlerAdapter() {
+                    @Override
+                    public void flush(io.netty.channel.ChannelHandlerContext ctx) {
+                        if (promises.isEmpty()) {
+                            held.add(ctx); // the viewer makes no room yet
+                        }
+                    }
+                },
+                front.accept());
         say(slow, setUp(id(1), ""));
         s.broker.answered(s.now, "a", id(1), "x");
         slow.unsafe().outboundBuffer().addFlush();
@@ -197,8 +231,13 @@
         s.pass(RtspFront.LAST_READ);
         assertTrue(slow.isOpen());
         s.pass(RtspFront.LINGER + S);
-        assertEquals(3, java.util.stream.Stream.generate(() -> new EmbeddedChannel(front.accept())).limit(3)
-                .filter(EmbeddedChannel::isOpen).count(), "not for ever");
+        assertEquals(
+                3,
+                java.util.stream.Stream.generate(() -> new EmbeddedChannel(front.accept()))
+                        .limit(3)
+                        .filter(EmbeddedChannel::isOpen)
+                        .count(),
+                "not for ever");
     }
 
     @Test
@@ -216,18 +255,25 @@
         say(ch, setUp(id(1), ""));
         say(ch, bye + "\r\n");
         assertEquals(1, s.count("box a giveUp"));
-        assertEquals(List.of("200", "200"), heard(ch).stream().map(a -> a.split(" ")[1]).toList());
+        assertEquals(
+                List.of("200", "200"),
+                heard(ch).stream().map(a -> a.split(" ")[1]).toList());
         assertEquals(0, s.broker.unanswered());
         say(ch, setUp(id(1), ""));
         s.broker.answered(s.now, "a", id(1), "");
         say(ch, bye + "Reason: cause=31\r\n\r\n");
         assertEquals(1, s.count("box a release"));
-        assertEquals(List.of("200", "200"), heard(ch).stream().map(a -> a.split(" ")[1]).toList());
+        assertEquals(
+                List.of("200", "200"),
+                heard(ch).stream().map(a -> a.split(" ")[1]).toList());
     }
 
     @Test
     void anOpenSessionWantsNoAnswer() {
-        say(ch, setUp(id(1), "P-Trunk-Info: home:0;copies:3;top:4;viewer:00;at:b\r\n").repeat(2));
+        say(
+                ch,
+                setUp(id(1), "P-Trunk-Info: home:0;copies:3;top:4;viewer:00;at:b\r\n")
+                        .repeat(2));
         assertEquals(List.of(), heard(ch));
         assertEquals(1, s.count("module open b"));
     }
@@ -249,7 +295,8 @@
         say(ch, setUp(id(1), ""));
         ch.pipeline().addFirst(new io.netty.channel.ChannelOutboundHandlerAdapter() {
             @Override
-            public void write(io.netty.channel.ChannelHandlerContext ctx, Object msg, io.netty.channel.ChannelPromise p) {
+            public void write(
+                    io.netty.channel.ChannelHandlerContext ctx, Object msg, io.netty.channel.ChannelPromise p) {
                 io.netty.util.ReferenceCountUtil.release(msg);
                 p.setFailure(new java.io.IOException("as a test"));
             }
@@ -271,7 +318,8 @@
 
     @Test
     void roomIsMadeAmongThoseThatAskNothing() {
-        // Hundreds of connections that say nothing, or ask one test and stay, took all places; viewers were turned away.
+        // Hundreds of connections that say nothing, or ask one test and stay, took all places; viewers were turned
+        // away.
         say(ch, setUp(id(1), ""));
         EmbeddedChannel tested = new EmbeddedChannel(front.accept());
         say(tested, "OPTIONS rtsp://media/ping RTSP/1.0\r\nCSeq: 3\r\nContent-Length: 0\r\n\r\n");
@@ -309,7 +357,9 @@
         s.pass(S / 4);
         assertTrue(ch.isOpen());
         s.broker.answered(s.now, "a", id(4), "x");
-        assertEquals(List.of("200", "200"), heard(ch).stream().map(a -> a.split(" ")[1]).toList());
+        assertEquals(
+                List.of("200", "200"),
+                heard(ch).stream().map(a -> a.split(" ")[1]).toList());
     }
 
     private static List<Boolean> open(EmbeddedChannel... channels) {
@@ -384,9 +434,15 @@
     @Test
     void figuresThatNoViewerHasAreNotPassedOn() {
         // The edge server sees none of these figures and would answer: a client with them must not hear 'served'.
-        for (String info : List.of("home:-1;copies:3;top:4", "home:3;copies:3;top:4", "home:0;copies:4;top:4",
-                "home:0;copies:3;top:5", "home:0;copies:3;top:99999999999", "home:1e0;copies:3;top:4",
-                "home:0;copies:NaN;top:4", "home:0;copies:3;top:4;at:nowhere")) {
+        for (String info : List.of(
+                "home:-1;copies:3;top:4",
+                "home:3;copies:3;top:4",
+                "home:0;copies:4;top:4",
+                "home:0;copies:3;top:5",
+                "home:0;copies:3;top:99999999999",
+                "home:1e0;copies:3;top:4",
+                "home:0;copies:NaN;top:4",
+                "home:0;copies:3;top:4;at:nowhere")) {
             EmbeddedChannel c = new EmbeddedChannel(front.accept());
             say(c, setUp(id(1), "P-Trunk-Info: " + info + "\r\n"));
             assertTrue(heard(c).get(0).startsWith("RTSP/1.0 400 "), info);
@@ -398,7 +454,7 @@
             assertTrue(heard(c).get(0).startsWith("RTSP/1.0 400 "), patience);
             c.close();
         }
-        say(ch, setUp(id(1), "").replace("d=e\n", "d=e!"));       // cut off, by a length that is wrong
+        say(ch, setUp(id(1), "").replace("d=e\n", "d=e!")); // cut off, by a length that is wrong
         assertTrue(heard(ch).get(0).startsWith("RTSP/1.0 400 "));
         assertEquals(List.of(), s.log);
     }
--- a/src/test/java/dockshed/storm/DamperTest.java
+++ b/src/test/java/dockshed/storm/DamperTest.java
@@ -20,7 +20,7 @@
 class DamperTest {
     private static final long MS = 1000, S = 1_000_000, T0 = 1_000_000 * S;
 
-    private final Stage module = new Stage();       // only the module's side of it is used
+    private final Stage module = new Stage(); // only the module's side of it is used
     private final List<String> out = new ArrayList<>();
     private final List<Long> told = new ArrayList<>();
     private long unit = 1000;
@@ -28,8 +28,10 @@
     private Damper damper = damper(module.settings);
 
     private Damper damper(Settings settings) {
-        Director.Actions broker = (Director.Actions) Proxy.newProxyInstance(getClass().getClassLoader(),
-                new Class<?>[] {Director.Actions.class}, (proxy, method, args) -> switch (method.getName()) {
+        Director.Actions broker = (Director.Actions) Proxy.newProxyInstance(
+                getClass().getClassLoader(),
+                new Class<?>[] {Director.Actions.class},
+                (proxy, method, args) -> switch (method.getName()) {
                     case "comeBackUnit" -> unit;
                     case "refuse" -> {
                         told.add((Long) args[1]);
@@ -74,7 +76,7 @@
     @Test
     void oneThatComesEarlyIsToldTheSameTimeAgain() {
         module.onRequest = r -> inner.refuse(r.id(), 2 * S);
-        for (int i = 0; i < 12; i++) {          // fills the first slots, so that the time is not the soonest
+        for (int i = 0; i < 12; i++) { // fills the first slots, so that the time is not the soonest
             ask(T0, "f" + i, "f" + i);
         }
         ask(T0, "1", "v");
@@ -100,15 +102,24 @@
         ask(T0, "x", "x");
         assertEquals(0, told.get(200), "a unit over the longest time: no advice");
         unit = 1000;
-        damper = damper(new Settings(0, 1, "east", s.classes(), s.kinds(), s.ladder(), new Director.Limits(5, false, true,
-                250 * MS, 0, S, 3 * S), s.rules(), s.prices(), s.reportFields()));
+        damper = damper(new Settings(
+                0,
+                1,
+                "east",
+                s.classes(),
+                s.kinds(),
+                s.ladder(),
+                new Director.Limits(5, false, true, 250 * MS, 0, S, 3 * S),
+                s.rules(),
+                s.prices(),
+                s.reportFields()));
         ask(T0, "y", "y");
         assertEquals(0, told.get(201), "settings that allow none");
     }
 
     @Test
     void aColdFleetsTurnsAreWaitedForAndHopelessOnesRefusedAtOnce() {
-        list(T0, T0);                   // one box of 40 places over 12 s at 0.4: 1.9 turns a second with the aim
+        list(T0, T0); // one box of 40 places over 12 s at 0.4: 1.9 turns a second with the aim
         module.onRequest = r -> inner.send(r.id(), "a", 0);
         for (int i = 0; i < 10; i++) {
             ask(T0, "r" + i, "v" + i);
--- a/src/test/java/dockshed/storm/StormPartsTest.java
+++ b/src/test/java/dockshed/storm/StormPartsTest.java
@@ -110,8 +110,10 @@
     // ---- Calendar.
 
     @Property(tries = 200, seed = "7")
-    void returnsNeverExceedTheRoomExpected(@ForAll @DoubleRange(min = 0.2, max = 80) double perSecond,
-                                           @ForAll @IntRange(min = 1, max = 400) int refused, @ForAll long seed) {
+    void returnsNeverExceedTheRoomExpected(
+            @ForAll @DoubleRange(min = 0.2, max = 80) double perSecond,
+            @ForAll @IntRange(min = 1, max = 400) int refused,
+            @ForAll long seed) {
         Calendar c = new Calendar(250 * MS);
         SplittableRandom random = new SplittableRandom(seed);
         List<Long> promised = new ArrayList<>();
@@ -126,7 +128,9 @@
         for (long k = c.slotOf(T0); k <= c.slotOf(T0 + 10 * S); k++) {
             long end = (k + 1) * 250 * MS;
             long by = promised.stream().filter(at -> at < end).count();
-            assertTrue(by <= perSecond * (end - T0) / 1e6 + 1, by + " promised by " + (end - T0) / MS + " ms at " + perSecond);
+            assertTrue(
+                    by <= perSecond * (end - T0) / 1e6 + 1,
+                    by + " promised by " + (end - T0) / MS + " ms at " + perSecond);
         }
         assertEquals(promised.size(), c.promised(T0));
         promised.forEach(c::cancel);
@@ -189,8 +193,11 @@
     @Test
     void thoseWorthMoreNearGivingUpAndOnTimeGoFirst() {
         WaitingRoom r = new WaitingRoom(TERMS);
-        for (Waiter w : List.of(waiter("early", 1, T0, Standing.EARLY, T0), waiter("fresh", 1, T0, Standing.FIRST, T0),
-                waiter("kept", 1, T0, Standing.KEPT, T0), waiter("old", 1, T0 - 3 * S, Standing.KEPT, T0),
+        for (Waiter w : List.of(
+                waiter("early", 1, T0, Standing.EARLY, T0),
+                waiter("fresh", 1, T0, Standing.FIRST, T0),
+                waiter("kept", 1, T0, Standing.KEPT, T0),
+                waiter("old", 1, T0 - 3 * S, Standing.KEPT, T0),
                 waiter("paid", 3, T0, Standing.FIRST, T0))) {
             assertNull(r.offer(T0, w, 100));
         }
@@ -206,7 +213,8 @@
 
     @Test
     void nobodyWaitsInVainAndTheLeastIsPutOutWhereTheRoomIsFull() {
-        WaitingRoom r = new WaitingRoom(new Terms(TERMS.returns(), 1, 0, 250 * MS, 0, S, 400 * MS, 2, 2, 1, 1, S, 1, 1, 1, 0));
+        WaitingRoom r =
+                new WaitingRoom(new Terms(TERMS.returns(), 1, 0, 250 * MS, 0, S, 400 * MS, 2, 2, 1, 1, S, 1, 1, 1, 0));
         Waiter first = waiter("1", 1, T0, Standing.FIRST, T0);
         assertEquals(first, r.offer(T0, first, 2), "half a second a place is longer than the hold");
         assertNull(r.offer(T0, first, 100));
@@ -254,10 +262,10 @@
 
     @Test
     void aFreshBoxIsSentNoMoreThanItsPaceInAnyWindowAlsoAfterAStall() {
-        ColdPace p = new ColdPace(new Stage().settings, TERMS);      // one broker, 40 places, 12 s
+        ColdPace p = new ColdPace(new Stage().settings, TERMS); // one broker, 40 places, 12 s
         p.members(T0, Scope.SNAPSHOT, List.of(server(T0)));
         List<Long> sent = new ArrayList<>();
-        for (long t = T0; t < T0 + 12 * S; t += t == T0 + 5 * S ? S : 5 * MS) {      // a clock that stands still for 1 s
+        for (long t = T0; t < T0 + 12 * S; t += t == T0 + 5 * S ? S : 5 * MS) { // a clock that stands still for 1 s
             for (int burst = 0; burst < 20 && p.may(t, "a"); burst++) {
                 p.sent(t, "a");
                 sent.add(t);
@@ -344,14 +352,16 @@
 
     @Property(tries = 500, seed = "11")
     void garbageIsPassedOver(@ForAll @Size(max = 300) byte[] bytes, @ForAll @IntRange(max = 255) int at) {
-        Note.read(bytes);                       // must not throw
-        byte[] good = new Note(Watch.State.CALM, 250, 1, 2, 0, new int[] {1, 2}, List.of(new Spent(1, 2)), false).write();
+        Note.read(bytes); // must not throw
+        byte[] good =
+                new Note(Watch.State.CALM, 250, 1, 2, 0, new int[] {1, 2}, List.of(new Spent(1, 2)), false).write();
         for (int cut = 0; cut < good.length; cut++) {
             assertNull(Note.read(java.util.Arrays.copyOf(good, cut)));
         }
         good[at % good.length] ^= (byte) 0x81;
         Note n = Note.read(good);
-        assertTrue(n == null || n.promised().length <= Note.MOST_SLOTS && n.spent().size() <= Note.MOST_BOXES);
+        assertTrue(
+                n == null || n.promised().length <= Note.MOST_SLOTS && n.spent().size() <= Note.MOST_BOXES);
         good = new Note(Watch.State.CALM, 250, 1, 2, 0, new int[0], List.of(), false).write();
         assertNotNull(Note.read(good));
         good[1]++;
@@ -367,7 +377,11 @@
             w.add(t, 1);
             all.merge(t / (100 * MS), 1, Integer::sum);
             long newest = t / (100 * MS);
-            assertEquals(all.entrySet().stream().filter(e -> e.getKey() > newest - 20).mapToInt(Map.Entry::getValue).sum(),
+            assertEquals(
+                    all.entrySet().stream()
+                            .filter(e -> e.getKey() > newest - 20)
+                            .mapToInt(Map.Entry::getValue)
+                            .sum(),
                     w.sum(t, 2 * S));
         }
     }
--- a/src/test/java/dockshed/storm/StormTest.java
+++ b/src/test/java/dockshed/storm/StormTest.java
@@ -68,7 +68,8 @@
     @Test
     void aStormIsNoticedAndOverWithinTenSecondsOfTheLastRestart() {
         World w = with(script().outage(0, 35 * S, 39 * S));
-        assertTrue(w.stormLog.stream().anyMatch(l -> l.startsWith("36") && l.endsWith("RISING")), w.stormLog.toString());
+        assertTrue(
+                w.stormLog.stream().anyMatch(l -> l.startsWith("36") && l.endsWith("RISING")), w.stormLog.toString());
         assertTrue(w.stormLog.stream().anyMatch(l -> l.endsWith("STORM")), w.stormLog.toString());
         double after = w.calmAfter(39 * S);
         assertTrue(after >= 0 && after <= 10, "calm after " + after);
@@ -84,13 +85,16 @@
         on.surgeTo = 50 * S;
         World damped = with(on);
         on.terms = null;
-        assertTrue(damped.worst(FROM) > without(on).worst(FROM) - 0.03, "worst " + damped.worst(FROM) + " without " + without(on).worst(FROM));
+        assertTrue(
+                damped.worst(FROM) > without(on).worst(FROM) - 0.03,
+                "worst " + damped.worst(FROM) + " without " + without(on).worst(FROM));
         assertTrue(damped.dampers().get(1).counts().appointed > 0);
     }
 
     @Test
     void allBrokersRestartedInTurnAnswerEveryRequestOnce() {
-        World w = with(script().outage(0, 35 * S, 39 * S).outage(1, 43 * S, 47 * S).outage(2, 51 * S, 55 * S));
+        World w = with(
+                script().outage(0, 35 * S, 39 * S).outage(1, 43 * S, 47 * S).outage(2, 51 * S, 55 * S));
         assertTrue(w.stormLog.stream().filter(l -> l.endsWith("STORM")).count() >= 2, w.stormLog.toString());
         assertTrue(w.calmAfter(55 * S) >= 0 && w.calmAfter(55 * S) <= 10, "calm after " + w.calmAfter(55 * S));
         assertTrue(w.service(60, 69) > 0.7, "service after the last restart " + w.service(60, 69));
@@ -102,8 +106,23 @@
         Script s = script().outage(0, 35 * S, 39 * S).outage(1, 43 * S, 47 * S).outage(2, 51 * S, 55 * S);
         s.namesReachable = false;
         Terms u = Terms.USUAL;
-        Terms silent = new Terms(u.returns(), u.soonest(), u.longest(), u.slot(), u.early(), u.remember(), u.hold(), u.waiting(),
-                u.rush(), u.repeats(), u.trouble(), u.calmAfter(), u.retryShare(), u.retryLeast(), u.coldAim(), 0);
+        Terms silent = new Terms(
+                u.returns(),
+                u.soonest(),
+                u.longest(),
+                u.slot(),
+                u.early(),
+                u.remember(),
+                u.hold(),
+                u.waiting(),
+                u.rush(),
+                u.repeats(),
+                u.trouble(),
+                u.calmAfter(),
+                u.retryShare(),
+                u.retryLeast(),
+                u.coldAim(),
+                0);
         double told = 0;
         double alone = 0;
         for (int seed = 1; seed <= SEEDS; seed++) {
