--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -12,10 +12,10 @@
 import dockshed.core.Finder;
 import dockshed.edge.Edges;
 import dockshed.eureka.EurekaClient;
-import dockshed.fleet.FleetFinder;
+import dockshed.fleet.AdmissionFilter;
+import dockshed.fleet.FleetHealthProber;
 import dockshed.fleet.FleetHost;
-import dockshed.fleet.Gate;
-import dockshed.fleet.News;
+import dockshed.fleet.LocalEvent;
 import dockshed.hls.HlsFront;
 import dockshed.hls.Origins;
 import dockshed.load.LoadTeller;
@@ -71,20 +71,20 @@
         fleet = operator.fleet() == null || !config.fleet()
                 ? null
                 : new FleetHost(operator.fleet(), s.me(), config.peers(), clock, config.seed() ^ FLEET_SEED);
-        // From the broker inwards: the fleet's gate, the storm part, the module.
+        // From the broker inwards: the fleet's admission filter, the storm part, the module.
         Function<Director.Actions, Director> module = actions -> new Choice(s, config.seed(), actions);
         Function<Director.Actions, Director> damped = operator.storm() == null
                 ? module
                 : Damper.before(s, operator.storm(), config.seed() ^ STORM_SEED, module);
-        Gate[] gate = new Gate[1];
+        AdmissionFilter[] admission = new AdmissionFilter[1];
         broker = new Broker(
                 s,
                 fleet == null
                         ? damped
                         : actions -> {
-                            gate[0] = Gate.before(s, fleet::view, fleet::news, damped)
+                            admission[0] = AdmissionFilter.before(s, fleet::snapshot, fleet::offer, damped)
                                     .apply(actions);
-                            return gate[0];
+                            return admission[0];
                         },
                 fleet == null ? peers : fleet,
                 deadlines);
@@ -101,9 +101,9 @@
                         s.limits().see(),
                         config.reportFields(),
                         config.lines()),
-                fleet == null || !operator.fleet().probes()
+                fleet == null || !operator.fleet().healthProbes()
                         ? Finder.ALONE
-                        : new FleetFinder(s.me(), fleet::view, fleet::news, gate[0]::shun));
+                        : new FleetHealthProber(s.me(), fleet::snapshot, fleet::offer, admission[0]::avoid));
         rtsp = new RtspFront(broker, edges, clock, deadlines, config.viewers());
     }
 
@@ -157,7 +157,7 @@
                 .orElse(0);
         new Signals(w.net, w.clock, w.deadlines, w.broker, longest).watch(() -> {
             if (w.fleet != null) {
-                w.fleet.news(new News.Leaving());
+                w.fleet.offer(new LocalEvent.Leaving());
             }
         });
         LOG.info(
--- a/src/main/java/dockshed/config/ConfFile.java
+++ b/src/main/java/dockshed/config/ConfFile.java
@@ -7,10 +7,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
@@ -38,6 +40,8 @@
         private final int line;
         private final Map<String, Entry> entries = new LinkedHashMap<>();
         private final List<String> asked = new ArrayList<>();
+        /** Keys that stand in the file under a name of an earlier version; their fault is recorded. */
+        private final Set<String> outdated = new HashSet<>();
 
         private Section(String name, int line) {
             this.name = name;
@@ -169,10 +173,20 @@
             fault(e == null ? line : e.line(), key, expected, e == null ? "its default" : String.join(" ", e.values()));
         }
 
+        /** Directives of earlier versions, by their old names: one that stands here is a fault that names the new one. */
+        void renamed(Map<String, String> newNames) {
+            entries.forEach((key, e) -> {
+                if (newNames.containsKey(key)) {
+                    outdated.add(key);
+                    addFault(file + ":" + e.line() + ": " + key + ": was renamed to " + newNames.get(key));
+                }
+            });
+        }
+
         /** Whatever was not asked for by now is no directive of this section. */
         void end() {
             entries.forEach((key, e) -> {
-                if (!asked.contains(key)) {
+                if (!asked.contains(key) && !outdated.contains(key)) {
                     fault(
                             e.line(),
                             key,
@@ -220,8 +234,12 @@
     }
 
     private void fault(int line, String key, String expected, String got) {
+        addFault(file + ":" + line + ": " + key + ": expected " + expected + ", got " + got);
+    }
+
+    private void addFault(String fault) {
         if (faults.size() < MOST_FAULTS) {
-            faults.add(file + ":" + line + ": " + key + ": expected " + expected + ", got " + got);
+            faults.add(fault);
         }
     }
 
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -1,13 +1,21 @@
 package dockshed.config;
 
-import dockshed.fleet.FleetTerms;
+import dockshed.fleet.FleetSettings;
 import dockshed.storm.Terms;
 import java.nio.file.Path;
+import java.util.Map;
 
 /** What the operator's file switches on and sets; {@code storm} or {@code fleet} null: without that part. */
-public record OperatorConfig(Terms storm, FleetTerms fleet) {
+public record OperatorConfig(Terms storm, FleetSettings fleet) {
     private static final long MS = 1000, S = 1_000_000;
 
+    /** Directives of the fleet section that earlier versions had, with the names that they have now. */
+    private static final Map<String, String> RENAMED_FLEET_DIRECTIVES = Map.of(
+            "floor", "guaranteed_share",
+            "shares", "leases",
+            "cut", "load_shedding",
+            "probes", "health_probes");
+
     public static final OperatorConfig NONE = new OperatorConfig(null, null);
 
     public static OperatorConfig load(String file) {
@@ -23,22 +31,23 @@
         boolean fleetNamed = file.root().has("fleet");
         ConfFile.Section f = file.root().section("fleet");
         boolean fleetOn = f.flag("enabled", true);
-        FleetTerms fleet = fleet(f);
+        FleetSettings fleet = fleet(f);
         f.end();
         file.root().end();
         file.check();
         return new OperatorConfig(named && on ? terms : null, fleetNamed && fleetOn ? fleet : null);
     }
 
-    private static FleetTerms fleet(ConfFile.Section s) {
-        FleetTerms u = FleetTerms.USUAL;
-        return new FleetTerms(
-                s.multiple("bytes_a_second", u.bytes(), 100, 100_000),
-                s.multiple("bytes_a_session", u.perSession(), 0, 100_000),
-                s.share("floor", u.floor(), 0, 1),
-                s.flag("shares", u.shares()),
-                s.flag("cut", u.cut()),
-                s.flag("probes", u.probes()));
+    private static FleetSettings fleet(ConfFile.Section s) {
+        s.renamed(RENAMED_FLEET_DIRECTIVES);
+        FleetSettings defaults = FleetSettings.DEFAULTS;
+        return new FleetSettings(
+                s.multiple("bytes_a_second", defaults.bytesPerSecond(), 100, 100_000),
+                s.multiple("bytes_a_session", defaults.bytesPerSession(), 0, 100_000),
+                s.share("guaranteed_share", defaults.guaranteedShare(), 0, 1),
+                s.flag("leases", defaults.leases()),
+                s.flag("load_shedding", defaults.loadShedding()),
+                s.flag("health_probes", defaults.healthProbes()));
     }
 
     private static Terms storm(ConfFile.Section s) {
--- a/src/main/java/dockshed/fleet/Envelope.java
+++ b/src/main/java/dockshed/fleet/Envelope.java
@@ -7,46 +7,62 @@
 import java.util.List;
 
 /**
- * One datagram between brokers: who sends it, from which life and as its how manieth, then items. An item is a kind, a
- * length and that many bytes, so a reader passes over kinds that it does not know; a higher version may add kinds and
- * lengthen bodies, never change what stands here.
+ * One datagram between brokers: the sender, its incarnation, a serial number, then items. An item is a kind, a length and
+ * that many bytes, so a reader skips kinds that it does not know; a higher version may add kinds and lengthen bodies, but
+ * never change what is defined here.
  *
  * @param sender      the sender's number in the tier
- * @param incarnation of the sender: grows with each start, and when it has to contradict a word on itself
- * @param serial      of the datagram within that life
+ * @param incarnation of the sender: grows with each start, and when it has to refute a suspicion of itself
+ * @param serial      of the datagram within that incarnation
  * @param items       in the order written
  */
 public record Envelope(int sender, long incarnation, int serial, List<Item> items) {
     /** Bytes of a datagram at most: the platform's limit. */
-    public static final int LIMIT = 256;
+    public static final int MAX_BYTES = 256;
 
     static final byte MAGIC = (byte) 0xF1;
     static final int VERSION = 1;
-    static final int HEAD = 2 + 2 + 6 + 4;
-    /** No broker's number is higher: numbers take two bytes. */
-    static final int MOST_BROKERS = 0xFFFF;
-
-    /** Kinds of items; what a body holds stands at {@link Bodies}. */
-    static final int PING = 1,
-            ACK = 2,
-            PING_FOR = 3,
-            MEMBER = 4,
-            ROW = 5,
-            DIGEST = 6,
-            LOCK = 7,
-            LOCKED = 8,
-            ASK = 9,
-            GRANT = 10;
-
+    /** Magic and version, sender, incarnation, serial. */
+    static final int HEADER_BYTES = 2 + 2 + 6 + 4;
+    /** Brokers' numbers take two bytes. */
+    static final int MAX_BROKERS = 0xFFFF;
+
+    /** Kind of item: a probe; probe number. */
+    static final int PING = 1;
+    /** Kind of item: the answer to a probe; probe number. */
+    static final int ACK = 2;
+    /** Kind of item: asks for an indirect probe; probe number, target. */
+    static final int PING_REQUEST = 3;
+    /** Kind of item: a member's state; member, state, incarnation. */
+    static final int MEMBER = 4;
+    /** Kind of item: a {@link VersionedEntry}. */
+    static final int ENTRY = 5;
+    /** Kind of item: a digest for anti-entropy; whether one is wanted back, a hash for each bucket. */
+    static final int DIGEST = 6;
+    /** Kind of item: a candidate's request to a voter; round, the candidate's incarnation. */
+    static final int VOTE_REQUEST = 7;
+    /** Kind of item: a voter's vote; round. */
+    static final int VOTE = 8;
+    /** Kind of item: a request to the lease coordinator; request number, demand by resource. */
+    static final int LEASE_REQUEST = 9;
+    /** Kind of item: a lease; request number, milliseconds, share by resource. */
+    static final int LEASE_GRANT = 10;
+
+    private static final int MAX_BODY_BYTES = 255;
+    /** An item's kind and length. */
+    private static final int ITEM_HEADER_BYTES = 2;
+
+    /** One item; the class that handles a kind decodes its body. */
     record Item(int kind, byte[] body) {
         Item {
-            if (body.length > 255) {
+            if (body.length > MAX_BODY_BYTES) {
                 throw new IllegalArgumentException("item of " + body.length + " bytes");
             }
         }
 
+        /** Its bytes in the datagram. */
         int size() {
-            return 2 + body.length;
+            return ITEM_HEADER_BYTES + body.length;
         }
 
         ByteBuffer read() {
@@ -55,76 +71,82 @@
     }
 
     byte[] write() {
-        ByteBuffer b =
-                ByteBuffer.allocate(HEAD + items.stream().mapToInt(Item::size).sum());
-        b.put(MAGIC).put((byte) VERSION).putShort((short) sender);
-        putLong6(b, incarnation);
-        b.putInt(serial);
-        for (Item i : items) {
-            b.put((byte) i.kind()).put((byte) i.body().length).put(i.body());
+        int size = HEADER_BYTES + items.stream().mapToInt(Item::size).sum();
+        ByteBuffer out = ByteBuffer.allocate(size);
+        out.put(MAGIC).put((byte) VERSION).putShort((short) sender);
+        putU48(out, incarnation);
+        out.putInt(serial);
+        for (Item item : items) {
+            out.put((byte) item.kind()).put((byte) item.body().length).put(item.body());
         }
-        return b.array();
+        return out.array();
     }
 
-    /** Whether a datagram claims to be one of these. */
-    public static boolean mine(byte[] datagram) {
-        return datagram.length >= HEAD && datagram[0] == MAGIC;
+    /** Whether a datagram claims to be an envelope. */
+    public static boolean isEnvelope(byte[] datagram) {
+        return datagram.length >= HEADER_BYTES && datagram[0] == MAGIC;
     }
 
-    /** Null where it cannot be read. */
+    /** Returns null if the datagram cannot be decoded. */
     static Envelope read(byte[] datagram) {
-        if (!mine(datagram) || datagram.length > LIMIT || datagram[1] < VERSION) {
+        if (!isEnvelope(datagram) || datagram.length > MAX_BYTES || datagram[1] < VERSION) {
             return null;
         }
-        ByteBuffer b = ByteBuffer.wrap(datagram, 2, datagram.length - 2);
-        int sender = b.getShort() & 0xFFFF;
-        long incarnation = getLong6(b);
-        int serial = b.getInt();
+        ByteBuffer in = ByteBuffer.wrap(datagram, 2, datagram.length - 2);
+        int sender = in.getShort() & 0xFFFF;
+        long incarnation = getU48(in);
+        int serial = in.getInt();
+        List<Item> items = readItems(in);
+        return items == null ? null : new Envelope(sender, incarnation, serial, items);
+    }
+
+    /** Returns null if the datagram is truncated: then nothing of it is trusted. */
+    private static List<Item> readItems(ByteBuffer in) {
         List<Item> items = new ArrayList<>();
         try {
-            while (b.hasRemaining()) {
-                int kind = b.get() & 0xFF;
-                byte[] body = new byte[b.get() & 0xFF];
-                b.get(body);
+            while (in.hasRemaining()) {
+                int kind = in.get() & 0xFF;
+                byte[] body = new byte[in.get() & 0xFF];
+                in.get(body);
                 items.add(new Item(kind, body));
             }
         } catch (BufferUnderflowException e) {
-            return null; // cut off: nothing of it is trusted
+            return null;
         }
-        return new Envelope(sender, incarnation, serial, List.copyOf(items));
+        return List.copyOf(items);
     }
 
-    static void putLong6(ByteBuffer b, long v) {
-        b.putShort((short) (v >>> 32)).putInt((int) v);
+    static void putU48(ByteBuffer out, long value) {
+        out.putShort((short) (value >>> 32)).putInt((int) value);
     }
 
-    static long getLong6(ByteBuffer b) {
-        return (long) (b.getShort() & 0xFFFF) << 32 | b.getInt() & 0xFFFFFFFFL;
+    static long getU48(ByteBuffer in) {
+        return (long) (in.getShort() & 0xFFFF) << 32 | in.getInt() & 0xFFFFFFFFL;
     }
 
-    /** Bodies of the items, written; they are read where they are understood. */
-    static final class Bodies {
+    /** Writes the body of an item, big-endian. */
+    static final class BodyWriter {
         private final ByteArrayOutputStream out = new ByteArrayOutputStream();
 
-        Bodies u8(int v) {
-            out.write(v);
+        BodyWriter u8(int value) {
+            out.write(value);
             return this;
         }
 
-        Bodies u16(int v) {
-            return u8(v >>> 8).u8(v);
+        BodyWriter u16(int value) {
+            return u8(value >>> 8).u8(value);
         }
 
-        Bodies u32(int v) {
-            return u16(v >>> 16).u16(v);
+        BodyWriter u32(int value) {
+            return u16(value >>> 16).u16(value);
         }
 
-        Bodies u48(long v) {
-            return u16((int) (v >>> 32)).u32((int) v);
+        BodyWriter u48(long value) {
+            return u16((int) (value >>> 32)).u32((int) value);
         }
 
-        Bodies bytes(byte[] v) {
-            out.writeBytes(v);
+        BodyWriter bytes(byte[] value) {
+            out.writeBytes(value);
             return this;
         }
 
--- a/src/main/java/dockshed/fleet/FleetHost.java
+++ b/src/main/java/dockshed/fleet/FleetHost.java
@@ -14,144 +14,169 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Ties the heart to one event loop on one thread of its own and to datagrams. The broker's loop reads {@link #view()} and
- * hands over {@link #news}; it never waits for this one. News beyond {@link #MOST_NEWS} is dropped and counted.
+ * Runs a {@link GossipNode} on one event loop with a thread of its own, and on datagrams. The broker's loop reads {@link
+ * #snapshot()} and hands events to {@link #offer}; it never waits for this one. Events beyond {@link #MAX_PENDING_EVENTS}
+ * are dropped and counted.
  */
 public final class FleetHost implements Peers {
-    /** News not taken yet: a second of the busiest broker's, each tenth of a second one of figures and words on boxes. */
-    static final int MOST_NEWS = 1024;
+    /** Events not handled yet: a second of the busiest broker's, with a load sample each tenth of a second. */
+    static final int MAX_PENDING_EVENTS = 1024;
 
-    private static final long REPORT = 10_000_000;
+    /** Microseconds between two log lines of figures. */
+    private static final long LOG_PERIOD = 10_000_000;
+
+    private static final long MIN_TICK_DELAY = 1000;
     private static final Logger LOG = LoggerFactory.getLogger(FleetHost.class);
 
     private final Net net = new Net("fleet");
     private final Clock clock;
     private final UdpPeers peers;
-    private final Heart heart;
-    private final ArrayBlockingQueue<News> news = new ArrayBlockingQueue<>(MOST_NEWS);
-    private final AtomicBoolean woken = new AtomicBoolean();
-    private final AtomicLong dropped = new AtomicLong();
-    private volatile View view = View.ALONE;
-    private long reportAt, stalls;
-    private List<Integer> living = List.of();
-    private boolean purser;
-    private long leased;
-    private int cut;
-
-    /** {@code me}: this broker's number, and place in {@code peers}. */
-    public FleetHost(FleetTerms terms, int me, List<InetSocketAddress> peers, Clock clock, long seed) {
+    private final GossipNode node;
+    private final ArrayBlockingQueue<LocalEvent> pending = new ArrayBlockingQueue<>(MAX_PENDING_EVENTS);
+    private final AtomicBoolean wakeUpScheduled = new AtomicBoolean();
+    private final AtomicLong droppedEvents = new AtomicLong();
+    private volatile FleetSnapshot snapshot = FleetSnapshot.ALONE;
+    private long nextLogAt;
+    private long internalErrors;
+    private List<Integer> loggedPresent = List.of();
+    private boolean loggedCoordinator;
+    private boolean loggedShedding;
+    private long loggedLeaseUntil;
+
+    /**
+     * @param me    this broker's number, and place in {@code peers}
+     * @param peers the addresses of all brokers, by number
+     */
+    public FleetHost(FleetSettings settings, int me, List<InetSocketAddress> peers, Clock clock, long seed) {
         this.clock = clock;
         this.peers = new UdpPeers(peers, null);
         long now = clock.now();
-        heart = new Heart(terms, me, peers.size(), now / 1000, now, seed);
+        node = new GossipNode(settings, me, peers.size(), now / 1000, now, seed);
     }
 
-    /** Begins to listen and to talk. Throws IllegalStateException where the address cannot be listened on. */
+    /** Begins to listen and to gossip. Throws IllegalStateException if the address cannot be listened on. */
     public void start(InetSocketAddress at) {
-        reportAt = clock.now() + REPORT;
-        peers.listen(net, at, (from, message) -> turn(() -> heart.receive(clock.now(), message, peers::tell)));
-        net.loop().execute(this::look);
+        nextLogAt = clock.now() + LOG_PERIOD;
+        peers.listen(net, at, (from, message) -> guarded(() -> node.receive(clock.now(), message, peers::tell)));
+        net.loop().execute(this::tick);
     }
 
-    public View view() {
-        return view;
+    /** The latest snapshot; from any thread. */
+    public FleetSnapshot snapshot() {
+        return snapshot;
     }
 
-    /** Hands news over; false where the queue is full: then it is lost. From any thread. */
-    public boolean news(News n) {
-        boolean taken = news.offer(n);
-        if (!taken) {
-            dropped.incrementAndGet();
-        } else if (woken.compareAndSet(false, true)) {
-            net.loop().execute(() -> turn(this::takeNews));
+    /** Hands an event over, from any thread; false if the queue is full, which drops the event. */
+    public boolean offer(LocalEvent event) {
+        boolean queued = pending.offer(event);
+        if (!queued) {
+            droppedEvents.incrementAndGet();
+        } else if (wakeUpScheduled.compareAndSet(false, true)) {
+            net.loop().execute(() -> guarded(this::handlePending));
         }
-        return taken;
+        return queued;
     }
 
-    /** The storm part's note: told as a row, so that all brokers' talk has one form and one budget. */
+    /** Replicates the retry-storm part's message as an entry, so that all messages share one form and one budget. */
     @Override
     public void tell(byte[] message) {
-        news(new News.Note(message.clone()));
+        offer(new LocalEvent.StormNote(message.clone()));
     }
 
-    private void takeNews() {
-        woken.set(false);
-        for (News n = news.poll(); n != null; n = news.poll()) {
-            heart.news(clock.now(), n, peers::tell);
+    private void handlePending() {
+        wakeUpScheduled.set(false);
+        for (LocalEvent event = pending.poll(); event != null; event = pending.poll()) {
+            node.handle(clock.now(), event, peers::tell);
         }
     }
 
-    private void look() {
-        turn(() -> {
-            takeNews();
-            heart.tick(clock.now(), peers::tell);
+    private void tick() {
+        guarded(() -> {
+            handlePending();
+            node.tick(clock.now(), peers::tell);
             publish();
         });
         long now = clock.now();
-        net.loop().schedule(this::look, Math.max(1000, heart.next(now) - now), TimeUnit.MICROSECONDS);
+        net.loop().schedule(this::tick, Math.max(MIN_TICK_DELAY, node.next(now) - now), TimeUnit.MICROSECONDS);
     }
 
-    /** What goes wrong in one turn is not to end the loop; the broker goes on alone if nothing comes of it any more. */
-    private void turn(Runnable what) {
+    /** An internal error does not end the loop; if no snapshot comes of it any more, the broker serves alone. */
+    private void guarded(Runnable task) {
         try {
-            what.run();
+            task.run();
         } catch (RuntimeException e) {
-            stalls++;
-            LOG.error("internal error in the fleet's loop, gone on after it: number={}", stalls, e);
+            internalErrors++;
+            LOG.error("internal error in the fleet's loop, which continues: number={}", internalErrors, e);
         }
     }
 
     private void publish() {
         long now = clock.now();
-        View v = heart.view(now);
-        view = v;
-        boolean shares = heart.shares().isPurser(now);
-        if (!v.living().equals(living) || shares != purser || v.cut() > 0 != cut > 0) {
+        FleetSnapshot current = node.snapshot(now);
+        snapshot = current;
+        logChanges(now, current);
+        logLease(now, current);
+        if (now >= nextLogAt) {
+            nextLogAt = now + LOG_PERIOD;
+            logFigures(now, current);
+        }
+    }
+
+    private void logChanges(long now, FleetSnapshot current) {
+        boolean coordinator = node.leases().isCoordinator(now);
+        boolean shedding = current.sheddingThreshold() > 0;
+        List<Integer> present = current.presentBrokers();
+        if (!present.equals(loggedPresent) || coordinator != loggedCoordinator || shedding != loggedShedding) {
             LOG.atInfo()
                     .setMessage("fleet")
-                    .addKeyValue("living", v.living().size())
-                    .addKeyValue("gone", minus(living, v.living()))
-                    .addKeyValue("come", minus(v.living(), living))
-                    .addKeyValue("steady", v.steady())
-                    .addKeyValue("purser", shares)
-                    .addKeyValue("cut", v.cut())
+                    .addKeyValue("present", present.size())
+                    .addKeyValue("lost", without(loggedPresent, present))
+                    .addKeyValue("joined", without(present, loggedPresent))
+                    .addKeyValue("steady", current.steady())
+                    .addKeyValue("lease_coordinator", coordinator)
+                    .addKeyValue("shedding_threshold", current.sheddingThreshold())
                     .log();
         }
-        if (v.until() > leased && v.until() > now && v.newcomers() >= 0) {
+        loggedPresent = present;
+        loggedCoordinator = coordinator;
+        loggedShedding = shedding;
+    }
+
+    private void logLease(long now, FleetSnapshot current) {
+        long until = current.leasedUntil();
+        if (until > loggedLeaseUntil && until > now && current.newSessionShare() >= 0) {
             LOG.atDebug()
                     .setMessage("fleet lease")
                     .addKeyValue("from", now)
-                    .addKeyValue("until", v.until())
-                    .addKeyValue("share", v.newcomers())
-                    .log();
-        }
-        leased = Math.max(leased, v.until());
-        living = v.living();
-        purser = shares;
-        cut = v.cut();
-        if (now >= reportAt) {
-            reportAt = now + REPORT;
-            Heart.Counts c = heart.counts();
-            LOG.atInfo()
-                    .setMessage("fleet figures")
-                    .addKeyValue("sent", c.sent)
-                    .addKeyValue("bytes", c.bytes)
-                    .addKeyValue("received", c.received)
-                    .addKeyValue("passed_over", c.passedOver)
-                    .addKeyValue("made_up", c.mended)
-                    .addKeyValue("stood_still", c.stoodStill)
-                    .addKeyValue("news_dropped", dropped.get())
-                    .addKeyValue("rows", heart.rows().size())
-                    .addKeyValue("newcomers", v.newcomers(now))
-                    .addKeyValue("cut", v.cut())
+                    .addKeyValue("until", until)
+                    .addKeyValue("share", current.newSessionShare())
                     .log();
         }
+        loggedLeaseUntil = Math.max(loggedLeaseUntil, until);
+    }
+
+    private void logFigures(long now, FleetSnapshot current) {
+        GossipNode.Counts counts = node.counts();
+        LOG.atInfo()
+                .setMessage("fleet figures")
+                .addKeyValue("sent", counts.sent)
+                .addKeyValue("bytes", counts.bytes)
+                .addKeyValue("received", counts.received)
+                .addKeyValue("discarded", counts.discarded)
+                .addKeyValue("forged", counts.forged)
+                .addKeyValue("stalls", counts.stalls)
+                .addKeyValue("events_dropped", droppedEvents.get())
+                .addKeyValue("entries", node.entries().size())
+                .addKeyValue("new_session_share", current.newSessionShare(now))
+                .addKeyValue("shedding_threshold", current.sheddingThreshold())
+                .log();
     }
 
-    private static List<Integer> minus(List<Integer> all, List<Integer> but) {
-        return all.stream().filter(i -> !but.contains(i)).toList();
+    private static List<Integer> without(List<Integer> all, List<Integer> excluded) {
+        return all.stream().filter(i -> !excluded.contains(i)).toList();
     }
 
+    /** Ends the loop and its thread. */
     public void close() {
         net.close();
     }
--- /dev/null
+++ b/src/main/java/dockshed/fleet/FleetSnapshot.java
@@ -0,0 +1,68 @@
+package dockshed.fleet;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the broker's loop reads of the fleet: immutable and replaced as a whole. It states how long it is valid, since the
+ * loop that makes it and the loop that reads it may each stall.
+ *
+ * @param takenAt           when it was made, in microseconds of the process's clock
+ * @param steady            whether what is known of the others is later than this process's last stall
+ * @param presentBrokers    numbers of the brokers that are present, this one included
+ * @param newSessionShare   of 1: what this broker may use of each server's room and cold pace, until {@code leasedUntil}
+ * @param retryShare        the same of the fleet's retries
+ * @param guaranteedShare   what it may use of both after {@code leasedUntil}
+ * @param leasedUntil       when the leased shares end
+ * @param sheddingThreshold the priority below which to refuse; 0: none
+ * @param requestsPerSecond of the whole fleet, as replicated
+ * @param healthReports     on edge servers, by the hash of the server's id
+ * @param stormNotes        of the retry-storm part, by broker
+ */
+public record FleetSnapshot(
+        long takenAt,
+        boolean steady,
+        List<Integer> presentBrokers,
+        double newSessionShare,
+        double retryShare,
+        double guaranteedShare,
+        long leasedUntil,
+        int sheddingThreshold,
+        double requestsPerSecond,
+        Map<Integer, List<VersionedEntry>> healthReports,
+        Map<Integer, VersionedEntry> stormNotes) {
+    /** Microseconds after which a snapshot counts as none: the fleet's loop has stalled. */
+    public static final long MAX_AGE = 1_500_000;
+
+    /** Stands in place of a share where none is kept. */
+    public static final double UNSHARED = -1;
+
+    /** Before anything is known: the broker is alone. */
+    public static final FleetSnapshot ALONE = new FleetSnapshot(
+            Long.MIN_VALUE / 2,
+            false,
+            List.of(),
+            UNSHARED,
+            UNSHARED,
+            UNSHARED,
+            Long.MIN_VALUE / 2,
+            0,
+            0,
+            Map.of(),
+            Map.of());
+
+    /** Whether it is young enough to be used. */
+    public boolean isFresh(long now) {
+        return now - takenAt <= MAX_AGE;
+    }
+
+    /** The share of new sessions in force, of 1, or {@link #UNSHARED}. */
+    public double newSessionShare(long now) {
+        return now < leasedUntil ? newSessionShare : guaranteedShare;
+    }
+
+    /** The share of retries in force, of 1, or {@link #UNSHARED}. */
+    public double retryShare(long now) {
+        return now < leasedUntil ? retryShare : guaranteedShare;
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/fleet/HealthProbeSchedule.java
@@ -0,0 +1,80 @@
+package dockshed.fleet;
+
+import dockshed.core.Finder.Suspicion;
+import dockshed.core.Finder.Verdict;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * Which broker probes an edge server that is suspect, silent or coming back. Rendezvous hashing over the present brokers
+ * gives each server an order of brokers; they take turns, {@link #TURN} apart from the time of the suspicion, until one has
+ * reported a result. So a dead server is probed by one broker in each turn, whatever the size of the fleet, and a prober
+ * that is dead or partitioned off costs one turn.
+ *
+ * <p>Trust: a server counts as down only by the probes of two brokers, this one included, both later than the server's
+ * last sign of life here. A report that it is up is believed for {@link #MAX_WAIT} of a suspicion; then this broker probes.
+ */
+final class HealthProbeSchedule {
+    /** Microseconds between two brokers' turns: a connection attempt that fails takes a quarter of a second. */
+    static final long TURN = 700_000;
+    /** Microseconds that a health report counts. */
+    static final long REPORT_MAX_AGE = 2_500_000;
+    /** Microseconds from the suspicion on that a broker waits for the others at most. */
+    static final long MAX_WAIT = 6_000_000;
+    /** The value of a report that the server is up. */
+    static final int UP = 1;
+    /** The value of a report that the server is down. */
+    static final int DOWN = 2;
+    /** Different brokers whose probes have to agree that a server is down; this one counts among them. */
+    static final int REQUIRED_REPORTS = 2;
+
+    private HealthProbeSchedule() {}
+
+    /** The brokers in the order of their turns at a server: the highest hash first. */
+    static List<Integer> order(List<Integer> brokers, int server) {
+        List<Integer> out = new ArrayList<>(brokers);
+        out.sort(Comparator.comparingInt((Integer broker) -> StableHash.mix(server, broker))
+                .reversed()
+                .thenComparing(broker -> broker));
+        return out;
+    }
+
+    /**
+     * What this broker has to do about a suspect server.
+     *
+     * @param brokers the present brokers
+     * @param server  the hash of the server's id
+     * @param reports on the server, of present brokers
+     */
+    static Verdict verdict(
+            long now, int me, List<Integer> brokers, int server, List<VersionedEntry> reports, Suspicion suspicion) {
+        int down = Math.min(1, suspicion.failures());
+        for (VersionedEntry report : reports) {
+            if (report.owner() == me || !counts(now, report, suspicion)) {
+                continue;
+            }
+            if (report.value()[0] == UP && now - suspicion.since() < MAX_WAIT) {
+                return Verdict.UP;
+            }
+            down += report.value()[0] == DOWN ? 1 : 0;
+        }
+        if (down >= REQUIRED_REPORTS) {
+            return Verdict.DOWN;
+        }
+        return probeDue(now, me, brokers, server, suspicion) ? Verdict.TRY : Verdict.WAIT;
+    }
+
+    private static boolean counts(long now, VersionedEntry report, Suspicion suspicion) {
+        return report.value().length > 0
+                && now - report.writtenAt() <= REPORT_MAX_AGE
+                && report.writtenAt() >= suspicion.signOf();
+    }
+
+    private static boolean probeDue(long now, int me, List<Integer> brokers, int server, Suspicion suspicion) {
+        int turn = order(brokers, server).indexOf(me);
+        long wait = Math.min(MAX_WAIT, Math.max(0, turn) * TURN);
+        boolean firstOrRepeat = suspicion.failures() == 0 || now - suspicion.triedAt() >= MAX_WAIT;
+        return now - suspicion.since() >= wait && firstOrRepeat;
+    }
+}
--- a/src/main/java/dockshed/fleet/Member.java
+++ b/src/main/java/dockshed/fleet/Member.java
@@ -5,34 +5,51 @@
 
 /** Another broker as this one knows it. Times are microseconds. */
 final class Member {
-    /** UNKNOWN: configured, never heard of. SUSPECT: did not answer, and may still. LEFT: said so at its planned end. */
+    /** What is known of a member; the order is that of the wire. */
     enum State {
+        /** Configured, never heard of. */
         UNKNOWN,
+        /** Answers. */
         ALIVE,
+        /** Did not answer, and may still. */
         SUSPECT,
+        /** Did not answer for the time of a suspicion. */
         DEAD,
+        /** Announced its graceful shutdown. */
         LEFT
     }
 
     final int number;
     State state = State.UNKNOWN;
-    long incarnation; // the latest known
-    long heardAt = Long.MIN_VALUE / 2; // when a datagram of its own last came
-    long since; // in this state
-    int serial; // the highest of a datagram of its own
-    long window; // of the 64 serials up to that one, those that came: bit 0 is the highest
-    boolean heard; // ever, in this life
-    int sends; // how often its state was passed on
+    /** The latest known. */
+    long incarnation;
+    /** When a datagram of its own last arrived. */
+    long heardAt = Long.MIN_VALUE / 2;
+    /** When it entered its state. */
+    long stateSince;
+    /** The highest serial of its own datagrams. */
+    int serial;
+    /** Which of the 64 serials up to the highest have arrived: bit 0 is the highest. */
+    long serialWindow;
+    /** Whether a datagram of its own ever arrived in its incarnation. */
+    boolean heard;
+    /** How often its state was gossiped. */
+    int timesSent;
+    /** Those that called it suspect or dead. */
     final Set<Integer> accusers = new HashSet<>();
-    double tokens = Membership.BURST; // datagrams that it may send before it is not read any more
+    /** Datagrams that it may send before they are discarded. */
+    double tokens = Membership.MAX_DATAGRAM_BURST;
+
     long tokensAt;
-    long distrustedUntil = Long.MIN_VALUE; // until then it counts for itself only
+    /** Until then what it says of others is ignored. */
+    long distrustedUntil = Long.MIN_VALUE;
 
     Member(int number) {
         this.number = number;
     }
 
-    boolean there() {
+    /** Whether it counts as a member of the fleet: alive, or suspect only. */
+    boolean isPresent() {
         return state == State.ALIVE || state == State.SUSPECT;
     }
 }
--- a/src/main/java/dockshed/fleet/Membership.java
+++ b/src/main/java/dockshed/fleet/Membership.java
@@ -1,6 +1,6 @@
 package dockshed.fleet;
 
-import dockshed.fleet.Envelope.Bodies;
+import dockshed.fleet.Envelope.BodyWriter;
 import dockshed.fleet.Envelope.Item;
 import dockshed.fleet.Member.State;
 import java.nio.ByteBuffer;
@@ -10,47 +10,65 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import java.util.function.Predicate;
 
 /**
- * Who is there: SWIM's probing in turn, suspicion and incarnations, with Lifeguard's local health. A broker that is itself
- * slow gives the others more time, and one that stood still forgets what it was about to say of them.
+ * Which brokers are present: SWIM's probing in turn, suspicion and incarnations, with Lifeguard's local health score. A
+ * broker that is slow itself gives the others more time, and one that stalled forgets what it was about to say of them.
  *
- * <p>Trust: another's word makes this broker suspect a member and no more. It calls it dead only once the member has
- * answered neither it nor anybody that told it so for the time of a suspicion, and a datagram of the member's own ends any
- * suspicion. So one broker that tells nonsense costs probes, never a member.
+ * <p>Trust: another broker's word makes this one suspect a member and no more. It calls the member dead only once the
+ * member has answered neither it nor anybody that said so for the time of a suspicion, and a datagram of the member's own
+ * ends any suspicion. So a byzantine peer costs probes, never a member.
  */
 final class Membership {
-    /** Between two probes, and for an answer, in microseconds; each grows with the local health score. */
-    static final long PERIOD = 500_000, ANSWER = 150_000;
-    /** Those asked to probe for us; accusers that shorten a suspicion most. */
-    static final int HELPERS = 3;
+    /** Microseconds between two probes; grows with the local health score. */
+    static final long PROBE_PERIOD = 500_000;
+    /** Microseconds for an answer before others are asked to probe; grows with the local health score. */
+    static final long ACK_TIMEOUT = 150_000;
+    /** Members asked for an indirect probe; also the accusers that shorten a suspicion to its minimum. */
+    static final int INDIRECT_PROBES = 3;
     /** The local health score at its worst: periods are five times as long then. */
-    static final int WORST = 4;
-    /** A suspicion lasts so many periods at least, times the logarithm of the tier's size; at most so many times that. */
-    private static final double LEAST = 5, MOST = 4;
-    /** Who was called dead is tried again now and then: a cut that has healed tells nobody. */
-    static final long RETRY_DEAD = 3_000_000;
-    /** Datagrams of one sender that are read: so many a second, so many at once. A sound one sends under ten. */
-    static final double RATE = 40, BURST = 80;
-    /** A relay caught making things up is not believed about others for so long. */
-    static final long DISTRUST = 60_000_000;
-
-    /** A probe that is out. */
+    static final int MAX_HEALTH_SCORE = 4;
+    /** What a stall of this process adds to the local health score. */
+    private static final int STALL_HEALTH_SCORE = 2;
+    /** Periods of the shortest suspicion, times the logarithm of the tier's size. */
+    private static final double MIN_SUSPICION_PERIODS = 5;
+    /** The longest suspicion over the shortest. */
+    private static final double MAX_SUSPICION_FACTOR = 4;
+    /** Microseconds after which a dead member is probed again: nobody announces the end of a partition. */
+    static final long DEAD_RETRY_PERIOD = 3_000_000;
+    /** Datagrams of one sender that are read a second; a correct one sends under ten. */
+    static final double MAX_DATAGRAM_RATE = 40;
+    /** Datagrams of one sender that are read at once. */
+    static final double MAX_DATAGRAM_BURST = 80;
+    /** Microseconds for which a relay caught forging is not believed about others. */
+    static final long DISTRUST_TIME = 60_000_000;
+    /** Serials behind the highest that are still read, each once. */
+    private static final int SERIAL_WINDOW = 64;
+    /** Indirect probes under way for others. */
+    private static final int MAX_RELAYED_PROBES = 4 * INDIRECT_PROBES;
+    /** Bytes of a member's state as an item. */
+    private static final int UPDATE_BYTES = 11;
+
+    private static final int MAX_U16 = 0xFFFF;
+
+    /** A probe that waits for its answer. */
     private static final class Probe {
-        final Member of;
-        final long sent;
-        boolean helped;
+        final Member target;
+        final long sentAt;
+        /** Whether others were asked to probe, too. */
+        boolean indirect;
 
-        Probe(Member of, long sent) {
-            this.of = of;
-            this.sent = sent;
+        Probe(Member target, long sentAt) {
+            this.target = target;
+            this.sentAt = sentAt;
         }
     }
 
-    /** A probe for somebody else: whom to answer, under which number. */
-    private record Errand(int asker, int number, long until) {}
+    /** An indirect probe for another broker: whom to answer, and under which number. */
+    private record RelayedProbe(int requester, int number, long until) {}
 
-    /** What goes out: to whom, and the items that have to be in it. */
+    /** Where datagrams go: to whom, and the items that have to be in it. */
     interface Out {
         void send(int to, List<Item> items);
     }
@@ -58,19 +76,32 @@
     final int me;
     private final Member[] members;
     private final SplittableRandom random;
-    private final List<Integer> turn = new ArrayList<>();
+    /** What is left of the current round of probes, last first. */
+    private final List<Integer> probeOrder = new ArrayList<>();
+
     private final Map<Integer, Probe> probes = new HashMap<>();
-    private final Map<Integer, Errand> errands = new HashMap<>();
-    private final long base; // microseconds of a period in good health
-    private long incarnation, nextAt, deadAt;
-    private int health, numbers;
-    private boolean leaving, odd;
-    int refutations, falseAlarms; // words on us contradicted; suspicions that a sign of life ended
-
-    /** {@code stretch}: how many times longer its periods are, 1 or more, where little may be sent. */
+    private final Map<Integer, RelayedProbe> relayedProbes = new HashMap<>();
+    /** Microseconds between two probes at the best health score. */
+    private final long basePeriod;
+
+    private long incarnation;
+    private long nextProbeAt;
+    private long nextDeadProbeAt;
+    private int healthScore;
+    private int lastProbeNumber;
+    private boolean leaving;
+    private boolean suspectsFirst;
+    /** Suspicions of this broker that it refuted. */
+    int refutations;
+    /** Suspicions of others that a datagram of theirs ended. */
+    int clearedSuspicions;
+
+    /**
+     * @param stretch how many times longer its periods are, 1 or more, where the byte budget is small
+     */
     Membership(int me, int brokers, long incarnation, long now, double stretch, SplittableRandom random) {
         this.me = me;
-        base = (long) (PERIOD * stretch);
+        basePeriod = (long) (PROBE_PERIOD * stretch);
         this.incarnation = incarnation;
         this.random = random;
         members = new Member[brokers];
@@ -80,8 +111,8 @@
         }
         members[me].state = State.ALIVE;
         members[me].incarnation = incarnation;
-        nextAt = now + random.nextLong(PERIOD / 4);
-        deadAt = now + RETRY_DEAD;
+        nextProbeAt = now + random.nextLong(PROBE_PERIOD / 4);
+        nextDeadProbeAt = now + DEAD_RETRY_PERIOD;
     }
 
     Member member(int number) {
@@ -92,392 +123,463 @@
         return incarnation;
     }
 
-    /** Those that are there, itself included, in the order of their numbers. */
-    List<Integer> living() {
+    /** Numbers of the present brokers, this one included, in ascending order. */
+    List<Integer> presentMembers() {
         List<Integer> out = new ArrayList<>();
-        for (Member m : members) {
-            if (m.there()) {
-                out.add(m.number);
+        for (Member member : members) {
+            if (member.isPresent()) {
+                out.add(member.number);
             }
         }
         return out;
     }
 
     private long period() {
-        return base * (1 + health);
+        return basePeriod * (1 + healthScore);
+    }
+
+    private long ackTimeout() {
+        return ACK_TIMEOUT * (1 + healthScore);
     }
 
-    private long suspicion(Member m) {
-        double least = LEAST * base * Math.max(1, Math.log10(members.length + 1));
-        double most = least * MOST;
-        int c = Math.min(HELPERS, Math.max(0, m.accusers.size() - 1));
-        return (long) Math.max(least, most - (most - least) * Math.log(c + 1) / Math.log(HELPERS + 1));
+    /** The time for which a member is suspected: shorter, the more members accuse it (Lifeguard). */
+    private long suspicionTime(Member member) {
+        double shortest = MIN_SUSPICION_PERIODS * basePeriod * Math.max(1, Math.log10(members.length + 1));
+        double longest = shortest * MAX_SUSPICION_FACTOR;
+        int confirmations = Math.min(INDIRECT_PROBES, Math.max(0, member.accusers.size() - 1));
+        double shortened = (longest - shortest) * Math.log(confirmations + 1) / Math.log(INDIRECT_PROBES + 1);
+        return (long) Math.max(shortest, longest - shortened);
     }
 
     // ---- Time.
 
+    /** When {@link #tick} is due. */
     long next() {
-        return leaving ? Long.MAX_VALUE : probes.isEmpty() ? nextAt : Math.min(nextAt, nextLook());
+        if (leaving) {
+            return Long.MAX_VALUE;
+        }
+        return probes.isEmpty() ? nextProbeAt : Math.min(nextProbeAt, nextProbeTimeout());
     }
 
-    private long nextLook() {
+    private long nextProbeTimeout() {
         long due = Long.MAX_VALUE;
-        for (Probe p : probes.values()) {
-            due = Math.min(due, p.sent + (p.helped ? period() : ANSWER * (1 + health)));
+        for (Probe probe : probes.values()) {
+            due = Math.min(due, probe.sentAt + (probe.indirect ? period() : ackTimeout()));
         }
         return due;
     }
 
-    /** This process stood still: whatever was due meanwhile says nothing of the others. */
+    /** This process stalled for {@code gap}: whatever was due meanwhile says nothing of the others. */
     void resumed(long now, long gap) {
         probes.clear();
-        errands.clear();
-        health = Math.min(WORST, health + 2);
-        for (Member m : members) {
-            m.since += m.state == State.SUSPECT ? gap : 0;
-            m.heardAt += gap;
-            m.tokensAt = now;
-            m.tokens = BURST;
-        }
-        nextAt = now;
+        relayedProbes.clear();
+        healthScore = Math.min(MAX_HEALTH_SCORE, healthScore + STALL_HEALTH_SCORE);
+        for (Member member : members) {
+            member.stateSince += member.state == State.SUSPECT ? gap : 0;
+            member.heardAt += gap;
+            member.tokensAt = now;
+            member.tokens = MAX_DATAGRAM_BURST;
+        }
+        nextProbeAt = now;
     }
 
+    /** Does what is due: indirect probes, probe time-outs, ends of suspicions, the next probe. */
     void tick(long now, Out out) {
         if (leaving) {
             return;
         }
-        errands.values().removeIf(e -> e.until() < now);
-        for (Map.Entry<Integer, Probe> e : List.copyOf(probes.entrySet())) {
-            Probe p = e.getValue();
-            if (!p.helped && now - p.sent >= ANSWER * (1 + health)) {
-                p.helped = true;
-                for (int helper : some(HELPERS, p.of.number)) {
-                    out.send(
-                            helper,
-                            List.of(new Bodies()
-                                    .u16(e.getKey())
-                                    .u16(p.of.number)
-                                    .item(Envelope.PING_FOR)));
-                }
+        relayedProbes.values().removeIf(relayed -> relayed.until() < now);
+        for (Map.Entry<Integer, Probe> pending : List.copyOf(probes.entrySet())) {
+            checkProbe(now, pending.getKey(), pending.getValue(), out);
+        }
+        for (Member member : members) {
+            if (member.state == State.SUSPECT && now - member.stateSince >= suspicionTime(member)) {
+                become(now, member, State.DEAD);
             }
-            if (now - p.sent >= period()) {
-                probes.remove(e.getKey());
-                health = Math.min(WORST, health + 1);
-                if (p.of.state == State.ALIVE) {
-                    suspect(now, p.of, me);
-                }
+        }
+        if (now >= nextProbeAt) {
+            nextProbeAt = now + period();
+            Member target = nextTarget(now);
+            if (target != null) {
+                ping(now, target, out);
             }
         }
-        for (Member m : members) {
-            if (m.state == State.SUSPECT && now - m.since >= suspicion(m)) {
-                become(now, m, State.DEAD);
+    }
+
+    private void checkProbe(long now, int number, Probe probe, Out out) {
+        if (!probe.indirect && now - probe.sentAt >= ackTimeout()) {
+            probe.indirect = true;
+            for (int relay : randomPresent(INDIRECT_PROBES, probe.target.number)) {
+                BodyWriter request = new BodyWriter().u16(number).u16(probe.target.number);
+                out.send(relay, List.of(request.item(Envelope.PING_REQUEST)));
             }
         }
-        if (now >= nextAt) {
-            nextAt = now + period();
-            Member m = nextTarget(now);
-            if (m != null) {
-                ping(now, m, out);
+        if (now - probe.sentAt >= period()) {
+            probes.remove(number);
+            healthScore = Math.min(MAX_HEALTH_SCORE, healthScore + 1);
+            if (probe.target.state == State.ALIVE) {
+                suspect(now, probe.target, me);
             }
         }
     }
 
-    private void ping(long now, Member m, Out out) {
-        int number = numbers++ & 0xFFFF;
-        if (m.state != State.DEAD && m.state != State.LEFT) {
-            probes.put(number, new Probe(m, now));
+    private void ping(long now, Member target, Out out) {
+        int number = nextProbeNumber();
+        if (target.state != State.DEAD && target.state != State.LEFT) {
+            probes.put(number, new Probe(target, now));
         }
-        List<Item> items = new ArrayList<>(List.of(new Bodies().u16(number).item(Envelope.PING)));
-        if (m.state == State.SUSPECT || m.state == State.DEAD) {
-            items.add(word(m)); // it can contradict only what it hears
+        List<Item> items = new ArrayList<>(List.of(new BodyWriter().u16(number).item(Envelope.PING)));
+        if (target.state == State.SUSPECT || target.state == State.DEAD) {
+            items.add(update(target)); // it can refute only what it hears
         }
-        out.send(m.number, items);
+        out.send(target.number, items);
+    }
+
+    private int nextProbeNumber() {
+        return lastProbeNumber++ & MAX_U16;
     }
 
-    /** In turn through a shuffled list, so that each is probed once a round; now and then one that was called dead. */
+    /** Every second time a suspect; now and then a dead member; else the next one of a shuffled round. */
     private Member nextTarget(long now) {
-        odd = !odd;
-        if (odd) { // a suspect is asked by each that suspects it: one answer clears it
-            List<Member> suspects = new ArrayList<>();
-            for (Member m : members) {
-                if (m.state == State.SUSPECT) {
-                    suspects.add(m);
-                }
-            }
-            if (!suspects.isEmpty()) {
-                return suspects.get(random.nextInt(suspects.size()));
+        suspectsFirst = !suspectsFirst;
+        if (suspectsFirst) { // each that suspects it probes it: one answer clears it
+            Member suspect = randomMember(m -> m.state == State.SUSPECT);
+            if (suspect != null) {
+                return suspect;
             }
         }
-        if (now >= deadAt) {
-            deadAt = now + RETRY_DEAD;
-            List<Integer> gone = new ArrayList<>();
-            for (Member m : members) {
-                if (m.state == State.DEAD || m.state == State.UNKNOWN) {
-                    gone.add(m.number);
-                }
+        if (now >= nextDeadProbeAt) {
+            nextDeadProbeAt = now + DEAD_RETRY_PERIOD;
+            Member gone = randomMember(m -> m.state == State.DEAD || m.state == State.UNKNOWN);
+            if (gone != null) {
+                return gone;
             }
-            if (!gone.isEmpty()) {
-                return members[gone.get(random.nextInt(gone.size()))];
+        }
+        return nextOfRound();
+    }
+
+    private Member randomMember(Predicate<Member> condition) {
+        List<Member> matching = new ArrayList<>();
+        for (Member member : members) {
+            if (condition.test(member)) {
+                matching.add(member);
             }
         }
-        for (int tries = 0; tries < 2; tries++) {
-            while (!turn.isEmpty()) {
-                Member m = members[turn.remove(turn.size() - 1)];
-                if (m.there() && probes.values().stream().noneMatch(p -> p.of == m)) {
-                    return m;
-                }
+        return matching.isEmpty() ? null : matching.get(random.nextInt(matching.size()));
+    }
+
+    /** The next member of the round, so that each is probed once in it; begins the next round where one is over. */
+    private Member nextOfRound() {
+        for (int round = 0; round < 2; round++) {
+            Member next = restOfRound();
+            if (next != null) {
+                return next;
             }
-            for (Member m : members) {
-                // Until somebody answers, every configured peer is a seed.
-                if (m.number != me && (m.there() || m.state == State.UNKNOWN && alone())) {
-                    turn.add(random.nextInt(turn.size() + 1), m.number);
-                }
+            shuffleRound();
+            if (!probeOrder.isEmpty() && isAlone()) {
+                return members[probeOrder.remove(probeOrder.size() - 1)];
             }
-            if (!turn.isEmpty() && alone()) {
-                return members[turn.remove(turn.size() - 1)];
+        }
+        return null;
+    }
+
+    private Member restOfRound() {
+        while (!probeOrder.isEmpty()) {
+            Member member = members[probeOrder.remove(probeOrder.size() - 1)];
+            if (member.isPresent() && probes.values().stream().noneMatch(p -> p.target == member)) {
+                return member;
             }
         }
         return null;
     }
 
-    boolean alone() {
-        for (Member m : members) {
-            if (m.number != me && m.there()) {
+    private void shuffleRound() {
+        for (Member member : members) {
+            // Until somebody answers, every configured peer is a seed.
+            boolean seed = member.state == State.UNKNOWN && isAlone();
+            if (member.number != me && (member.isPresent() || seed)) {
+                probeOrder.add(random.nextInt(probeOrder.size() + 1), member.number);
+            }
+        }
+    }
+
+    /** Whether no other broker is present. */
+    boolean isAlone() {
+        for (Member member : members) {
+            if (member.number != me && member.isPresent()) {
                 return false;
             }
         }
         return true;
     }
 
-    /** Others that are there, at random. */
-    List<Integer> some(int count, int but) {
+    /** Up to {@code count} other present brokers at random, without {@code except}. */
+    List<Integer> randomPresent(int count, int except) {
         List<Integer> all = new ArrayList<>();
-        for (Member m : members) {
-            if (m.number != me && m.number != but && m.there()) {
-                all.add(random.nextInt(all.size() + 1), m.number);
+        for (Member member : members) {
+            if (member.number != me && member.number != except && member.isPresent()) {
+                all.add(random.nextInt(all.size() + 1), member.number);
             }
         }
         return all.subList(0, Math.min(count, all.size()));
     }
 
-    // ---- What comes.
-
-    /** Whether a datagram of that sender is read: known, not too many of them, of its latest life and in order. */
-    boolean admits(long now, Envelope e, long latestIncarnation) {
-        if (e.sender() >= members.length || e.sender() == me || e.incarnation() > latestIncarnation) {
+    // ---- What arrives.
+
+    /**
+     * Whether a datagram is read: of a known sender, not too many of them, of its latest incarnation, and not a repeat.
+     *
+     * @param latestIncarnation the latest that is plausible
+     */
+    boolean admits(long now, Envelope envelope, long latestIncarnation) {
+        if (envelope.sender() >= members.length
+                || envelope.sender() == me
+                || envelope.incarnation() > latestIncarnation) {
             return false;
         }
-        Member m = members[e.sender()];
-        m.tokens = Math.min(BURST, m.tokens + (now - m.tokensAt) * RATE / 1e6);
-        m.tokensAt = now;
-        if (m.tokens < 1) {
+        Member sender = members[envelope.sender()];
+        if (!takeToken(now, sender) || envelope.incarnation() < sender.incarnation) {
             return false;
         }
-        m.tokens--;
-        if (e.incarnation() < m.incarnation) {
-            return false; // of an earlier life, or of one that has still to hear what was said of it
+        if (envelope.incarnation() == sender.incarnation && sender.heard) {
+            return isNewSerial(sender, envelope.serial());
         }
-        if (e.incarnation() == m.incarnation && m.heard) {
-            int behind = m.serial - e.serial();
-            return behind < 0 || behind < 64 && (m.window >> behind & 1) == 0; // else told before, or too late to tell
+        return true;
+    }
+
+    private static boolean takeToken(long now, Member sender) {
+        double refilled = sender.tokens + (now - sender.tokensAt) * MAX_DATAGRAM_RATE / 1e6;
+        sender.tokens = Math.min(MAX_DATAGRAM_BURST, refilled);
+        sender.tokensAt = now;
+        if (sender.tokens < 1) {
+            return false;
         }
+        sender.tokens--;
         return true;
     }
 
-    /** Whether a datagram's sender does not know yet under which incarnation it is spoken of. */
-    boolean behind(Envelope e) {
-        return e.sender() < members.length && e.sender() != me && e.incarnation() < members[e.sender()].incarnation;
+    private static boolean isNewSerial(Member sender, int serial) {
+        int behind = sender.serial - serial;
+        return behind < 0 || behind < SERIAL_WINDOW && (sender.serialWindow >> behind & 1) == 0;
     }
 
-    /** What is held of a member, so that it can contradict it. */
-    Item wordOn(int number) {
-        return word(members[number]);
+    /** Whether a datagram's sender does not know yet under which incarnation the others speak of it. */
+    boolean isBehind(Envelope envelope) {
+        return envelope.sender() < members.length
+                && envelope.sender() != me
+                && envelope.incarnation() < members[envelope.sender()].incarnation;
     }
 
-    /** A datagram of its own came: whatever else is said, it is there. True where it was not before, or in another life. */
-    boolean heard(long now, Envelope e) {
-        Member m = members[e.sender()];
-        boolean later = e.incarnation() > m.incarnation;
-        m.incarnation = e.incarnation();
-        int ahead = e.serial() - m.serial;
-        if (later || !m.heard || ahead >= 64) {
-            m.window = 1;
-            m.serial = e.serial();
-        } else if (ahead > 0) {
-            m.window = m.window << ahead | 1;
-            m.serial = e.serial();
-        } else {
-            m.window |= 1L << -ahead;
-        }
-        boolean news = later || !m.heard || !m.there();
-        m.heard = true;
-        m.heardAt = now;
-        if (m.state == State.LEFT && !later) {
+    /** The state held of a member, so that it can refute it. */
+    Item updateOn(int number) {
+        return update(members[number]);
+    }
+
+    /** A datagram of the sender's own arrived: whatever others say, it is present. True if it was not, or started anew. */
+    boolean heard(long now, Envelope envelope) {
+        Member sender = members[envelope.sender()];
+        boolean later = envelope.incarnation() > sender.incarnation;
+        boolean joined = later || !sender.heard || !sender.isPresent();
+        recordSerial(sender, envelope.serial(), later || !sender.heard);
+        sender.incarnation = envelope.incarnation();
+        sender.heard = true;
+        sender.heardAt = now;
+        if (sender.state == State.LEFT && !later) {
             return false;
         }
-        falseAlarms += m.state == State.SUSPECT ? 1 : 0;
-        if (m.state != State.ALIVE) {
-            become(now, m, State.ALIVE);
+        clearedSuspicions += sender.state == State.SUSPECT ? 1 : 0;
+        if (sender.state != State.ALIVE) {
+            become(now, sender, State.ALIVE);
+        }
+        sender.accusers.clear();
+        return joined;
+    }
+
+    private static void recordSerial(Member sender, int serial, boolean firstOfIncarnation) {
+        int ahead = serial - sender.serial;
+        if (firstOfIncarnation || ahead >= SERIAL_WINDOW) {
+            sender.serialWindow = 1;
+            sender.serial = serial;
+        } else if (ahead > 0) {
+            sender.serialWindow = sender.serialWindow << ahead | 1;
+            sender.serial = serial;
+        } else {
+            sender.serialWindow |= 1L << -ahead;
         }
-        m.accusers.clear();
-        return news;
     }
 
+    /** Handles an item of a kind that is about membership; others are ignored. */
     void item(long now, int from, Item item, Out out) {
-        ByteBuffer b = item.read();
+        ByteBuffer in = item.read();
         switch (item.kind()) {
             case Envelope.PING -> {
-                if (b.remaining() >= 2) {
-                    out.send(from, List.of(new Bodies().u16(b.getShort()).item(Envelope.ACK)));
+                if (in.remaining() >= 2) {
+                    out.send(from, List.of(new BodyWriter().u16(in.getShort()).item(Envelope.ACK)));
                 }
             }
             case Envelope.ACK -> {
-                if (b.remaining() >= 2) {
-                    acked(now, from, b.getShort() & 0xFFFF, out);
+                if (in.remaining() >= 2) {
+                    acknowledged(now, from, in.getShort() & MAX_U16, out);
                 }
             }
-            case Envelope.PING_FOR -> {
-                if (b.remaining() >= 4) {
-                    int number = b.getShort() & 0xFFFF;
-                    int target = b.getShort() & 0xFFFF;
-                    if (target < members.length && target != me && errands.size() < 4 * HELPERS) {
-                        int own = numbers++ & 0xFFFF;
-                        errands.put(own, new Errand(from, number, now + period()));
-                        out.send(target, List.of(new Bodies().u16(own).item(Envelope.PING)));
-                    }
+            case Envelope.PING_REQUEST -> {
+                if (in.remaining() >= 4) {
+                    relayProbe(now, from, in.getShort() & MAX_U16, in.getShort() & MAX_U16, out);
                 }
             }
             case Envelope.MEMBER -> {
-                if (b.remaining() >= 9) {
-                    told(now, from, b.getShort() & 0xFFFF, b.get() & 0xFF, Envelope.getLong6(b));
+                if (in.remaining() >= 9) {
+                    applyUpdate(now, from, in.getShort() & MAX_U16, in.get() & 0xFF, Envelope.getU48(in));
                 }
             }
             default -> {}
         }
     }
 
-    private void acked(long now, int from, int number, Out out) {
-        Errand e = errands.get(number);
-        if (e != null) {
-            errands.remove(number);
-            out.send(e.asker(), List.of(new Bodies().u16(e.number()).item(Envelope.ACK)));
+    private void relayProbe(long now, int requester, int number, int target, Out out) {
+        if (target >= members.length || target == me || relayedProbes.size() >= MAX_RELAYED_PROBES) {
             return;
         }
-        Probe p = probes.get(number);
-        if (p == null) {
+        int own = nextProbeNumber();
+        relayedProbes.put(own, new RelayedProbe(requester, number, now + period()));
+        out.send(target, List.of(new BodyWriter().u16(own).item(Envelope.PING)));
+    }
+
+    private void acknowledged(long now, int from, int number, Out out) {
+        RelayedProbe relayed = relayedProbes.remove(number);
+        if (relayed != null) {
+            out.send(
+                    relayed.requester(),
+                    List.of(new BodyWriter().u16(relayed.number()).item(Envelope.ACK)));
+            return;
+        }
+        Probe probe = probes.get(number);
+        if (probe == null) {
             return;
         }
-        if (from == p.of.number) {
+        if (from == probe.target.number) {
             probes.remove(number);
-            health = Math.max(0, health - 1);
-        } else if (p.helped && members[from].distrustedUntil < now) {
-            probes.remove(number); // a helper reached it: there, though not heard here
-            health = Math.max(0, health - 1);
-            if (p.of.state == State.SUSPECT) {
-                become(now, p.of, State.ALIVE);
+            healthScore = Math.max(0, healthScore - 1);
+        } else if (probe.indirect && members[from].distrustedUntil < now) {
+            probes.remove(number); // a relay reached it: it is present, though not heard here
+            healthScore = Math.max(0, healthScore - 1);
+            if (probe.target.state == State.SUSPECT) {
+                become(now, probe.target, State.ALIVE);
             }
         }
     }
 
-    /** A word on a member, from somebody else or from itself. */
-    private void told(long now, int from, int number, int state, long inc) {
-        if (number >= members.length || state >= State.values().length || members[from].distrustedUntil > now) {
+    /** A member's state as sent by another broker or by the member itself. */
+    private void applyUpdate(long now, int from, int number, int stateNumber, long updatedIncarnation) {
+        State[] states = State.values();
+        if (number >= members.length || stateNumber >= states.length || members[from].distrustedUntil > now) {
             return;
         }
-        State s = State.values()[state];
-        Member m = members[number];
+        State state = states[stateNumber];
+        Member member = members[number];
         if (number == me) {
-            if ((s == State.SUSPECT || s == State.DEAD || s == State.LEFT) && inc >= incarnation && !leaving) {
-                incarnation = inc + 1;
-                members[me].incarnation = incarnation;
-                members[me].sends = 0;
-                refutations++;
-                health = Math.min(WORST, health + 1);
-            }
-            return;
-        }
-        if (inc < m.incarnation) {
-            return;
+            refute(state, updatedIncarnation);
+        } else if (updatedIncarnation >= member.incarnation) {
+            applyUpdate(now, from, member, state, updatedIncarnation);
         }
-        boolean own = from == number;
-        if (s == State.ALIVE && (inc > m.incarnation || m.state == State.UNKNOWN)) {
-            m.incarnation = inc;
-            if (m.state == State.SUSPECT || m.state == State.UNKNOWN) {
-                become(now, m, State.ALIVE);
+    }
+
+    private void applyUpdate(long now, int from, Member member, State state, long updatedIncarnation) {
+        boolean later = updatedIncarnation > member.incarnation;
+        if (state == State.ALIVE && (later || member.state == State.UNKNOWN)) {
+            member.incarnation = updatedIncarnation;
+            if (member.state == State.SUSPECT || member.state == State.UNKNOWN) {
+                become(now, member, State.ALIVE);
             }
-        } else if (s == State.LEFT && own) {
-            become(now, m, State.LEFT);
-        } else if ((s == State.SUSPECT || s == State.DEAD || s == State.LEFT) && m.there() && now - m.heardAt > base) {
-            // Whatever others say of it, it has the time of a suspicion to answer for itself.
-            suspect(now, m, from);
+        } else if (state == State.LEFT && from == member.number) {
+            become(now, member, State.LEFT);
+        } else if (isNegative(state) && member.isPresent() && now - member.heardAt > basePeriod) {
+            // Whatever others say, it has the time of a suspicion to answer for itself.
+            suspect(now, member, from);
+        }
+    }
+
+    private static boolean isNegative(State state) {
+        return state == State.SUSPECT || state == State.DEAD || state == State.LEFT;
+    }
+
+    /** Contradicts what others say of this broker by a higher incarnation. */
+    private void refute(State state, long updatedIncarnation) {
+        if (isNegative(state) && updatedIncarnation >= incarnation && !leaving) {
+            incarnation = updatedIncarnation + 1;
+            members[me].incarnation = incarnation;
+            members[me].timesSent = 0;
+            refutations++;
+            healthScore = Math.min(MAX_HEALTH_SCORE, healthScore + 1);
         }
     }
 
-    private void suspect(long now, Member m, int by) {
-        m.accusers.add(by);
-        if (m.state == State.ALIVE) {
-            become(now, m, State.SUSPECT);
+    private void suspect(long now, Member member, int accuser) {
+        member.accusers.add(accuser);
+        if (member.state == State.ALIVE) {
+            become(now, member, State.SUSPECT);
         }
     }
 
-    private void become(long now, Member m, State s) {
-        if (m.state == s) {
+    private void become(long now, Member member, State state) {
+        if (member.state == state) {
             return;
         }
-        m.state = s;
-        m.since = now;
-        m.sends = 0;
-        if (s != State.SUSPECT) {
-            m.accusers.clear();
+        member.state = state;
+        member.stateSince = now;
+        member.timesSent = 0;
+        if (state != State.SUSPECT) {
+            member.accusers.clear();
         }
     }
 
+    /** A relay was caught forging: for {@link #DISTRUST_TIME} it is not believed about others. */
     void distrust(long now, int number) {
-        members[number].distrustedUntil = now + DISTRUST;
+        members[number].distrustedUntil = now + DISTRUST_TIME;
     }
 
-    // ---- What is passed on.
+    // ---- Gossip.
 
-    private Item word(Member m) {
-        return new Bodies()
-                .u16(m.number)
-                .u8(m.state.ordinal())
-                .u48(m.incarnation)
+    private Item update(Member member) {
+        return new BodyWriter()
+                .u16(member.number)
+                .u8(member.state.ordinal())
+                .u48(member.incarnation)
                 .item(Envelope.MEMBER);
     }
 
-    /** Changes to be passed on, those sent least first, in up to so many bytes. */
+    /** Changes of state to be gossiped, those sent least first, in up to so many bytes. */
     List<Item> gossip(int bytes) {
-        int times = times();
+        int maxTimes = gossipTimes();
         List<Member> due = new ArrayList<>();
-        for (Member m : members) {
-            if (m.sends < times && m.state != State.UNKNOWN) {
-                due.add(m);
+        for (Member member : members) {
+            if (member.timesSent < maxTimes && member.state != State.UNKNOWN) {
+                due.add(member);
             }
         }
-        due.sort(Comparator.comparingInt(m -> m.sends));
+        due.sort(Comparator.comparingInt(member -> member.timesSent));
         List<Item> out = new ArrayList<>();
-        for (Member m : due) {
-            if ((out.size() + 1) * 11 > bytes) {
+        for (Member member : due) {
+            if ((out.size() + 1) * UPDATE_BYTES > bytes) {
                 break;
             }
-            m.sends++;
-            out.add(word(m));
+            member.timesSent++;
+            out.add(update(member));
         }
         return out;
     }
 
-    /** How often a piece of news is passed on: three times the logarithm of the tier's size reaches all with near certainty. */
-    int times() {
+    /** How often a change is sent on: three times the logarithm of the tier's size reaches all with near certainty. */
+    int gossipTimes() {
         return (int) Math.ceil(3 * Math.log(members.length + 1) / Math.log(2));
     }
 
-    /** The planned end: told to some at once, and passed on by them. */
+    /** A graceful shutdown begins: announced to some at once, and gossiped by them. */
     void leave(long now, Out out) {
         leaving = true;
         members[me].state = State.LEFT;
-        for (int to : some(2 * HELPERS, me)) {
-            out.send(to, List.of(word(members[me])));
+        for (int to : randomPresent(2 * INDIRECT_PROBES, me)) {
+            out.send(to, List.of(update(members[me])));
         }
     }
 }
--- /dev/null
+++ b/src/main/java/dockshed/fleet/SheddingThreshold.java
@@ -0,0 +1,217 @@
+package dockshed.fleet;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+/**
+ * The load-shedding threshold: the priority below which all brokers refuse requests while the fleet is overloaded. A
+ * request's priority is computed from the request alone (class, whether it returns at its retry time or was displaced, and
+ * a hash of the client that rotates with time), so every broker computes the same one. Each broker replicates its load by
+ * priority step. From these figures each proposes a threshold, with hysteresis; the one in force is the median of all
+ * proposals, which a single broker cannot move.
+ */
+final class SheddingThreshold {
+    /** A step is the class level (3 bits) and the age (2 bits). */
+    static final int PRIORITY_STEPS = 32;
+    /** The lowest bits of a priority are the client's hash. */
+    static final int HASH_BITS = 11;
+
+    static final int MAX_PRIORITY = PRIORITY_STEPS << HASH_BITS;
+    /** Class levels; if there are more classes of different worth, the least valuable share the lowest level. */
+    static final int CLASS_LEVELS = 8;
+
+    private static final int AGE_BITS = 2;
+    private static final int MAX_AGE_VALUE = (1 << AGE_BITS) - 1;
+    /** Microseconds after which the hashes change, so that no client stays last for long. */
+    static final long HASH_ROTATION = 60_000_000;
+    /** Shedding starts when this part of what the modules were given is rejected. */
+    static final double OVERLOAD_PART = 0.25;
+    /** The part that is still rejected while shedding: a little more than there is room for, so that all room is used. */
+    static final double TARGET_REJECTED_PART = 0.12;
+    /** Part of the range in use by which the threshold moves in a second for an error of 1. */
+    private static final double ADJUST_SPEED = 0.25;
+    /** Part of the capacity estimate that decays in a second: a threshold that lowers what is accepted is too high. */
+    private static final double CAPACITY_DECAY = 0.08;
+    /** The threshold falls so many times faster than it rises: surplus is rejected by the modules, unused room is lost. */
+    private static final double FALL_FACTOR = 3;
+    /** Added to the error while hardly anything is rejected. */
+    private static final double EXTRA_FALL = 0.5;
+    /** A broker's figures count for at most so many times the median broker's, which bounds what forged ones can move. */
+    private static final double MAX_WEIGHT = 3;
+    /** Microseconds at the lowest threshold after which shedding ends. */
+    private static final long CALM_TIME = 2_000_000;
+    /** Requests a second below which the rejected part means nothing. */
+    private static final double MIN_RATE = 2;
+
+    private static final long SECOND = 1_000_000;
+    /** Keeps the hash for retry times apart from that for priorities. */
+    private static final int RETRY_TIME_SALT = 0xa99;
+
+    private double proposal;
+    private double capacity;
+    private boolean active;
+    private long atLowestSince;
+    private long movedAt;
+
+    /** The priority step of a class level and an age. */
+    static int step(int classLevel, int age) {
+        return Math.min(CLASS_LEVELS - 1, classLevel) << AGE_BITS | Math.min(MAX_AGE_VALUE, age);
+    }
+
+    static int priority(int step, int clientHash, long unixMicros) {
+        int hash = StableHash.mix(clientHash, (int) (unixMicros / HASH_ROTATION)) >>> 32 - HASH_BITS;
+        return step << HASH_BITS | hash;
+    }
+
+    /** The fleet's load: the own figures and those of the others, each bounded by {@link #MAX_WEIGHT}. */
+    private record FleetLoad(double[] demand, double accepted, double rejected) {
+        static FleetLoad sum(LoadFigures own, List<LoadFigures> others) {
+            double[] demand = own.demand().clone();
+            double accepted = own.accepted();
+            double rejected = own.rejected();
+            double limit = 1 + MAX_WEIGHT * medianDemand(own, others);
+            for (LoadFigures other : others) {
+                double claimed = Math.max(other.totalDemand(), other.admitted());
+                double weight = Math.min(1, limit / Math.max(1e-9, claimed));
+                for (int step = 0; step < PRIORITY_STEPS; step++) {
+                    demand[step] += weight * other.demand()[step];
+                }
+                accepted += weight * other.accepted();
+                rejected += weight * other.rejected();
+            }
+            return new FleetLoad(demand, accepted, rejected);
+        }
+
+        double admitted() {
+            return accepted + rejected;
+        }
+
+        double rejectedPart() {
+            return admitted() > 0 ? rejected / admitted() : 0;
+        }
+
+        int lowestStep() {
+            int low = 0;
+            while (low < PRIORITY_STEPS - 1 && demand[low] <= 0) {
+                low++;
+            }
+            return low;
+        }
+
+        /** The first step above all demand. */
+        int endStep() {
+            int low = lowestStep();
+            int end = PRIORITY_STEPS;
+            while (end > low + 1 && demand[end - 1] <= 0) {
+                end--;
+            }
+            return end;
+        }
+    }
+
+    /**
+     * This broker's proposal. It starts from the demand; from there it follows what the modules reject, since shed clients
+     * retry again and again and their requests do not tell how many would come if they were admitted.
+     *
+     * @param own    this broker's figures
+     * @param others the figures of the other brokers that are present
+     */
+    int propose(long now, LoadFigures own, List<LoadFigures> others) {
+        FleetLoad load = FleetLoad.sum(own, others);
+        long elapsed = Math.min(SECOND, now - movedAt);
+        movedAt = now;
+        capacity = Math.max(load.accepted(), capacity * (1 - CAPACITY_DECAY * elapsed / 1e6));
+        if (active) {
+            adjust(now, load, elapsed);
+        } else {
+            startIfOverloaded(load);
+        }
+        return (int) proposal;
+    }
+
+    private void startIfOverloaded(FleetLoad load) {
+        active = load.admitted() > MIN_RATE && load.rejectedPart() > OVERLOAD_PART;
+        proposal = active ? priorityAt(load.demand(), load.accepted() / (1 - TARGET_REJECTED_PART)) : 0;
+        atLowestSince = 0;
+    }
+
+    private void adjust(long now, FleetLoad load, long elapsed) {
+        int low = load.lowestStep();
+        int end = load.endStep();
+        double range = (end - low) << HASH_BITS;
+        double given = load.admitted();
+        double wanted = given > 0 ? capacity / (1 - TARGET_REJECTED_PART) / given - 1 : 1;
+        double faster = load.rejectedPart() < TARGET_REJECTED_PART / 2 ? EXTRA_FALL : 0;
+        double move = Math.max(-1, Math.min(1, wanted + faster));
+        proposal -= ADJUST_SPEED * range * (move > 0 ? FALL_FACTOR : 1) * move * elapsed / 1e6;
+        // The highest class in use is left to the modules: it is not shed in favour of lower ones.
+        int highestClass = end - 1 >> AGE_BITS << AGE_BITS;
+        int lowest = low << HASH_BITS;
+        int highest = (highestClass > low ? highestClass : end) << HASH_BITS;
+        proposal = Math.max(lowest, Math.min(proposal, highest));
+        endIfCalm(now, lowest);
+    }
+
+    private void endIfCalm(long now, int lowest) {
+        if (proposal > lowest) {
+            atLowestSince = 0;
+        } else if (atLowestSince == 0) {
+            atLowestSince = now;
+        } else if (now - atLowestSince > CALM_TIME) {
+            active = false;
+            proposal = 0;
+        }
+    }
+
+    private static double medianDemand(LoadFigures own, List<LoadFigures> others) {
+        List<Double> all = new ArrayList<>(List.of(own.totalDemand()));
+        others.forEach(l -> all.add(l.totalDemand()));
+        Collections.sort(all);
+        return all.get(all.size() / 2);
+    }
+
+    /** The priority above which the demand equals {@code room}. */
+    static int priorityAt(double[] demand, double room) {
+        double left = room;
+        for (int step = PRIORITY_STEPS - 1; step >= 0; step--) {
+            if (demand[step] > left) {
+                return (step + 1 << HASH_BITS) - (int) (left / demand[step] * (1 << HASH_BITS));
+            }
+            left -= demand[step];
+        }
+        return 0;
+    }
+
+    /** The threshold in force: the median of the proposals. */
+    static int inForce(List<Integer> proposals) {
+        if (proposals.isEmpty()) {
+            return 0;
+        }
+        List<Integer> sorted = new ArrayList<>(proposals);
+        Collections.sort(sorted);
+        return sorted.get((sorted.size() - 1) / 2);
+    }
+
+    /** Microseconds until a shed client's retry time: its own place in each stretch of {@code longest}, alike at every broker. */
+    static long retryAfter(int clientHash, long unixMicros, long soonest, long longest) {
+        if (longest <= 0) {
+            return 0;
+        }
+        long delay = Math.floorMod(retryPlace(clientHash, longest) - unixMicros, longest);
+        return delay >= soonest ? delay : Math.min(longest, delay + longest);
+    }
+
+    /** Whether a client that comes now comes at its retry time, up to {@code early} before or {@code late} after it. */
+    static boolean keepsRetryTime(int clientHash, long unixMicros, long longest, long early, long late) {
+        if (longest <= 0) {
+            return true;
+        }
+        long after = Math.floorMod(unixMicros - retryPlace(clientHash, longest), longest);
+        return after <= late || after >= longest - early;
+    }
+
+    private static long retryPlace(int clientHash, long longest) {
+        return (long) (StableHash.unit(StableHash.mix(clientHash, RETRY_TIME_SALT)) * longest);
+    }
+}
--- a/src/test/java/dockshed/config/ConfFileTest.java
+++ b/src/test/java/dockshed/config/ConfFileTest.java
@@ -131,4 +131,15 @@
     void theFileUnderDeployHoldsTheDefaults() {
         assertEquals(Terms.USUAL, OperatorConfig.load("deploy/dockshed.conf").storm());
     }
+
+    @Test
+    void aDirectiveUnderItsOldNameIsRefusedWithTheNewOne() {
+        assertEquals(
+                List.of(
+                        "x.conf:2: floor: was renamed to guaranteed_share",
+                        "x.conf:3: shares: was renamed to leases",
+                        "x.conf:4: cut: was renamed to load_shedding",
+                        "x.conf:5: probes: was renamed to health_probes"),
+                faults("fleet {\nfloor 50%\nshares yes\ncut yes\nprobes yes\n}"));
+    }
 }
--- a/src/test/java/dockshed/config/DocExamplesTest.java
+++ b/src/test/java/dockshed/config/DocExamplesTest.java
@@ -108,7 +108,7 @@
     @Test
     void theTableOfDirectivesHasTheDefaults() throws IOException {
         OperatorConfig whole = OperatorConfig.load("deploy/dockshed.conf");
-        assertEquals(dockshed.fleet.FleetTerms.USUAL, whole.fleet());
+        assertEquals(dockshed.fleet.FleetSettings.DEFAULTS, whole.fleet());
         String page = Files.readString(Path.of("docs/ops/fleet.md"));
         Matcher row = Pattern.compile("\\| `(\\w+)` \\| [^|]+ \\| ([^| ]+) \\|").matcher(page);
         StringBuilder conf = new StringBuilder("fleet {\n");
@@ -119,7 +119,7 @@
         }
         assertEquals(7, rows, "directives in the table");
         assertEquals(
-                dockshed.fleet.FleetTerms.USUAL,
+                dockshed.fleet.FleetSettings.DEFAULTS,
                 OperatorConfig.read(ConfFile.read("docs/ops/fleet.md", conf + "}\n"))
                         .fleet());
     }
--- a/src/test/java/dockshed/fleet/FleetCosts.java
+++ b/src/test/java/dockshed/fleet/FleetCosts.java
@@ -2,101 +2,148 @@
 
 import dockshed.core.Finder.Suspicion;
 import dockshed.core.Finder.Verdict;
+import java.util.Arrays;
+import java.util.List;
 
-/** What the heart costs by the size of a fleet, on the simulated network; for the bench. */
+/** What a gossip node costs by the size of a fleet, on the simulated network; for the bench. */
 public final class FleetCosts {
+    private static final long SEED = 11;
+    private static final double LOSS = 0.01;
+    private static final long WARM_UP = 40 * FleetSimulation.S;
+    private static final long SAMPLE_PERIOD = 250 * FleetSimulation.MS;
+    /** How long a probe of a dead server takes. */
+    private static final long PROBE_TIME = 250 * FleetSimulation.MS;
+    /** Own failed probes after which a broker knows by itself. */
+    private static final int OWN_PROBES = 2;
+    /** Probes a second are reckoned over this many seconds at least. */
+    private static final double MIN_SECONDS = 5;
+
+    /**
+     * Bytes sent a second.
+     *
+     * @param mean    of all brokers
+     * @param highest of the broker that sends most
+     */
+    public record ByteRates(double mean, double highest) {}
+
+    /**
+     * What it takes until a fleet knows that a server is dead.
+     *
+     * @param probesPerSecond by the whole fleet until the last broker knows, over five seconds at least
+     * @param seconds         until the last broker knows
+     * @param uninformed      brokers that do not know after half a minute
+     */
+    public record ProbeCost(double probesPerSecond, double seconds, int uninformed) {}
+
     private FleetCosts() {}
 
-    private static FleetWorld fleet(int brokers) {
-        FleetWorld w = new FleetWorld(brokers, FleetTerms.USUAL, 11);
-        w.loss = 0.01;
-        w.startAll();
-        w.run(40 * FleetWorld.S);
-        return w;
+    private static FleetSimulation fleet(int brokers) {
+        FleetSimulation fleet = new FleetSimulation(brokers, FleetSettings.DEFAULTS, SEED);
+        fleet.loss = LOSS;
+        fleet.startAll();
+        fleet.run(WARM_UP);
+        return fleet;
     }
 
-    private static void figures(FleetWorld w) {
-        int[] tries = new int[Cut.STEPS];
-        tries[0] = 3;
-        tries[1] = 1;
-        tries[4] = 1;
-        for (FleetWorld.Node n : w.nodes) {
-            n.news(new News.Figures(tries, 4, 1, 0, 250_000));
+    private static void sampleLoad(FleetSimulation fleet) {
+        int[] requests = new int[SheddingThreshold.PRIORITY_STEPS];
+        requests[0] = 3;
+        requests[1] = 1;
+        requests[4] = 1;
+        for (FleetSimulation.Node node : fleet.nodes) {
+            node.event(new LocalEvent.LoadSample(requests, 4, 1, 0, SAMPLE_PERIOD));
         }
     }
 
-    /** Bytes a second and broker: the mean, and of the one that sends most. */
-    public static double[] bytes(int brokers, int seconds) {
-        FleetWorld w = fleet(brokers);
-        w.sentBy.clear();
-        w.run(seconds * FleetWorld.S, 250 * FleetWorld.MS, () -> figures(w));
-        return new double[] {
-            w.sentBy.values().stream().mapToLong(x -> x).sum() / (double) brokers / seconds,
-            w.sentBy.values().stream().mapToLong(x -> x).max().orElse(0) / (double) seconds
-        };
+    /** The bytes that a fleet of that size sends under load. */
+    public static ByteRates byteRates(int brokers, int seconds) {
+        FleetSimulation fleet = fleet(brokers);
+        fleet.sentBy.clear();
+        fleet.run(seconds * FleetSimulation.S, SAMPLE_PERIOD, () -> sampleLoad(fleet));
+        long sum = fleet.sentBy.values().stream().mapToLong(x -> x).sum();
+        long most = fleet.sentBy.values().stream().mapToLong(x -> x).max().orElse(0);
+        return new ByteRates(sum / (double) brokers / seconds, most / (double) seconds);
     }
 
-    /**
-     * All brokers suspect a dead box within a tenth of a second and find out as the verdict says, each trial failing after
-     * a quarter. Returns trials a second by the whole fleet until the last knows (over five seconds at least), seconds until then, and
-     * brokers that do not know after half a minute.
-     */
-    public static double[] probes(int brokers) {
-        return probes(fleet(brokers));
+    /** All brokers suspect a dead server within a tenth of a second and probe it as the schedule says. */
+    public static ProbeCost probeCost(int brokers) {
+        return probeCost(fleet(brokers));
+    }
+
+    static ProbeCost probeCost(FleetSimulation fleet) {
+        return new DeadServer(fleet).play();
+    }
+
+    /** One broker's suspicion of the server. */
+    private static final class Prober {
+        final FleetSimulation.Node node;
+        final long suspectedAt;
+        long probedAt;
+        long resultAt;
+        int failures;
+        boolean knows;
+
+        Prober(FleetSimulation.Node node, long suspectedAt) {
+            this.node = node;
+            this.suspectedAt = suspectedAt;
+        }
     }
 
-    static double[] probes(FleetWorld w) {
-        int brokers = w.nodes.length;
-        int box = Mix.of("dead");
-        long began = w.now;
-        long[] since = new long[brokers];
-        long[] tried = new long[brokers];
-        long[] due = new long[brokers];
-        int[] failures = new int[brokers];
-        boolean[] knows = new boolean[brokers];
-        int[] trials = {0};
-        long[] last = {began};
-        for (int i = 0; i < brokers; i++) {
-            since[i] = w.nodes[i].clock() + w.random.nextLong(100 * FleetWorld.MS);
+    private static final class DeadServer {
+        final FleetSimulation fleet;
+        final int server = StableHash.of("dead");
+        final List<Prober> probers;
+        final long began;
+        long lastKnownAt;
+        int probes;
+
+        DeadServer(FleetSimulation fleet) {
+            this.fleet = fleet;
+            began = fleet.now;
+            lastKnownAt = began;
+            probers = Arrays.stream(fleet.nodes)
+                    .map(n -> new Prober(n, n.clock() + fleet.random.nextLong(100 * FleetSimulation.MS)))
+                    .toList();
+        }
+
+        ProbeCost play() {
+            fleet.run(30 * FleetSimulation.S, 50 * FleetSimulation.MS, () -> probers.forEach(this::step));
+            double seconds = (lastKnownAt - began) / (double) FleetSimulation.S;
+            int uninformed = (int) probers.stream().filter(p -> !p.knows).count();
+            return new ProbeCost(probes / Math.max(MIN_SECONDS, seconds), seconds, uninformed);
         }
-        w.run(30 * FleetWorld.S, 50 * FleetWorld.MS, () -> {
-            for (FleetWorld.Node n : w.nodes) {
-                int i = n.number;
-                long now = n.clock();
-                if (knows[i] || now < since[i]) {
-                    continue;
-                }
-                if (due[i] > 0 && now >= due[i]) {
-                    due[i] = 0;
-                    failures[i]++;
-                    n.news(new News.Found(box, false));
-                }
-                if (due[i] > 0) {
-                    continue;
-                }
-                View v = n.view();
-                Verdict say = Probes.verdict(
-                        now,
-                        i,
-                        v.living(),
-                        box,
-                        v.words().getOrDefault(box, java.util.List.of()),
-                        new Suspicion(since[i], since[i] - FleetWorld.S, tried[i], failures[i]));
-                if (say == Verdict.TRY) {
-                    trials[0]++;
-                    tried[i] = now;
-                    due[i] = now + 250 * FleetWorld.MS;
-                } else if (say == Verdict.DOWN || failures[i] >= 2) {
-                    knows[i] = true;
-                    last[0] = w.now;
-                }
+
+        private void step(Prober prober) {
+            long now = prober.node.clock();
+            if (prober.knows || now < prober.suspectedAt) {
+                return;
+            }
+            if (prober.resultAt > 0 && now >= prober.resultAt) {
+                prober.resultAt = 0;
+                prober.failures++;
+                prober.node.event(new LocalEvent.HealthReport(server, false));
+            }
+            if (prober.resultAt > 0) {
+                return;
             }
-        });
-        double seconds = (last[0] - began) / (double) FleetWorld.S;
-        int missing = 0;
-        for (boolean k : knows) {
-            missing += k ? 0 : 1;
+            Verdict verdict = verdict(now, prober);
+            if (verdict == Verdict.TRY) {
+                probes++;
+                prober.probedAt = now;
+                prober.resultAt = now + PROBE_TIME;
+            } else if (verdict == Verdict.DOWN || prober.failures >= OWN_PROBES) {
+                prober.knows = true;
+                lastKnownAt = fleet.now;
+            }
+        }
+
+        private Verdict verdict(long now, Prober prober) {
+            FleetSnapshot snapshot = prober.node.snapshot();
+            List<VersionedEntry> reports = snapshot.healthReports().getOrDefault(server, List.of());
+            Suspicion suspicion = new Suspicion(
+                    prober.suspectedAt, prober.suspectedAt - FleetSimulation.S, prober.probedAt, prober.failures);
+            return HealthProbeSchedule.verdict(
+                    now, prober.node.number, snapshot.presentBrokers(), server, reports, suspicion);
         }
-        return new double[] {trials[0] / Math.max(5, seconds), seconds, missing};
     }
 }
--- a/src/test/java/dockshed/fleet/FleetWorld.java
+++ b/src/test/java/dockshed/fleet/FleetSimulation.java
@@ -10,12 +10,13 @@
 import java.util.function.UnaryOperator;
 
 /**
- * Brokers' hearts on a simulated network and clock; one seed replays all. Each broker has a clock of its own, with an offset
- * and a rate; it can be killed, started again with nothing, and made to stand still while its mail waits. A mutant is a
- * switch here that spoils one thing that the heart relies on, and that some test has to notice.
+ * Gossip nodes on a simulated network and clock; one seed replays all. Each broker has a clock of its own, with an offset
+ * and a rate; it can be killed, started again with nothing, and paused while its datagrams wait. A mutant is a
+ * switch here that tampers with one thing that the node relies on, and that some test has to notice.
  */
-final class FleetWorld {
-    static final long MS = 1000, S = 1_000_000;
+final class FleetSimulation {
+    static final long MS = 1000;
+    static final long S = 1_000_000;
 
     private record Event(long at, long order, Runnable what) implements Comparable<Event> {
         @Override
@@ -26,12 +27,12 @@
 
     final class Node {
         final int number;
-        Heart heart;
+        GossipNode node;
         double rate = 1;
         long offset; // of its clock to the world's, at the world's start
-        long stillUntil = -1;
-        int life; // of the world's making: what an earlier one has to do is void
-        final List<byte[]> mail = new ArrayList<>();
+        long pausedUntil = -1;
+        int starts; // what is scheduled for an earlier start is void
+        final List<byte[]> waiting = new ArrayList<>();
 
         Node(int number) {
             this.number = number;
@@ -42,103 +43,105 @@
         }
 
         boolean up() {
-            return heart != null;
+            return node != null;
         }
 
-        View view() {
-            return heart.view(clock());
+        FleetSnapshot snapshot() {
+            return node.snapshot(clock());
         }
 
-        double share(int kind) {
-            return heart == null ? 0 : heart.shares().share(clock(), kind);
+        double share(int resource) {
+            return node == null ? 0 : node.leases().share(clock(), resource);
         }
 
         void start() {
-            life++;
-            mail.clear();
-            stillUntil = -1;
-            heart = new Heart(
-                    terms, number, nodes.length, startMillis.apply(clock() / 1000), clock(), random.nextLong());
+            starts++;
+            waiting.clear();
+            pausedUntil = -1;
+            node = new GossipNode(
+                    settings, number, nodes.length, startMillis.apply(clock() / 1000), clock(), random.nextLong());
             started.accept(this);
-            tick(life);
+            tick(starts);
         }
 
         void kill() {
-            heart = null;
-            life++;
-        }
-
-        void still(long micros) {
-            stillUntil = now + micros;
-            int of = life;
-            at(stillUntil, () -> {
-                if (of == life) {
-                    stillUntil = -1;
-                    for (byte[] m : List.copyOf(mail)) {
-                        heart.receive(clock(), m, sink());
+            node = null;
+            starts++;
+        }
+
+        void pause(long micros) {
+            pausedUntil = now + micros;
+            int start = starts;
+            at(pausedUntil, () -> {
+                if (start == starts) {
+                    pausedUntil = -1;
+                    for (byte[] m : List.copyOf(waiting)) {
+                        node.receive(clock(), m, sink());
                     }
-                    mail.clear();
-                    tick(of);
+                    waiting.clear();
+                    tick(start);
                 }
             });
         }
 
-        void news(News n) {
-            heart.news(clock(), n, sink());
+        void event(LocalEvent event) {
+            node.handle(clock(), event, sink());
         }
 
-        private Heart.Sink sink() {
+        private GossipNode.Sink sink() {
             return (to, datagram) -> carry(number, to, datagram);
         }
 
-        private void tick(int of) {
-            if (of != life || heart == null || stillUntil >= 0) {
+        private void tick(int start) {
+            if (start != starts || node == null || pausedUntil >= 0) {
                 return;
             }
-            heart.tick(clock(), sink());
-            at(now + Math.max(1, (long) ((heart.next(clock()) - clock()) / rate)), () -> tick(of));
+            node.tick(clock(), sink());
+            at(now + Math.max(1, (long) ((node.next(clock()) - clock()) / rate)), () -> tick(start));
         }
 
         void take(byte[] datagram) {
-            if (heart == null) {
+            if (node == null) {
                 return;
             }
-            if (stillUntil >= 0) {
-                mail.add(datagram);
+            if (pausedUntil >= 0) {
+                waiting.add(datagram);
             } else {
-                heart.receive(clock(), datagram, sink());
+                node.receive(clock(), datagram, sink());
             }
         }
     }
 
     final Node[] nodes;
-    final FleetTerms terms;
+    final FleetSettings settings;
     final SplittableRandom random;
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long order;
     long now = 1_000 * S;
-    double loss, twice;
-    long least = MS / 2, most = 3 * MS; // delays
+    double loss;
+    double duplication;
+    long least = MS / 2; // of the delays
+    long most = 3 * MS;
     long carried;
     final Map<Integer, Long> sentBy = new HashMap<>();
-    private boolean[][] cut;
+    private boolean[][] blocked;
     /** Mutants: what happens to a datagram on its way, and what a start takes for its time. */
-    UnaryOperator<Envelope> spoil = e -> e;
+    UnaryOperator<Envelope> tamper = e -> e;
 
     java.util.function.Function<Long, Long> startMillis = ms -> ms;
     Consumer<Node> started = n -> {};
 
-    FleetWorld(int brokers, FleetTerms terms, long seed) {
-        this.terms = terms;
+    FleetSimulation(int brokers, FleetSettings settings, long seed) {
+        this.settings = settings;
         random = new SplittableRandom(seed);
         nodes = new Node[brokers];
-        cut = new boolean[brokers][brokers];
+        blocked = new boolean[brokers][brokers];
         for (int i = 0; i < brokers; i++) {
             nodes[i] = new Node(i);
         }
     }
 
-    FleetWorld startAll() {
+    FleetSimulation startAll() {
         for (Node n : nodes) {
             at(now + random.nextLong(300 * MS), n::start);
         }
@@ -150,32 +153,32 @@
         events.add(new Event(when, order++, what));
     }
 
-    /** Ends of a cut: from a to b nothing comes through. */
-    void cut(int a, int b, boolean is) {
-        cut[a][b] = is;
+    /** Blocks or opens the way from a to b. */
+    void block(int a, int b, boolean is) {
+        blocked[a][b] = is;
     }
 
-    /** Cuts the first brokers off from the others, both ways, or joins them again. */
-    void halve(int first, boolean is) {
+    /** Partitions the first brokers from the others, both ways, or heals the partition. */
+    void partition(int first, boolean is) {
         for (int a = 0; a < nodes.length; a++) {
             for (int b = 0; b < nodes.length; b++) {
-                cut[a][b] = is && a < first != b < first;
+                blocked[a][b] = is && a < first != b < first;
             }
         }
     }
 
     void carry(int from, int to, byte[] datagram) {
-        if (datagram.length > Envelope.LIMIT) {
+        if (datagram.length > Envelope.MAX_BYTES) {
             throw new AssertionError("datagram of " + datagram.length + " bytes");
         }
         carried++;
         sentBy.merge(from, (long) datagram.length, Long::sum);
-        if (cut[from][to] || random.nextDouble() < loss) {
+        if (blocked[from][to] || random.nextDouble() < loss) {
             return;
         }
         Envelope e = Envelope.read(datagram);
-        byte[] goes = e == null ? datagram : spoil.apply(e).write();
-        int times = random.nextDouble() < twice ? 2 : 1;
+        byte[] goes = e == null ? datagram : tamper.apply(e).write();
+        int times = random.nextDouble() < duplication ? 2 : 1;
         for (int i = 0; i < times; i++) {
             at(now + least + random.nextLong(most - least + 1), () -> nodes[to].take(goes));
         }
@@ -199,10 +202,10 @@
         }
     }
 
-    double sum(int kind) {
+    double sum(int resource) {
         double sum = 0;
         for (Node n : nodes) {
-            sum += n.share(kind);
+            sum += n.share(resource);
         }
         return sum;
     }
--- a/src/test/java/dockshed/fleet/SharesTest.java
+++ b/src/test/java/dockshed/fleet/LeasedSharesTest.java
@@ -1,34 +1,34 @@
 package dockshed.fleet;
 
-import static dockshed.fleet.FleetWorld.MS;
-import static dockshed.fleet.FleetWorld.S;
+import static dockshed.fleet.FleetSimulation.MS;
+import static dockshed.fleet.FleetSimulation.S;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
-/** Shares under loss, cuts, restarts and clocks that are off: what is held never adds up to more than the whole. */
-class SharesTest {
+/** Leased shares under loss, partitions, restarts and clocks that are off: what is held never adds up to more than the whole. */
+class LeasedSharesTest {
     private static final double WHOLE = 1 + 1e-9;
 
-    private static void check(FleetWorld w) {
-        for (int k = 0; k < Shares.KINDS; k++) {
+    private static void check(FleetSimulation w) {
+        for (int k = 0; k < LeasedShares.RESOURCES; k++) {
             double sum = w.sum(k);
             assertTrue(sum <= WHOLE, "shares add up to " + sum);
         }
     }
 
-    private static void ask(FleetWorld w, int node, double perSecond) {
+    private static void ask(FleetSimulation w, int node, double perSecond) {
         if (w.nodes[node].up()) {
-            int[] tries = new int[Cut.STEPS];
+            int[] tries = new int[SheddingThreshold.PRIORITY_STEPS];
             tries[0] = (int) (perSecond * 10);
-            w.nodes[node].news(new News.Figures(tries, tries[0], 0, tries[0] / 10, 10_000_000));
+            w.nodes[node].event(new LocalEvent.LoadSample(tries, tries[0], 0, tries[0] / 10, 10_000_000));
         }
     }
 
     @Test
     void demandIsFollowedAndTheWholeIsNearlyUsed() {
-        FleetWorld w = new FleetWorld(8, FleetTerms.USUAL, 1).startAll();
+        FleetSimulation w = new FleetSimulation(8, FleetSettings.DEFAULTS, 1).startAll();
         w.run(12 * S, 200 * MS, () -> {
             for (int i = 0; i < 8; i++) {
                 ask(w, i, i == 0 ? 40 : 5);
@@ -43,25 +43,25 @@
 
     @Test
     void aFreshBrokerHasAWorkingShareWithinASecondAndADeadOnesComesBack() {
-        FleetWorld w = new FleetWorld(8, FleetTerms.USUAL, 2).startAll();
+        FleetSimulation w = new FleetSimulation(8, FleetSettings.DEFAULTS, 2).startAll();
         w.run(12 * S);
-        int dead = w.nodes[0].heart.shares().isPurser(w.nodes[0].clock()) ? 1 : 0;
+        int dead = w.nodes[0].node.leases().isCoordinator(w.nodes[0].clock()) ? 1 : 0;
         w.nodes[dead].kill();
         w.run(8 * S, 50 * MS, () -> check(w));
         double others = w.sum(0);
         assertTrue(others > 0.80, "of the dead one's part what was leased is used again: " + others);
         w.nodes[dead].start();
         w.run(S, 50 * MS, () -> check(w));
-        assertTrue(w.nodes[dead].heart.shares().leased(w.nodes[dead].clock()));
+        assertTrue(w.nodes[dead].node.leases().leased(w.nodes[dead].clock()));
         assertTrue(w.nodes[dead].share(0) > 0.9 / 8, "its share after a second: " + w.nodes[dead].share(0));
     }
 
     @Test
-    void whenThePurserDiesAnotherTakesOverOnceItsTimeIsOver() {
-        FleetWorld w = new FleetWorld(7, FleetTerms.USUAL, 3).startAll();
+    void whenTheCoordinatorDiesAnotherTakesOverOnceItsTimeIsOver() {
+        FleetSimulation w = new FleetSimulation(7, FleetSettings.DEFAULTS, 3).startAll();
         w.run(12 * S);
-        for (FleetWorld.Node n : w.nodes) {
-            if (n.up() && n.heart.shares().isPurser(n.clock())) {
+        for (FleetSimulation.Node n : w.nodes) {
+            if (n.up() && n.node.leases().isCoordinator(n.clock())) {
                 n.kill();
             }
         }
@@ -70,27 +70,27 @@
     }
 
     @Test
-    void theMinorityOfACutKeepsItsFloorAndTheMajorityGoesOn() {
-        FleetWorld w = new FleetWorld(9, FleetTerms.USUAL, 4).startAll();
+    void theMinorityOfAPartitionKeepsItsGuaranteedShareAndTheMajorityGoesOn() {
+        FleetSimulation w = new FleetSimulation(9, FleetSettings.DEFAULTS, 4).startAll();
         w.run(12 * S);
-        w.halve(2, true);
+        w.partition(2, true);
         w.run(20 * S, 50 * MS, () -> check(w));
         assertEquals(0.5 / 9, w.nodes[0].share(0), 1e-9);
         assertTrue(w.sum(0) > 0.75, "held: " + w.sum(0));
-        w.halve(2, false);
+        w.partition(2, false);
         w.run(14 * S, 50 * MS, () -> check(w));
         assertTrue(w.nodes[0].share(0) > 0.5 / 9);
     }
 
-    /** Faults at random: loss, repeats, cuts, kills, pauses, clocks that are off and run at other rates. */
-    static double worst(long seed, java.util.function.Consumer<FleetWorld> mutant) {
-        FleetWorld w = new FleetWorld(5 + (int) (seed % 4), FleetTerms.USUAL, seed);
+    /** Faults at random: loss, duplicates, partitions, kills, pauses, clocks that are off and run at other rates. */
+    static double worst(long seed, java.util.function.Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = new FleetSimulation(5 + (int) (seed % 4), FleetSettings.DEFAULTS, seed);
         w.loss = 0.1;
-        w.twice = 0.1;
+        w.duplication = 0.1;
         w.most = 60 * MS;
-        for (FleetWorld.Node n : w.nodes) {
+        for (FleetSimulation.Node n : w.nodes) {
             n.offset = w.random.nextLong(20 * S) - 10 * S;
-            n.rate = 1 + (w.random.nextDouble() - 0.5) * 0.9 * Shares.DRIFT;
+            n.rate = 1 + (w.random.nextDouble() - 0.5) * 0.9 * LeasedShares.DRIFT;
         }
         mutant.accept(w);
         w.startAll();
@@ -105,12 +105,12 @@
                     w.nodes[n].start();
                 }
                 case 3 -> {
-                    if (w.nodes[n].up() && w.nodes[n].stillUntil < 0) {
-                        w.nodes[n].still(w.random.nextLong(5 * S));
+                    if (w.nodes[n].up() && w.nodes[n].pausedUntil < 0) {
+                        w.nodes[n].pause(w.random.nextLong(5 * S));
                     }
                 }
-                case 4 -> w.halve(w.random.nextInt(w.nodes.length), true);
-                default -> w.halve(0, false);
+                case 4 -> w.partition(w.random.nextInt(w.nodes.length), true);
+                default -> w.partition(0, false);
             }
             w.run(w.random.nextLong(3 * S), 20 * MS, () -> {
                 for (int j = 0; j < w.nodes.length; j++) {
@@ -133,16 +133,17 @@
     }
 
     @Test
-    void oneWithoutAPurserDoesNotSpin() {
-        // Cut off from the witnesses it was due to ask at every moment, and its loop turned every millisecond.
-        FleetWorld w = new FleetWorld(5, FleetTerms.USUAL, 5).startAll();
+    void oneWithoutACoordinatorDoesNotSpin() {
+        // SheddingThreshold off from the voters it was due to ask at every moment, and its loop turned every
+        // millisecond.
+        FleetSimulation w = new FleetSimulation(5, FleetSettings.DEFAULTS, 5).startAll();
         w.run(8 * S);
-        w.halve(2, true);
+        w.partition(2, true);
         w.run(10 * S);
-        for (FleetWorld.Node n : w.nodes) {
+        for (FleetSimulation.Node n : w.nodes) {
             for (int i = 0; i < 40; i++) {
                 w.run(13 * MS);
-                assertTrue(n.heart.shares().next(n.clock()) > n.clock(), "due at once, again and again");
+                assertTrue(n.node.leases().next(n.clock()) > n.clock(), "due at once, again and again");
             }
         }
     }
--- a/src/test/java/dockshed/fleet/MutantsTest.java
+++ b/src/test/java/dockshed/fleet/MutantsTest.java
@@ -1,7 +1,7 @@
 package dockshed.fleet;
 
-import static dockshed.fleet.FleetWorld.MS;
-import static dockshed.fleet.FleetWorld.S;
+import static dockshed.fleet.FleetSimulation.MS;
+import static dockshed.fleet.FleetSimulation.S;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,42 +13,42 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /**
- * The promises of the fleet's heart, each with what breaks it: a switch in the simulated network or in a start spoils what
- * the promise rests on, and the check that holds without it has to fail.
+ * The votesReceived of the fleet's node, each with what breaks it: a switch in the simulated network or in a start tampers with what
+ * the guarantee rests on, and the check that holds without it has to fail.
  */
 class MutantsTest {
     /** What a run has to show. */
-    private static boolean sharesHold(Consumer<FleetWorld> mutant) {
+    private static boolean sharesHold(Consumer<FleetSimulation> mutant) {
         for (long seed = 1; seed <= 8; seed++) {
-            if (SharesTest.worst(seed, mutant) > 1 + 1e-9) {
+            if (LeasedSharesTest.worst(seed, mutant) > 1 + 1e-9) {
                 return false;
             }
         }
         return true;
     }
 
-    private static FleetWorld seven(Consumer<FleetWorld> mutant) {
-        FleetWorld w = new FleetWorld(7, FleetTerms.USUAL, 21);
+    private static FleetSimulation seven(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = new FleetSimulation(7, FleetSettings.DEFAULTS, 21);
         mutant.accept(w);
         w.startAll();
         w.run(8 * S);
         return w;
     }
 
-    /** Who comes late hears of what was told before: by repair, since nobody tells it on any more. */
-    private static boolean lateOnesHear(Consumer<FleetWorld> mutant) {
-        return late(mutant).nodes[6].heart.rows().get(1, Row.BOX, 5) != null;
+    /** Who joins late receives what was gossiped before: by anti-entropy, since nobody relays it any more. */
+    private static boolean lateOnesHear(Consumer<FleetSimulation> mutant) {
+        return late(mutant).nodes[6].node.entries().get(1, VersionedEntry.HEALTH_REPORT, 5) != null;
     }
 
-    private static FleetWorld late(Consumer<FleetWorld> mutant) {
-        FleetWorld w = new FleetWorld(7, FleetTerms.USUAL, 22);
+    private static FleetSimulation late(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = new FleetSimulation(7, FleetSettings.DEFAULTS, 22);
         mutant.accept(w);
-        w.started = n -> n.heart.rows().keep(Row.BOX, 600 * S);
+        w.started = n -> n.node.entries().setTimeToLive(VersionedEntry.HEALTH_REPORT, 600 * S);
         for (int i = 0; i < 6; i++) {
             w.nodes[i].start();
         }
         w.run(6 * S);
-        w.nodes[1].news(new News.Found(5, false));
+        w.nodes[1].event(new LocalEvent.HealthReport(5, false));
         w.run(20 * S);
         w.nodes[6].start();
         w.run(10 * S);
@@ -56,68 +56,72 @@
     }
 
     /** One that leaves is gone within a second, without a suspicion. */
-    private static boolean leavesAreHeard(Consumer<FleetWorld> mutant) {
-        FleetWorld w = seven(mutant);
-        w.nodes[3].news(new News.Leaving());
+    private static boolean leavesAreHeard(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = seven(mutant);
+        w.nodes[3].event(new LocalEvent.Leaving());
         w.nodes[3].kill();
         w.run(S);
         return Arrays.stream(w.nodes)
-                        .filter(n -> n.number != 3 && !n.view().living().contains(3))
+                        .filter(n ->
+                                n.number != 3 && !n.snapshot().presentBrokers().contains(3))
                         .count()
                 >= 3;
     }
 
-    /** A row that was relayed is as old as it is. */
-    private static boolean agesAreTold(Consumer<FleetWorld> mutant) {
-        FleetWorld w = late(mutant);
-        Row r = w.nodes[6].heart.rows().get(1, Row.BOX, 5);
-        return r != null && w.nodes[6].clock() - r.born() > 15 * S;
+    /** A relayed entry keeps its age. */
+    private static boolean agesAreTold(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = late(mutant);
+        VersionedEntry r = w.nodes[6].node.entries().get(1, VersionedEntry.HEALTH_REPORT, 5);
+        return r != null && w.nodes[6].clock() - r.writtenAt() > 15 * S;
     }
 
-    /** On a sound network nobody has to contradict a word on itself. */
-    private static boolean nobodyIsAccused(Consumer<FleetWorld> mutant) {
-        FleetWorld w = seven(mutant);
+    /** On a sound network nobody has to refute a suspicion. */
+    private static boolean nobodyIsAccused(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = seven(mutant);
         w.run(20 * S);
-        return Arrays.stream(w.nodes).allMatch(n -> n.heart.who().refutations == 0);
+        return Arrays.stream(w.nodes).allMatch(n -> n.node.membership().refutations == 0);
     }
 
-    /** All brokers have the same cut in an overload. */
-    private static boolean cutsAgree(Consumer<FleetWorld> mutant) {
-        FleetWorld w = seven(mutant);
-        int[] tries = new int[Cut.STEPS];
+    /** All brokers have the same shedding threshold in an overload. */
+    private static boolean thresholdsAgree(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = seven(mutant);
+        int[] tries = new int[SheddingThreshold.PRIORITY_STEPS];
         tries[0] = 28;
-        // Each has room for another number; what is given to it is what lies over the cut that it sees.
+        // Each has room for another number; what is given to it is what lies over the threshold that it sees.
         w.run(30 * S, 500 * MS, () -> {
-            for (FleetWorld.Node n : w.nodes) {
-                double over = 1 - n.view().cut() / (double) (1 << Cut.HASH_BITS);
+            for (FleetSimulation.Node n : w.nodes) {
+                double over = 1 - n.snapshot().sheddingThreshold() / (double) (1 << SheddingThreshold.HASH_BITS);
                 int given = (int) Math.round(28 * Math.max(0, Math.min(1, over)));
                 int room = Math.min(given, 6 + 2 * n.number);
-                n.news(new News.Figures(tries, room, given - room, 0, 500_000));
+                n.event(new LocalEvent.LoadSample(tries, room, given - room, 0, 500_000));
             }
         });
-        List<Integer> cuts = Arrays.stream(w.nodes).map(n -> n.view().cut()).toList();
-        return cuts.stream().allMatch(c -> c > 0 && Math.abs(c - cuts.get(0)) < 0.04 * (1 << Cut.HASH_BITS));
+        List<Integer> thresholds = Arrays.stream(w.nodes)
+                .map(n -> n.snapshot().sheddingThreshold())
+                .toList();
+        return thresholds.stream()
+                .allMatch(c -> c > 0 && Math.abs(c - thresholds.get(0)) < 0.04 * (1 << SheddingThreshold.HASH_BITS));
     }
 
-    /** A dead box is tried by a few brokers only, and all know soon. */
-    private static boolean fewFindOut(Consumer<FleetWorld> mutant) {
-        FleetWorld w = new FleetWorld(15, FleetTerms.USUAL, 23);
+    /** A dead server is probed by a few brokers only, and all know soon. */
+    private static boolean fewProbe(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = new FleetSimulation(15, FleetSettings.DEFAULTS, 23);
         mutant.accept(w);
         w.startAll();
         w.run(10 * S);
-        double[] found = FleetCosts.probes(w);
-        return found[0] <= 1.5 && found[1] < 6 && found[2] == 0;
+        FleetCosts.ProbeCost cost = FleetCosts.probeCost(w);
+        return cost.probesPerSecond() <= 1.5 && cost.seconds() < 6 && cost.uninformed() == 0;
     }
 
     /** What is leased is used. */
-    private static boolean theWholeIsUsed(Consumer<FleetWorld> mutant) {
-        FleetWorld w = seven(mutant);
+    private static boolean theWholeIsUsed(Consumer<FleetSimulation> mutant) {
+        FleetSimulation w = seven(mutant);
         w.run(6 * S);
-        return w.sum(Shares.NEWCOMERS) > 0.8;
+        return w.sum(LeasedShares.NEW_SESSIONS) > 0.8;
     }
 
-    private static Consumer<FleetWorld> spoils(int kind, java.util.function.UnaryOperator<Envelope.Item> change) {
-        return w -> w.spoil = FleetWorld.items(kind, change);
+    private static Consumer<FleetSimulation> tampers(int kind, java.util.function.UnaryOperator<Envelope.Item> change) {
+        return w -> w.tamper = FleetSimulation.items(kind, change);
     }
 
     private static Envelope.Item at(Envelope.Item i, int from, int... bytes) {
@@ -133,32 +137,35 @@
     }
 
     enum Mutant {
-        WITNESSES_DO_NOT_TELL_LIVES_APART(
-                MutantsTest::sharesHold, spoils(Envelope.LOCK, i -> at(i, 4, 0, 0, 0, 0, 0, 1))),
-        LEASES_ARE_TWICE_WHAT_WAS_RECKONED(MutantsTest::sharesHold, spoils(Envelope.GRANT, i -> at(i, 6, 0xFF, 0xFF))),
+        VOTERS_DO_NOT_TELL_INCARNATIONS_APART(
+                MutantsTest::sharesHold, tampers(Envelope.VOTE_REQUEST, i -> at(i, 4, 0, 0, 0, 0, 0, 1))),
+        LEASES_ARE_TWICE_WHAT_WAS_RECKONED(
+                MutantsTest::sharesHold, tampers(Envelope.LEASE_GRANT, i -> at(i, 6, 0xFF, 0xFF))),
         CLOCKS_RUN_APART_BY_MORE_THAN_THE_DRIFT(MutantsTest::sharesHold, w -> {
-            for (FleetWorld.Node n : w.nodes) {
+            for (FleetSimulation.Node n : w.nodes) {
                 n.rate = n.number % 2 == 0 ? 0.3 : 1;
             }
         }),
-        LIVES_ARE_NOT_TOLD_APART(MutantsTest::sharesHold, w -> w.startMillis = ms -> 1000L),
-        AGES_DO_NOT_TRAVEL(MutantsTest::agesAreTold, spoils(Envelope.ROW, i -> at(i, 17, 0, 0))),
-        NOTHING_IS_REPAIRED(MutantsTest::lateOnesHear, spoils(Envelope.DIGEST, MutantsTest::nothing)),
-        NO_WORD_ON_MEMBERS(MutantsTest::leavesAreHeard, spoils(Envelope.MEMBER, MutantsTest::nothing)),
+        INCARNATIONS_ARE_NOT_TOLD_APART(MutantsTest::sharesHold, w -> w.startMillis = ms -> 1000L),
+        AGES_DO_NOT_TRAVEL(MutantsTest::agesAreTold, tampers(Envelope.ENTRY, i -> at(i, 17, 0, 0))),
+        NO_ANTI_ENTROPY(MutantsTest::lateOnesHear, tampers(Envelope.DIGEST, MutantsTest::nothing)),
+        NO_MEMBER_UPDATES(MutantsTest::leavesAreHeard, tampers(Envelope.MEMBER, MutantsTest::nothing)),
         SERIALS_STAND_STILL(
                 MutantsTest::nobodyIsAccused,
-                w -> w.spoil = e -> new Envelope(e.sender(), e.incarnation(), 1, e.items())),
-        NO_WORDS_ON_BOXES(MutantsTest::fewFindOut, spoils(Envelope.ROW, i -> i.body()[2] == Row.BOX ? nothing(i) : i)),
-        NO_PROBE_IS_ANSWERED(MutantsTest::nobodyIsAccused, spoils(Envelope.ACK, MutantsTest::nothing)),
-        NO_WITNESS_ANSWERS(MutantsTest::theWholeIsUsed, spoils(Envelope.LOCKED, MutantsTest::nothing)),
-        EACH_CUTS_ALONE(MutantsTest::cutsAgree, spoils(Envelope.ROW, MutantsTest::nothing));
-
-        private final Predicate<Consumer<FleetWorld>> holds;
-        private final Consumer<FleetWorld> spoiled;
-
-        Mutant(Predicate<Consumer<FleetWorld>> holds, Consumer<FleetWorld> spoiled) {
+                w -> w.tamper = e -> new Envelope(e.sender(), e.incarnation(), 1, e.items())),
+        NO_HEALTH_REPORTS(
+                MutantsTest::fewProbe,
+                tampers(Envelope.ENTRY, i -> i.body()[2] == VersionedEntry.HEALTH_REPORT ? nothing(i) : i)),
+        NO_PROBE_IS_ANSWERED(MutantsTest::nobodyIsAccused, tampers(Envelope.ACK, MutantsTest::nothing)),
+        NO_VOTER_ANSWERS(MutantsTest::theWholeIsUsed, tampers(Envelope.VOTE, MutantsTest::nothing)),
+        EACH_SHEDS_ALONE(MutantsTest::thresholdsAgree, tampers(Envelope.ENTRY, MutantsTest::nothing));
+
+        private final Predicate<Consumer<FleetSimulation>> holds;
+        private final Consumer<FleetSimulation> tampering;
+
+        Mutant(Predicate<Consumer<FleetSimulation>> holds, Consumer<FleetSimulation> tampering) {
             this.holds = holds;
-            this.spoiled = spoiled;
+            this.tampering = tampering;
         }
     }
 
@@ -166,6 +173,6 @@
     @EnumSource(Mutant.class)
     void eachMutantIsFoundByWhatHoldsWithoutIt(Mutant m) {
         assertTrue(m.holds.test(w -> {}), "does not hold by itself");
-        assertFalse(m.holds.test(m.spoiled), "not found");
+        assertFalse(m.holds.test(m.tampering), "not found");
     }
 }
--- a/src/test/java/dockshed/rig/FleetBench.java
+++ b/src/test/java/dockshed/rig/FleetBench.java
@@ -1,7 +1,7 @@
 package dockshed.rig;
 
 import dockshed.fleet.FleetCosts;
-import dockshed.fleet.FleetTerms;
+import dockshed.fleet.FleetSettings;
 import java.util.List;
 import java.util.Locale;
 
@@ -39,7 +39,9 @@
     private static World play(Variant v, int brokers, long seed) {
         World.Script s = overload(brokers);
         if (v != Variant.OFF) {
-            s.fleet = v == Variant.AT_ONCE ? new FleetTerms(100_000, 0, 0.5, true, true, true) : FleetTerms.USUAL;
+            s.fleet = v == Variant.AT_ONCE
+                    ? new FleetSettings(100_000, 0, 0.5, true, true, true)
+                    : FleetSettings.DEFAULTS;
             s.atOnce = v == Variant.AT_ONCE;
             s.liar = v == Variant.LIAR ? brokers - 1 : -1;
         }
@@ -106,27 +108,27 @@
                         w.judged == 0 ? 1 : w.judgedAlike / w.judged);
             }
         }
-        double[] five = FleetCosts.bytes(5, 30);
-        double[] hundred = FleetCosts.bytes(100, 30);
-        double[] few = FleetCosts.probes(7);
-        double[] many = FleetCosts.probes(100);
+        FleetCosts.ByteRates five = FleetCosts.byteRates(5, 30);
+        FleetCosts.ByteRates hundred = FleetCosts.byteRates(100, 30);
+        FleetCosts.ProbeCost few = FleetCosts.probeCost(7);
+        FleetCosts.ProbeCost many = FleetCosts.probeCost(100);
         System.out.printf(
                 Locale.ROOT,
                 "bytes a second and broker: 5 brokers %.0f (most %.0f), 100 brokers %.0f (most %.0f)%n",
-                five[0],
-                five[1],
-                hundred[0],
-                hundred[1]);
+                five.mean(),
+                five.highest(),
+                hundred.mean(),
+                hundred.highest());
         System.out.printf(
                 Locale.ROOT,
-                "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%.0f do not); "
-                        + "100 brokers %.2f, %.1f s (%.0f)%n",
-                few[0],
-                few[1],
-                few[2],
-                many[0],
-                many[1],
-                many[2]);
+                "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%d do not); "
+                        + "100 brokers %.2f, %.1f s (%d)%n",
+                few.probesPerSecond(),
+                few.seconds(),
+                few.uninformed(),
+                many.probesPerSecond(),
+                many.seconds(),
+                many.uninformed());
         double gap = during[2] - during[0];
         String closed = gap < 0.01 ? "none" : String.format(Locale.ROOT, "%.2f", (during[1] - during[0]) / gap);
         System.out.printf(
@@ -150,10 +152,10 @@
                 during[1] - during[3],
                 lost,
                 twice,
-                few[0],
-                many[0],
+                few.probesPerSecond(),
+                many.probesPerSecond(),
                 bytes,
-                hundred[0],
-                hundred[0] / five[0]);
+                hundred.mean(),
+                hundred.mean() / five.mean());
     }
 }
--- a/src/test/java/dockshed/rig/FleetProcessTest.java
+++ b/src/test/java/dockshed/rig/FleetProcessTest.java
@@ -22,12 +22,12 @@
     @TempDir
     Path dir;
 
-    private static Predicate<String> living(int count) {
-        return l -> l.contains("living=" + count + " ") && l.endsWith(" fleet");
+    private static Predicate<String> present(int count) {
+        return l -> l.contains("present=" + count + " ") && l.endsWith(" fleet");
     }
 
-    private static Predicate<String> gone(int broker) {
-        return l -> l.matches(".* gone=\\[[^]]*\\b" + broker + "\\b[^]]*] .* fleet");
+    private static Predicate<String> lost(int broker) {
+        return l -> l.matches(".* lost=\\[[^]]*\\b" + broker + "\\b[^]]*] .* fleet");
     }
 
     private static void serves(FleetRig rig, int... at) throws Exception {
@@ -45,7 +45,7 @@
             rig.fabric.twice = 0.05;
             rig.fabric.mostMillis = 15;
             for (BrokerProcess b : rig.brokers) {
-                b.await(0, living(N));
+                b.await(0, present(N));
             }
             serves(rig, 0, 1, 2, 3, 4);
 
@@ -53,55 +53,55 @@
             int[] marks = marks(rig);
             rig.brokers.get(3).kill();
             for (int i : new int[] {0, 1, 2, 4}) {
-                rig.brokers.get(i).await(marks[i], gone(3));
+                rig.brokers.get(i).await(marks[i], lost(3));
             }
             serves(rig, 0, 1, 2, 4);
             marks = marks(rig);
             rig.brokers.get(3).start();
-            rig.brokers.get(3).await(marks[3], living(N));
+            rig.brokers.get(3).await(marks[3], present(N));
             for (int i : new int[] {0, 1, 2, 4}) {
-                rig.brokers.get(i).await(marks[i], living(N));
+                rig.brokers.get(i).await(marks[i], present(N));
             }
             serves(rig, 3);
 
             // Stopped until the others have noticed, and let go on: it calls nobody dead.
             marks = marks(rig);
             rig.brokers.get(1).signal("STOP");
-            rig.brokers.get(0).await(marks[0], gone(1));
+            rig.brokers.get(0).await(marks[0], lost(1));
             serves(rig, 0, 2, 3, 4);
             rig.brokers.get(1).signal("CONT");
-            rig.brokers.get(0).await(marks[0], living(N));
-            rig.brokers.get(1).await(marks[1], l -> l.contains("stood_still=1"));
+            rig.brokers.get(0).await(marks[0], present(N));
+            rig.brokers.get(1).await(marks[1], l -> l.contains("stalls=1"));
             assertTrue(
-                    rig.brokers.get(1).since(marks[1]).stream().noneMatch(l -> l.matches(".* gone=\\[\\d.* fleet")),
+                    rig.brokers.get(1).since(marks[1]).stream().noneMatch(l -> l.matches(".* lost=\\[\\d.* fleet")),
                     "it called somebody dead: " + rig.brokers.get(1).since(marks[1]));
             serves(rig, 1);
 
             // Cut in two, and healed; both parts serve.
             marks = marks(rig);
             rig.fabric.halve(2, true);
-            rig.brokers.get(0).await(marks[0], living(2));
-            rig.brokers.get(4).await(marks[4], living(3));
+            rig.brokers.get(0).await(marks[0], present(2));
+            rig.brokers.get(4).await(marks[4], present(3));
             serves(rig, 0, 1, 2, 3, 4);
             marks = marks(rig);
             rig.fabric.halve(2, false);
             for (int i = 0; i < N; i++) {
-                rig.brokers.get(i).await(marks[i], living(N));
+                rig.brokers.get(i).await(marks[i], present(N));
             }
 
-            // A planned end is told; the place is taken by one that talks nonsense.
+            // A planned end is told; the place is taken by a byzantine peer.
             marks = marks(rig);
             rig.brokers.get(4).signal("TERM");
             assertEquals(0, rig.brokers.get(4).awaitEnd());
-            rig.brokers.get(0).await(marks[0], gone(4));
+            rig.brokers.get(0).await(marks[0], lost(4));
             marks = marks(rig);
             rig.lie(4, 1000);
             for (int i = 0; i < 4; i++) {
                 int me = i;
                 assertTrue(
                         rig.brokers.get(i).since(marks[i]).stream()
-                                .noneMatch(l -> l.matches(".* gone=\\[[0-3].* fleet")),
-                        "a liar took somebody away at " + me);
+                                .noneMatch(l -> l.matches(".* lost=\\[[0-3].* fleet")),
+                        "a byzantine peer took somebody away at " + me);
                 assertTrue(rig.brokers.get(i).since(marks[i]).stream().noneMatch(l -> l.contains("ERROR")));
             }
             serves(rig, 0, 1, 2, 3);
@@ -115,7 +115,7 @@
         return rig.brokers.stream().mapToInt(BrokerProcess::mark).toArray();
     }
 
-    /** All leases of all processes, on the one clock of this machine: at no time more than what is not the floor's. */
+    /** All leases of all processes, on the one clock of this machine: at no time more than what is not guaranteed. */
     private static void assertSharesHold(FleetRig rig) {
         TreeMap<Long, Double> change = new TreeMap<>();
         int leases = 0;
--- a/src/test/java/dockshed/rig/FleetRig.java
+++ b/src/test/java/dockshed/rig/FleetRig.java
@@ -1,6 +1,6 @@
 package dockshed.rig;
 
-import dockshed.fleet.Nonsense;
+import dockshed.fleet.ByzantinePeer;
 import dockshed.net.Headed;
 import dockshed.net.HeadedDecoder;
 import dockshed.net.Net;
@@ -169,16 +169,17 @@
         }
     }
 
-    /** One broker's place is taken by one that talks nonsense to all others, so many datagrams; waits until they are sent. */
+    /** One broker's place is taken by a byzantine peer, so many datagrams; waits until they are sent. */
     void lie(int liar, int datagrams) throws Exception {
-        Nonsense nonsense = new Nonsense(liar, brokers.size(), System.currentTimeMillis() * 1000 + 5_000_000, 3);
+        ByzantinePeer byzantine =
+                new ByzantinePeer(liar, brokers.size(), System.currentTimeMillis() * 1000 + 5_000_000, 3);
         for (int i = 0; i < datagrams; i++) {
             net.loop()
                     .schedule(
                             () -> {
                                 for (int to = 0; to < brokers.size(); to++) {
                                     if (to != liar) {
-                                        fabric.carry(liar, to, nonsense.next(System.currentTimeMillis() * 1000));
+                                        fabric.carry(liar, to, byzantine.next(System.currentTimeMillis() * 1000));
                                     }
                                 }
                             },
--- a/src/test/java/dockshed/rig/World.java
+++ b/src/test/java/dockshed/rig/World.java
@@ -22,11 +22,11 @@
 import dockshed.core.Front;
 import dockshed.core.Servers;
 import dockshed.core.Wish;
-import dockshed.fleet.FleetTerms;
-import dockshed.fleet.Gate;
-import dockshed.fleet.Heart;
-import dockshed.fleet.Nonsense;
-import dockshed.fleet.View;
+import dockshed.fleet.AdmissionFilter;
+import dockshed.fleet.ByzantinePeer;
+import dockshed.fleet.FleetSettings;
+import dockshed.fleet.FleetSnapshot;
+import dockshed.fleet.GossipNode;
 import dockshed.storm.Damper;
 import dockshed.storm.Terms;
 import java.util.ArrayDeque;
@@ -69,9 +69,9 @@
         public double lostReplies; // set-ups that run and whose answer is lost
         public double datagramLoss = 0.05;
         public Terms terms; // null: without the part
-        public FleetTerms fleet; // null: without the part
+        public FleetSettings fleet; // null: without the part
         public boolean atOnce; // all brokers are told everything without loss or delay
-        public int liar = -1; // a broker that talks nonsense to the others, at full rate
+        public int liar = -1; // a byzantine broker, at full rate
         public long stayLeast = 22 * S, stayMore = 40 * S; // of viewers, evenly between the one and both
         public int slow; // so many boxes give a third of their links, between these times
         public long slowFrom, slowTo;
@@ -183,8 +183,8 @@
         }
         at(START, this::arrive);
         if (script.liar >= 0) {
-            Nonsense nonsense = new Nonsense(script.liar, script.brokers, START, script.brokers);
-            at(START + 5 * S, () -> lie(nonsense));
+            ByzantinePeer byzantine = new ByzantinePeer(script.liar, script.brokers, START, script.brokers);
+            at(START + 5 * S, () -> lie(byzantine));
         }
         at(START + TICK, this::measure);
         at(START + TELL, this::tell);
@@ -211,7 +211,7 @@
         }
         people = viewers.size();
         for (Station s : stations) {
-            fleetBytes += s.heart == null ? 0 : s.heart.counts().bytes;
+            fleetBytes += s.node == null ? 0 : s.node.counts().bytes;
         }
         for (Viewer v : viewers) {
             lost += v.name != null
@@ -224,12 +224,12 @@
         }
     }
 
-    private void lie(Nonsense nonsense) {
-        at(now + 10 * MS, () -> lie(nonsense));
+    private void lie(ByzantinePeer byzantine) {
+        at(now + 10 * MS, () -> lie(byzantine));
         for (Station s : stations) {
-            byte[] made = nonsense.next(now);
-            if (s.me != script.liar && s.heart != null) {
-                s.heart.receive(now, made, s::carry);
+            byte[] made = byzantine.next(now);
+            if (s.me != script.liar && s.node != null) {
+                s.node.receive(now, made, s::carry);
             }
         }
     }
@@ -482,9 +482,9 @@
         final int me;
         Broker broker;
         Damper damper;
-        Heart heart;
-        Gate gate;
-        View view = View.ALONE;
+        GossipNode node;
+        AdmissionFilter admission;
+        FleetSnapshot snapshot = FleetSnapshot.ALONE;
         final Map<String, Integer> attempts = new HashMap<>();
         String state = "NONE";
         Deadlines deadlines;
@@ -547,25 +547,25 @@
                         return d;
                     };
             if (script.fleet != null) {
-                heart = new Heart(script.fleet, me, script.brokers, now / 1000, now, seed ^ 0xf1ee7);
-                view = View.ALONE;
+                node = new GossipNode(script.fleet, me, script.brokers, now / 1000, now, seed ^ 0xf1ee7);
+                snapshot = FleetSnapshot.ALONE;
                 broker = new Broker(
                         s,
                         a -> {
-                            gate = Gate.before(
+                            admission = AdmissionFilter.before(
                                             s,
-                                            () -> view,
+                                            () -> snapshot,
                                             n -> {
-                                                heart.news(now, n, this::carry);
+                                                node.handle(now, n, this::carry);
                                                 return true;
                                             },
                                             whole)
                                     .apply(a);
-                            return gate;
+                            return admission;
                         },
                         this::datagram,
                         deadlines);
-                beat(heart);
+                beat(node);
             } else {
                 broker = new Broker(s, whole, this::datagram, deadlines);
             }
@@ -588,11 +588,11 @@
             }
         }
 
-        private void beat(Heart of) {
-            if (heart == of) {
-                heart.tick(now, this::carry);
-                view = heart.view(now);
-                at(Math.min(now + (script.atOnce ? 20 : 100) * MS, heart.next(now)), () -> beat(of));
+        private void beat(GossipNode of) {
+            if (node == of) {
+                node.tick(now, this::carry);
+                snapshot = node.snapshot(now);
+                at(Math.min(now + (script.atOnce ? 20 : 100) * MS, node.next(now)), () -> beat(of));
             }
         }
 
@@ -602,8 +602,8 @@
                 return;
             }
             at(now + (script.atOnce ? 1 : 1_100 + random.nextLong(34 * MS)), () -> {
-                if (s.heart != null) {
-                    s.heart.receive(now, bytes, s::carry);
+                if (s.node != null) {
+                    s.node.receive(now, bytes, s::carry);
                 }
             });
         }
@@ -619,9 +619,9 @@
         void die() {
             broker = null;
             damper = null;
-            fleetBytes += heart == null ? 0 : heart.counts().bytes;
-            heart = null;
-            gate = null;
+            fleetBytes += node == null ? 0 : node.counts().bytes;
+            node = null;
+            admission = null;
             diedAt = now;
             noticed = now + 1_200 * MS + random.nextLong(2_200 * MS);
             for (Viewer v : viewers) {
@@ -873,10 +873,10 @@
                 false,
                 false);
         for (Station s : stations) {
-            if (s.heart != null && s.me != script.liar) {
-                sum += s.heart.newcomers(now);
-                cut |= s.view.cut() > 0;
-                under += s.gate.underCut(now, r) ? 1 : 0;
+            if (s.node != null && s.me != script.liar) {
+                sum += s.node.newSessionShare(now);
+                cut |= s.snapshot.sheddingThreshold() > 0;
+                under += s.admission.isShed(now, r) ? 1 : 0;
                 asked++;
             }
         }
