--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -49,7 +49,10 @@
     private static final Logger LOG = LoggerFactory.getLogger(Wiring.class);
 
     /** The parts' random numbers must not be one another's. */
-    private static final long STORM_SEED = 0x73746f726dL, FLEET_SEED = 0x666c656574L, ROLLOUT_SEED = 0x726f6c6cL;
+    private static final long STORM_SEED = 0x73746f726dL;
+
+    private static final long FLEET_SEED = 0x666c656574L;
+    private static final long ROLLOUT_SEED = 0x726f6c6cL;
 
     private final Config config;
     private final Net net;
--- a/src/main/java/dockshed/config/OperatorConfig.java
+++ b/src/main/java/dockshed/config/OperatorConfig.java
@@ -14,7 +14,8 @@
 
 /** What the operator's file switches on and sets; a part that is null is off. */
 public record OperatorConfig(Terms storm, FleetSettings fleet, RolloutConfig rollout) {
-    private static final long MS = 1000, S = 1_000_000;
+    private static final long MS = 1000;
+    private static final long S = 1_000_000;
 
     /** Directives of the fleet section that earlier versions had, with the names that they have now. */
     private static final Map<String, String> RENAMED_FLEET_DIRECTIVES = Map.of(
--- a/src/main/java/dockshed/rollout/Allowance.java
+++ b/src/main/java/dockshed/rollout/Allowance.java
@@ -2,7 +2,8 @@
 
 /** A token bucket: so much a second, and so much at once after a rest. */
 final class Allowance {
-    private final double perSecond, burst;
+    private final double perSecond;
+    private final double burst;
     private double tokens;
     private long at;
 
--- a/src/main/java/dockshed/rollout/ChunkServer.java
+++ b/src/main/java/dockshed/rollout/ChunkServer.java
@@ -16,13 +16,18 @@
  */
 final class ChunkServer {
     /** Bytes of chunks a second in all, and at once. */
-    static final double BYTES = 1_200, BURST = 16_000;
+    static final double BYTES = 1_200;
+
+    static final double BURST = 16_000;
     /** The same to one broker: one longest content with its losses, then little. */
-    static final double BYTES_EACH = 1_000, BURST_EACH = 3.0 * Configuration.MOST_BYTES;
+    static final double BYTES_EACH = 1_000;
+
+    static final double BURST_EACH = 3.0 * Configuration.MOST_BYTES;
     /** Brokers that are served long contents at a time; a slot is free again after a pause of the asker, and in any case. */
     static final int SLOTS = 2;
 
-    static final long SLOT_IDLE = 700_000, SLOT_LONGEST = 4_000_000;
+    static final long SLOT_IDLE = 700_000;
+    static final long SLOT_LONGEST = 4_000_000;
     /** Brokers whose allowance is remembered. */
     static final int MOST_ASKERS = 256;
 
--- a/src/main/java/dockshed/rollout/Download.java
+++ b/src/main/java/dockshed/rollout/Download.java
@@ -23,7 +23,9 @@
     /** And so does one that has not sent all after so long, so that none holds us up with crumbs. */
     static final long SOURCE_PATIENCE = 4_000_000;
     /** After a busy or missing source, another is asked after at most so long; the pause doubles up to the second one. */
-    static final long PAUSE = 120_000, LONGEST_PAUSE = 500_000;
+    static final long PAUSE = 120_000;
+
+    static final long LONGEST_PAUSE = 500_000;
     /** Without a chunk for so long it gives way to another download. */
     static final long STALLED = 500_000;
     /** A download without a whole content after so long is given up. */
@@ -48,8 +50,15 @@
     private byte[][] chunks; // null: the length is not known yet
     private int length;
     private boolean alone; // take all chunks from one source
-    private int source = -1, lastSource = -1, request, asked, arrived;
-    private long sourceSince, actAt, progressAt, pause = PAUSE;
+    private int source = -1;
+    private int lastSource = -1;
+    private int request;
+    private int asked;
+    private int arrived;
+    private long sourceSince;
+    private long actAt;
+    private long progressAt;
+    private long pause = PAUSE;
 
     Download(NodeContext context, long now, ConfigurationId id, Sources sources, Blame blame) {
         this.context = context;
--- a/src/main/java/dockshed/rollout/Learner.java
+++ b/src/main/java/dockshed/rollout/Learner.java
@@ -23,7 +23,10 @@
     /** A first question waits for up to so long, as all brokers hear of a change at about the same time. */
     static final long SPREAD = 1_000_000;
     /** Between two rounds without a result: from the first to at most the second; the third where nobody announces more. */
-    static final long PAUSE = 300_000, LONGEST_PAUSE = 2_000_000, IDLE_PAUSE = 20_000_000;
+    static final long PAUSE = 300_000;
+
+    static final long LONGEST_PAUSE = 2_000_000;
+    static final long IDLE_PAUSE = 20_000_000;
 
     /** What could not be saved is tried again after so long. */
     static final long SAVE_AGAIN = 10_000_000;
@@ -38,7 +41,9 @@
     private Download download;
     private Configuration unsaved; // in force, and the storage did not take it yet
     private long saveAt;
-    private long askAt, pause = PAUSE, heardAt = Long.MIN_VALUE;
+    private long askAt;
+    private long pause = PAUSE;
+    private long heardAt = Long.MIN_VALUE;
 
     Learner(NodeContext context, SourceTable sources, long now) {
         this.context = context;
--- a/src/main/java/dockshed/rollout/Proposer.java
+++ b/src/main/java/dockshed/rollout/Proposer.java
@@ -18,7 +18,9 @@
  */
 final class Proposer {
     /** Microseconds for which it looks whether its number is the next, and for which it asks for votes. */
-    static final long CHECKING_PATIENCE = 6_000_000, VOTING_PATIENCE = 20_000_000;
+    static final long CHECKING_PATIENCE = 6_000_000;
+
+    static final long VOTING_PATIENCE = 20_000_000;
 
     /** A majority's answers are enough to say which version is the next; so long the others are waited for. */
     static final long HEAR_OUT = 600_000;
--- a/src/main/java/dockshed/rollout/RolloutCodec.java
+++ b/src/main/java/dockshed/rollout/RolloutCodec.java
@@ -24,12 +24,12 @@
     static final int MOST_CHUNKS = (Configuration.MOST_BYTES + CHUNK_BYTES - 1) / CHUNK_BYTES;
 
     private static final int MISSING_BYTES = (MOST_CHUNKS + 7) / 8;
-    private static final int REPORT_REQUEST = 1,
-            REPORT = 2,
-            PROPOSAL = 3,
-            CHUNK_REQUEST = 4,
-            CHUNK = 5,
-            UNAVAILABLE = 6;
+    private static final int REPORT_REQUEST = 1;
+    private static final int REPORT = 2;
+    private static final int PROPOSAL = 3;
+    private static final int CHUNK_REQUEST = 4;
+    private static final int CHUNK = 5;
+    private static final int UNAVAILABLE = 6;
 
     private RolloutCodec() {}
 
--- a/src/main/java/dockshed/rollout/RolloutNode.java
+++ b/src/main/java/dockshed/rollout/RolloutNode.java
@@ -28,9 +28,13 @@
     /** Between two calls of {@link #tick} at most, in microseconds. */
     static final long LOOK = 500_000;
     /** Questions of one broker that are answered: so many a second, so many at once. */
-    static final double QUESTIONS = 20, QUESTIONS_BURST = 40;
+    static final double QUESTIONS = 20;
+
+    static final double QUESTIONS_BURST = 40;
     /** Questions that are answered in all, a second and at once. */
-    static final double ALL_QUESTIONS = 400, ALL_QUESTIONS_BURST = 600;
+    static final double ALL_QUESTIONS = 400;
+
+    static final double ALL_QUESTIONS_BURST = 600;
     /** Brokers whose questions are counted, those that asked last. */
     static final int MOST_ASKERS = 256;
 
--- a/src/main/java/dockshed/rollout/SourceTable.java
+++ b/src/main/java/dockshed/rollout/SourceTable.java
@@ -10,7 +10,9 @@
     /** Brokers that are avoided at a time. */
     static final int MOST_AVOIDED = 64;
     /** Microseconds for which a broker is avoided, and for which an announcement is of now. */
-    static final long AVOID = 60_000_000, RECENT = 30_000_000;
+    static final long AVOID = 60_000_000;
+
+    static final long RECENT = 30_000_000;
 
     private record Heard(Announcement announcement, long at) {}
 
--- a/src/main/java/dockshed/rollout/VoterRound.java
+++ b/src/main/java/dockshed/rollout/VoterRound.java
@@ -27,7 +27,8 @@
     private final int number;
     private final long began;
     private final Map<Integer, Report> reports = new HashMap<>();
-    private long askAt, askGap = ASK_AGAIN;
+    private long askAt;
+    private long askGap = ASK_AGAIN;
 
     /** Begins a round and asks {@code first} voters, chosen at random; the others hear of it if those do not answer. */
     VoterRound(RolloutSettings settings, SplittableRandom random, long now, int first, Question question) {
--- a/src/main/java/dockshed/rollout/host/FileVoteStorage.java
+++ b/src/main/java/dockshed/rollout/host/FileVoteStorage.java
@@ -27,7 +27,8 @@
  * what a disk spoilt, and the broker's number what belongs to another.
  */
 public final class FileVoteStorage implements VoteStorage {
-    static final String VOTER_FILE = "voter", IN_FORCE_FILE = "in-force";
+    static final String VOTER_FILE = "voter";
+    static final String IN_FORCE_FILE = "in-force";
     /** No record is longer. */
     static final int MOST_BYTES = Configuration.MOST_BYTES + 4096;
 
--- a/src/test/java/dockshed/rig/EndingsTest.java
+++ b/src/test/java/dockshed/rig/EndingsTest.java
@@ -154,7 +154,8 @@
     private Director.Actions act;
     private Broker broker;
     private InetSocketAddress at;
-    private Box a, b;
+    private Box a;
+    private Box b;
     private Viewer viewer;
 
     @BeforeEach
--- a/src/test/java/dockshed/rig/Fabric.java
+++ b/src/test/java/dockshed/rig/Fabric.java
@@ -21,7 +21,8 @@
     private final InetSocketAddress[] listens;
     private final boolean[][] cut;
     private final SplittableRandom random = new SplittableRandom(5);
-    volatile double loss, twice;
+    volatile double loss;
+    volatile double twice;
     volatile int mostMillis;
 
     public Fabric(Net net, InetSocketAddress[] listens) {
--- a/src/test/java/dockshed/rig/FleetBench.java
+++ b/src/test/java/dockshed/rig/FleetBench.java
@@ -8,7 +8,9 @@
 /** The measurement behind bench/fleet.sh, on the virtual clock: overload with the part off, on, and told all at once. */
 public final class FleetBench {
     private static final long S = World.S;
-    private static final int FROM = 40, TO = 60, END = 90;
+    private static final int FROM = 40;
+    private static final int TO = 60;
+    private static final int END = 90;
 
     private FleetBench() {}
 
@@ -63,14 +65,18 @@
         boolean quick = List.of(args).contains("--quick");
         int seeds = quick ? 2 : 6;
         int brokers = List.of(args).contains("--many") ? 24 : 7;
-        double[] during = new double[4],
-                after = new double[4],
-                recover = new double[4],
-                paid = new double[4],
-                further = new double[4],
-                people = new double[4];
-        double alike = 0, judged = 0, shares = 0, bytes = 0;
-        int lost = 0, twice = 0;
+        double[] during = new double[4];
+        double[] after = new double[4];
+        double[] recover = new double[4];
+        double[] paid = new double[4];
+        double[] further = new double[4];
+        double[] people = new double[4];
+        double alike = 0;
+        double judged = 0;
+        double shares = 0;
+        double bytes = 0;
+        int lost = 0;
+        int twice = 0;
         System.out.println(
                 "| variant | seed | before | load | after | recovered, s | refused | paid kept | further | shares | alike |");
         System.out.println("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |");
@@ -119,16 +125,7 @@
                 five.highest(),
                 hundred.mean(),
                 hundred.highest());
-        System.out.printf(
-                Locale.ROOT,
-                "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%d do not); "
-                        + "100 brokers %.2f, %.1f s (%d)%n",
-                few.probesPerSecond(),
-                few.seconds(),
-                few.uninformed(),
-                many.probesPerSecond(),
-                many.seconds(),
-                many.uninformed());
+        printProbes(few, many);
         double gap = during[2] - during[0];
         String closed = gap < 0.01 ? "none" : String.format(Locale.ROOT, "%.2f", (during[1] - during[0]) / gap);
         System.out.printf(
@@ -158,4 +155,17 @@
                 hundred.mean(),
                 hundred.mean() / five.mean());
     }
+
+    private static void printProbes(FleetCosts.ProbeCost few, FleetCosts.ProbeCost many) {
+        System.out.printf(
+                Locale.ROOT,
+                "a dead box: 7 brokers %.2f trials a second, all know after %.1f s (%d do not); "
+                        + "100 brokers %.2f, %.1f s (%d)%n",
+                few.probesPerSecond(),
+                few.seconds(),
+                few.uninformed(),
+                many.probesPerSecond(),
+                many.seconds(),
+                many.uninformed());
+    }
 }
--- a/src/test/java/dockshed/rig/FleetRig.java
+++ b/src/test/java/dockshed/rig/FleetRig.java
@@ -27,7 +27,8 @@
 
     final List<BrokerProcess> brokers = new ArrayList<>();
     final Fabric fabric;
-    final AtomicInteger answered = new AtomicInteger(), failed = new AtomicInteger();
+    final AtomicInteger answered = new AtomicInteger();
+    final AtomicInteger failed = new AtomicInteger();
     final Map<String, Integer> paid = new ConcurrentHashMap<>(); // set-ups of the paid class by session
     private final Net net = new Net("rig");
     private final List<AnsweringBox> boxes = new ArrayList<>();
--- a/src/test/java/dockshed/rig/RolloutProcessTest.java
+++ b/src/test/java/dockshed/rig/RolloutProcessTest.java
@@ -15,8 +15,11 @@
 
 /** Five brokers as processes, three of them voters and one without the part; a configuration goes round through faults. */
 class RolloutProcessTest {
-    private static final int N = 5, LEARNER = 3, WITHOUT = 4;
-    private static final int[] VOTERS = {0, 1, 2}, ALL = {0, 1, 2, LEARNER};
+    private static final int N = 5;
+    private static final int LEARNER = 3;
+    private static final int WITHOUT = 4;
+    private static final int[] VOTERS = {0, 1, 2};
+    private static final int[] ALL = {0, 1, 2, LEARNER};
     private static final Pattern IN_FORCE =
             Pattern.compile(".*version=(\\d+) digest=([0-9a-f]+) after_ms=\\d+ configuration in force");
     private static final Pattern NEXT = Pattern.compile(".*: version: expected (\\d+), .*");
--- a/src/test/java/dockshed/rig/SocketStorm.java
+++ b/src/test/java/dockshed/rig/SocketStorm.java
@@ -36,7 +36,9 @@
     private static final double[] RATES = {255, 425, 706, 1174, 1951};
     private static final double[] WORTHS = {.17, .41, .62, .81, 1};
     private static final double LINK = 30_000;
-    private static final int BROKERS = 3, BOXES = 12, LANES = 4;
+    private static final int BROKERS = 3;
+    private static final int BOXES = 12;
+    private static final int LANES = 4;
 
     private final Net net = new Net();
     private final SplittableRandom random = new SplittableRandom(17);
@@ -46,10 +48,17 @@
     private final List<Node> nodes = new ArrayList<>();
     private final List<Viewer> viewers = new ArrayList<>();
     private final Set<String> ran = new HashSet<>();
-    private final double[] offered = new double[300], earned = new double[300];
+    private final double[] offered = new double[300];
+    private final double[] earned = new double[300];
     private LoopClock clock;
-    private long start, ends;
-    private int tries, refused, failed, paidTwice, unanswered, names;
+    private long start;
+    private long ends;
+    private int tries;
+    private int refused;
+    private int failed;
+    private int paidTwice;
+    private int unanswered;
+    private int names;
     private Duration used = Duration.ZERO;
 
     private SocketStorm(Path dir, String conf) {
@@ -346,9 +355,13 @@
     private static final class Viewer {
         private static final String[] CLASSES = {"refresher", "cert-lesson", "audio-guide"};
         private final SocketStorm in;
-        final int cls, floor, top, heeds; // heeds 0: P-Back-Off, 1: Retry-After, 2: nothing, 3: doubles its wait
+        final int cls; // heeds 0: P-Back-Off, 1: Retry-After, 2: nothing, 3: doubles its wait
+        final int floor;
+        final int top;
+        final int heeds;
         final double scale;
-        final long until, patience;
+        final long until;
+        final long patience;
         final String id;
         String name;
         Node node;
--- a/src/test/java/dockshed/rig/StormBench.java
+++ b/src/test/java/dockshed/rig/StormBench.java
@@ -14,18 +14,27 @@
 public final class StormBench {
     static final long S = World.S;
     private static final int FROM = 30; // second from which the fleet is full
-    private static final String OFF = "off", ON = "calendar+notes";
+    private static final String OFF = "off";
+    private static final String ON = "calendar+notes";
 
     private StormBench() {}
 
     /** One variant in one scenario, over the seeds; thousandths in the histograms. */
     private static final class Row {
-        final Histogram worst = new Histogram(3),
-                whole = new Histogram(3),
-                tries = new Histogram(3),
-                calm = new Histogram(3);
-        double refused, cold, kept;
-        int twice, lost, fallen, below, after, runs, never;
+        final Histogram worst = new Histogram(3);
+        final Histogram whole = new Histogram(3);
+        final Histogram tries = new Histogram(3);
+        final Histogram calm = new Histogram(3);
+        double refused;
+        double cold;
+        double kept;
+        int twice;
+        int lost;
+        int fallen;
+        int below;
+        int after;
+        int runs;
+        int never;
 
         void add(World w, long lastRestart) {
             runs++;
--- a/src/test/java/dockshed/rig/World.java
+++ b/src/test/java/dockshed/rig/World.java
@@ -46,11 +46,16 @@
  * module. One seed replays a run to the last event. Times are microseconds, rates kB a second.
  */
 public final class World {
-    public static final long MS = 1000, S = 1_000_000, START = 1_000_000 * S;
+    public static final long MS = 1000;
+    public static final long S = 1_000_000;
+    public static final long START = 1_000_000 * S;
     private static final double[] RATES = {255, 425, 706, 1174, 1951};
     private static final double[] WORTHS = {.17, .41, .62, .81, 1};
-    private static final double STALL = 7, LINK = 30_000;
-    private static final long SEE = S, TELL = 2_750 * MS, TICK = 100 * MS;
+    private static final double STALL = 7;
+    private static final double LINK = 30_000;
+    private static final long SEE = S;
+    private static final long TELL = 2_750 * MS;
+    private static final long TICK = 100 * MS;
 
     /** What viewers heed of a refusal's advice. */
     public enum Heeds {
@@ -62,9 +67,15 @@
 
     /** What happens, all of it set before the run. */
     public static final class Script {
-        public int brokers = 3, boxes = 16, streams = 110;
-        public double arrivals = 12, surge = 1;
-        public long surgeFrom, surgeTo, length = 60 * S, longest = 2 * S;
+        public int brokers = 3;
+        public int boxes = 16;
+        public int streams = 110;
+        public double arrivals = 12;
+        public double surge = 1;
+        public long surgeFrom;
+        public long surgeTo;
+        public long length = 60 * S;
+        public long longest = 2 * S;
         public double ignore = 0.2; // of the viewers; of the rest a third each heeds one way
         public double lostReplies; // set-ups that run and whose answer is lost
         public double datagramLoss = 0.05;
@@ -72,13 +83,16 @@
         public FleetSettings fleet; // null: without the part
         public boolean atOnce; // all brokers are told everything without loss or delay
         public int liar = -1; // a byzantine broker, at full rate
-        public long stayLeast = 22 * S, stayMore = 40 * S; // of viewers, evenly between the one and both
+        public long stayLeast = 22 * S; // of viewers, evenly between the one and both
+        public long stayMore = 40 * S;
         public int slow; // so many boxes give a third of their links, between these times
-        public long slowFrom, slowTo;
+        public long slowFrom;
+        public long slowTo;
         public boolean namesReachable = true;
         final List<long[]> outages = new ArrayList<>(); // broker, from, to
         final List<long[]> restarts = new ArrayList<>(); // box, at
-        long stallAt = -1, stallFor;
+        long stallAt = -1;
+        long stallFor;
 
         public Script outage(int broker, long from, long to) {
             outages.add(new long[] {broker, from, to});
@@ -115,30 +129,38 @@
             new SessionClass("refresher", Effect.SAFE, 800 * MS, 3 * S, 1, 1, 0, 4, 0),
             new SessionClass("cert-lesson", Effect.AT_MOST_ONCE, S, 4 * S, 3, 1, 1, 4, 0),
             new SessionClass("audio-guide", Effect.SAFE, 1500 * MS, 3 * S, 1, .7, 0, 4, 0));
-    private long serials, names;
+    private long serials;
+    private long names;
     private long now = START;
 
     // What is measured.
-    public final double[] offered, earned; // worth by second
-    public final int[] came, refusedIn; // requests and refusals, by second
+    public final double[] offered; // worth by second
+    public final double[] earned;
+    public final int[] came; // requests and refusals, by second
+    public final int[] refusedIn;
     public final int[] playing; // sessions, by second
-    public final double[] fill, rungs; // asked of all links over what they give; mean rung
-    public int tries,
-            people,
-            refused,
-            failed,
-            served,
-            lost,
-            paidTwice,
-            keptTimes,
-            earlyTimes,
-            boxesFallen,
-            belowFloor,
-            refusedAfterRun;
+    public final double[] fill; // asked of all links over what they give; mean rung
+    public final double[] rungs;
+    public int tries;
+    public int people;
+    public int refused;
+    public int failed;
+    public int served;
+    public int lost;
+    public int paidTwice;
+    public int keptTimes;
+    public int earlyTimes;
+    public int boxesFallen;
+    public int belowFloor;
+    public int refusedAfterRun;
     public double coldPeak; // most set-ups within the rule's window at a cold box, over its allowed ones
     public long brokerNanos; // processor's time in the brokers
-    public int furtherAttempts, paidAsked, paidServed; // the last two: first tries within the surge
-    public double shareSumMax, judged, judgedAlike;
+    public int furtherAttempts; // the last two: first tries within the surge
+    public int paidAsked;
+    public int paidServed;
+    public double shareSumMax;
+    public double judged;
+    public double judgedAlike;
     public long fleetBytes;
     private final java.util.BitSet calm = new java.util.BitSet(); // by tick: every broker is calm
     public final List<String> stormLog = new ArrayList<>();
@@ -255,17 +277,21 @@
         final String id = "v" + viewers.size();
         final SessionClass cls = classes.get(random.nextDouble() < .3 ? 0 : random.nextDouble() < .36 ? 1 : 2);
         final int top = random.nextDouble() < .26 ? 2 : 4;
-        final long firstTry = now, until = now + script.stayLeast + random.nextLong(script.stayMore);
+        final long firstTry = now;
+        final long until = now + script.stayLeast + random.nextLong(script.stayMore);
         final Heeds heeds = random.nextDouble() < script.ignore
                 ? Heeds.NOTHING
                 : Heeds.values()[new int[] {0, 1, 3}[random.nextInt(3)]];
         int mine;
-        long wait = 500 * MS, askedAt;
+        long wait = 500 * MS;
+        long askedAt;
         String name;
         Station at;
         Box box;
         int rung;
-        boolean answered, plays, inSurge;
+        boolean answered;
+        boolean plays;
+        boolean inSurge;
 
         long patience() {
             return cls.deadline();
@@ -488,7 +514,9 @@
         final Map<String, Integer> attempts = new HashMap<>();
         String state = "NONE";
         Deadlines deadlines;
-        long since, diedAt = Long.MIN_VALUE, noticed;
+        long since;
+        long diedAt = Long.MIN_VALUE;
+        long noticed;
         final Map<String, Viewer> asking = new HashMap<>();
 
         Station(int me) {
@@ -850,7 +878,9 @@
             uncalm += s.damper != null && !s.damper.state().equals("CALM") ? 1 : 0;
         }
         calm.set((int) ((now - START) / TICK), uncalm == 0);
-        viewers.removeIf(v -> now > v.until + 5 * S && v.name == null && (gone += 1) > 0);
+        int before = viewers.size();
+        viewers.removeIf(v -> now > v.until + 5 * S && v.name == null);
+        gone += before - viewers.size();
     }
 
     /** Looks whether shares add up, and whether a viewer is judged alike at all brokers. */
--- a/src/test/java/dockshed/rollout/MemoryStorage.java
+++ b/src/test/java/dockshed/rollout/MemoryStorage.java
@@ -6,7 +6,8 @@
 final class MemoryStorage implements VoteStorage {
     private VoterRecord voter;
     private Configuration inForce;
-    boolean full, torn;
+    boolean full;
+    boolean torn;
     /** Whether what was in force last could not be saved: the next life cannot know of it. */
     boolean behind;
 
--- a/src/test/java/dockshed/rollout/RolloutScenarios.java
+++ b/src/test/java/dockshed/rollout/RolloutScenarios.java
@@ -15,7 +15,8 @@
  */
 public final class RolloutScenarios {
     private static final List<Integer> VOTERS = List.of(0, 1, 2, 3, 4);
-    private static final int BROKERS = 9, LIAR = 8;
+    private static final int BROKERS = 9;
+    private static final int LIAR = 8;
 
     private RolloutScenarios() {}
 
--- a/src/test/java/dockshed/rollout/RolloutSimulation.java
+++ b/src/test/java/dockshed/rollout/RolloutSimulation.java
@@ -18,7 +18,8 @@
  * the own zone every so often and to one of another zone every second. Merged histories of what was in force are checked.
  */
 final class RolloutSimulation {
-    static final long MS = 1000, S = 1_000_000;
+    static final long MS = 1000;
+    static final long S = 1_000_000;
     /** Bytes of the envelope round a body: the gossip's head and the item's. */
     static final int ENVELOPE = 16;
     /** Bodies that wait for the gossip's budget at most, as {@code ExtensionQueue} has it. */
@@ -42,12 +43,14 @@
         final int number;
         MemoryStorage storage = new MemoryStorage();
         RolloutNode node; // null: not running
-        int life, disk;
+        int life;
+        int disk;
         long stillUntil = -1;
         final List<Runnable> mail = new ArrayList<>();
         boolean oldProgram; // refuses documents with the word "new"
         final List<RolloutEvent> events = new ArrayList<>();
-        long sentBytes, receivedBytes;
+        long sentBytes;
+        long receivedBytes;
         private final ArrayDeque<Runnable> queued = new ArrayDeque<>();
         private final ArrayDeque<Integer> queuedBytes = new ArrayDeque<>();
         private double tokens;
@@ -187,12 +190,15 @@
     private final PriorityQueue<Event> events = new PriorityQueue<>();
     private long order;
     long now = 1_000 * S;
-    double loss, twice;
+    double loss;
+    double twice;
     /** What the gossip leaves to bodies: half of what a broker with zones may send. */
     int bytesPerSecond = 6000;
 
-    long least = MS / 2, most = 5 * MS; // delays
-    long gossipEvery = 100 * MS, otherZoneEvery = S;
+    long least = MS / 2; // delays
+    long most = 5 * MS;
+    long gossipEvery = 100 * MS;
+    long otherZoneEvery = S;
     /** A broker that answers requests for chunks with made-up ones, and runs nothing else; -1: none. */
     int liar = -1;
     /** Whether nothing comes through from one broker to another now. */
--- a/src/test/java/dockshed/rollout/RolloutSpreadTest.java
+++ b/src/test/java/dockshed/rollout/RolloutSpreadTest.java
@@ -14,7 +14,8 @@
 
 /** How soon a change is in force at 510 brokers in 7 zones, on the simulated network, and what it costs. */
 class RolloutSpreadTest {
-    private static final int BROKERS = 510, ZONES = 7;
+    private static final int BROKERS = 510;
+    private static final int ZONES = 7;
     private static final List<Integer> VOTERS = List.of(0, 1, 2, 3, 4);
     /** By when a change has to be in force. */
     private static final long TARGET = 17 * S;
--- a/src/test/java/dockshed/rollout/host/FileVoteStorageTest.java
+++ b/src/test/java/dockshed/rollout/host/FileVoteStorageTest.java
@@ -17,7 +17,8 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class FileVoteStorageTest {
-    private static final Configuration ONE = configuration(1, "version 1\n"), TWO = configuration(2, "version 2\n");
+    private static final Configuration ONE = configuration(1, "version 1\n");
+    private static final Configuration TWO = configuration(2, "version 2\n");
     private static final VoterRecord VOTED = new VoterRecord(true, 2, List.of(TWO.id(), ONE.id()), TWO);
 
     @TempDir
