--- a/review/rig/LineBox.java
+++ b/review/rig/LineBox.java
@@ -22,6 +22,7 @@
     private final Case owner;
     private final ServerSocket listener;
     private final List<Socket> connections = new ArrayList<>(); // the open ones
+    private long lastSetUpAtMs;
     private final Map<String, Socket> sessions = new HashMap<>(); // that stand, with the connection of the set-up
 
     LineBox(Case owner, String id) throws IOException {
@@ -82,6 +83,7 @@
         owner.record("box %s got: %s session=%s", id, type, session);
         if (type.equals("setup")) {
             sessions.put(session, connection);
+            lastSetUpAtMs = System.currentTimeMillis();
             send(connection, "{\"type\":\"answer\",\"id\":\"" + session + "\",\"fields\":{},\"sdp\":\"v=0\\r\\no=" + id + "\\r\\n\"}\n"
                     + "{\"type\":\"note\",\"id\":\"" + session + "\",\"fields\":{\"note\":\"local\",\"value\":\"0.1\"}}\n");
         } else if (type.equals("release") && sessions.remove(session) != null) {
@@ -98,6 +100,11 @@
         connection.getOutputStream().write(lines.getBytes(StandardCharsets.UTF_8));
     }
 
+    /** When it last received a set-up, in Unix milliseconds. */
+    synchronized long lastSetUpAtMs() {
+        return lastSetUpAtMs;
+    }
+
     /** Whether the session stands here. */
     synchronized boolean holds(String session) {
         return sessions.containsKey(session);
--- a/review/rig/Viewers.java
+++ b/review/rig/Viewers.java
@@ -105,6 +105,14 @@
         expect("1 " + session, "RTSP/1.0 200");
     }
 
+    /** Asks for a paid lesson, and does not wait for the answer. */
+    void ask(String session) throws IOException {
+        send("SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: " + session
+                + "\r\nPriority-Class: cert-lesson\r\nExpires-Ms: 4000\r\nExpected-Ms: 30000.0\r\n"
+                + "P-Trunk-Info: home:0;copies:12;top:1;viewer:" + session + "\r\nContent-Length: " + DESCRIPTION.length()
+                + "\r\n\r\n" + DESCRIPTION);
+    }
+
     /** The viewer ends a session that stands. */
     void teardown(String session) throws Exception {
         owner.record("on %s sent: TEARDOWN session=%s", name, session);
