Replace review case 3: an end lost with a reset connection is never told

A session ends just before the edge server's connection of its set-up is reset; other connections to that server are open, so the broker opens none, and the server has no next connection on which to repeat the release. The site is EdgeServerConnections.keepConnected.

--- a/review/rig/BrokerProcess.java
+++ b/review/rig/BrokerProcess.java
@@ -6,7 +6,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -15,11 +14,10 @@
 /** A broker, started with the `run` command of the deploy file from the repository's root. */
 final class BrokerProcess {
     private final Process process;
-    private final Path file;
     private final CountDownLatch serving = new CountDownLatch(1);
 
     BrokerProcess(Case owner, String name, String config, String listen, String options) throws IOException {
-        file = owner.temporary.resolve(name + ".json");
+        Path file = owner.temporary.resolve(name + ".json");
         Files.writeString(file, config);
         Matcher run = Pattern.compile("(?m)^run = \"([^\"]*)\"").matcher(Files.readString(Path.of("deploy/balancer.toml")));
         if (!run.find()) {
@@ -53,17 +51,6 @@
         }
     }
 
-    /** New configurations in a row: for each one the file is replaced in one step and SIGHUP sent, as a script does it. */
-    void reconfigure(List<String> configs) throws IOException, InterruptedException {
-        StringBuilder script = new StringBuilder();
-        for (int i = 0; i < configs.size(); i++) {
-            Path next = file.resolveSibling(file.getFileName() + "." + i);
-            Files.writeString(next, configs.get(i));
-            script.append("mv '").append(next).append("' '").append(file).append("'; kill -HUP ").append(process.pid()).append("; ");
-        }
-        new ProcessBuilder("/bin/sh", "-c", script.toString()).start().waitFor();
-    }
-
     boolean isAlive() {
         return process.isAlive();
     }
--- a/review/rig/Case3.java
+++ b/review/rig/Case3.java
@@ -4,17 +4,14 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** New configurations in quick succession, of which the last one has to be in force, and a drain after them. */
+/** An edge server's connection that is reset while the end of a session is on its way, with others to the same one open. */
 final class Case3 extends Case {
-    /** What the name server has to tell counts as told so long after SIGHUP. */
-    private static final long TOLD_AFTER_HANG_UP_MS = 4_000;
-    /** An event counts as told at the latest so long after it happened. */
-    private static final long TOLD_AFTER_EVENT_MS = 1_500;
-    /** After which nothing new may reach the edge server, with the slack that sockets are given. */
-    private static final long GRACE_MS = Deployment.DRAIN_GRACE_MS + 50;
+    /** Within which an end is to be told at the latest, with the slack that sockets are given. */
+    private static final long LIMIT_MS = 8_000 + 50;
 
-    private static final long ROUNDS_MS = 75_000;
-    private static final long ROUND_MS = 350;
+    private static final int BOXES = 3;
+    private static final int SESSIONS = 9;
+    private static final long STANDS_STILL_MS = 300;
 
     private Case3(String folder) throws IOException {
         super(folder);
@@ -27,55 +24,66 @@
     @Override
     boolean run() throws Exception {
         List<LineBox> boxes = new ArrayList<>();
+        List<Network> networks = new ArrayList<>();
         List<Deployment.Member> members = new ArrayList<>();
-        for (int i = 0; i < 3; i++) {
+        for (int i = 0; i < BOXES; i++) {
             LineBox box = new LineBox(this, "s-" + i);
             boxes.add(box);
-            members.add(new Deployment.Member(box.id, box.port(), i, 0));
+            networks.add(new Network(this, box.port()));
+            members.add(new Deployment.Member(box.id, networks.get(i).port(), i, 0));
         }
-        NameServer passing = new NameServer(this, 2, members); // named for a moment, and out of service since
-        passing.setAnswers(false);
-        NameServer lasting = new NameServer(this, 2, members);
         int port = Deployment.freePort();
         String listen = "127.0.0.1:" + port;
-        String first = Deployment.config(0, 1, listen, passing.port(), members);
-        String last = Deployment.config(0, 1, listen, lasting.port(), members);
-        BrokerProcess broker = startBroker("n0", last, listen, "");
-        Thread.sleep(1_500); // no SIGHUP within the first second
-
-        long begunAt = System.currentTimeMillis();
-        long hangUpAt = begunAt;
-        int rounds = 0;
-        boolean asked = true;
-        while (asked && System.currentTimeMillis() - begunAt < ROUNDS_MS && (trouble || rounds < 10)) {
-            broker.reconfigure(trouble ? List.of(first, last) : List.of(last));
-            hangUpAt = System.currentTimeMillis();
-            rounds++;
-            Thread.sleep(ROUND_MS);
-            if (lasting.lastAskedAtMs() - hangUpAt < ROUND_MS - 300) { // asked every 250 ms; look again, longer
-                Thread.sleep(1_000);
-                asked = System.currentTimeMillis() - lasting.lastAskedAtMs() < 900;
+        BrokerProcess broker = startBroker(
+                "n0", Deployment.config(0, 1, listen, new NameServer(this, 2, members).port(), members), listen, "");
+        Viewers viewers = new Viewers(this, "A", port);
+        viewers.test();
+        List<String> sessions = new ArrayList<>();
+        for (int i = 0; i < BOXES; i++) { // one by one: a broker that has just started knows no loads
+            viewers.setUp(String.format("9b1f03aa5c7e2e%02x", i));
+        }
+        Thread.sleep(1_000);
+        List<String> asked = new ArrayList<>();
+        for (int i = 0; i < SESSIONS; i++) { // at the same time, so that several connections lead to a box
+            asked.add(String.format("9b1f03aa5c7e2d%02x", i));
+            viewers.ask(asked.get(i));
+        }
+        for (String session : asked) {
+            if (viewers.isServed(session)) {
+                sessions.add(session);
             }
         }
-        record("rounds of new configurations %d; the name server of the last one is asked: %s", rounds, asked);
+        Thread.sleep(3_000);
 
-        long drainedAt = System.currentTimeMillis();
-        lasting.drain(boxes.get(0).id);
-        long toldAt = Math.max(hangUpAt + TOLD_AFTER_HANG_UP_MS, drainedAt + TOLD_AFTER_EVENT_MS);
-        Viewers viewers = new Viewers(this, "A", port);
-        viewers.test();
-        for (int i = 0; System.currentTimeMillis() < toldAt + GRACE_MS + 2_000; i++) {
-            viewers.ask(String.format("%016x", 0xc000_0000L + i));
-            Thread.sleep(250); // four a second
+        int chosen = -1;
+        for (int i = 0; i < BOXES; i++) {
+            record("box %s: connections %d", boxes.get(i).id, boxes.get(i).connectionCount());
+            chosen = chosen < 0 && boxes.get(i).connectionCount() > 1 ? i : chosen;
+        }
+        if (chosen < 0) {
+            throw new IllegalStateException("no box has several connections");
+        }
+        LineBox box = boxes.get(chosen);
+        Network network = networks.get(chosen);
+        String watched = sessions.stream().filter(box::holds).findFirst().orElseThrow();
+        int line = box.peerPort(watched);
+        if (trouble) {
+            network.hold(line);
         }
+        box.end(watched);
+        long endedAt = System.currentTimeMillis();
+        if (trouble) {
+            Thread.sleep(STANDS_STILL_MS);
+            network.reset(line);
+        }
+        boolean inTime = viewers.released(watched, LIMIT_MS - (System.currentTimeMillis() - endedAt));
         if (!broker.isAlive()) {
             throw new IllegalStateException("broker ended");
         }
-        long late = boxes.get(0).lastSetUpAtMs() - toldAt;
+        viewers.test();
         record(
-                "last set-up at %s: %s",
-                boxes.get(0).id,
-                boxes.get(0).lastSetUpAtMs() == 0 ? "none" : late + " ms after its drain counts as told");
-        return boxes.get(0).lastSetUpAtMs() == 0 || late <= GRACE_MS;
+                "end told within %d ms: %s; connections to the box now: %d",
+                LIMIT_MS, inTime, box.connectionCount());
+        return inTime;
     }
 }
--- a/review/rig/LineBox.java
+++ b/review/rig/LineBox.java
@@ -19,10 +19,15 @@
     private static final Pattern FIELD = Pattern.compile("\"([a-z]+)\":\"([^\"]*)\"");
 
     final String id;
+    /** The time that a set-up takes. */
+    private static final long SET_UP_MS = 100;
+    /** Between two notes on how full its link is. */
+    private static final long REPORT_EVERY_MS = 2_750;
+
     private final Case owner;
     private final ServerSocket listener;
     private final List<Socket> connections = new ArrayList<>(); // the open ones
-    private long lastSetUpAtMs;
+    private final List<String> ends = new ArrayList<>(); // sessions that have ended since a connection was last opened
     private final Map<String, Socket> sessions = new HashMap<>(); // that stand, with the connection of the set-up
 
     LineBox(Case owner, String id) throws IOException {
@@ -30,6 +35,7 @@
         this.id = id;
         listener = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
         start(this::accept);
+        start(this::report);
     }
 
     int port() {
@@ -49,6 +55,11 @@
                 connection.setTcpNoDelay(true);
                 synchronized (this) {
                     connections.add(connection);
+                    for (String session : ends) { // an end is sent also on the next connection that is opened
+                        send(connection, release(session, 16));
+                        owner.record("box %s sent on a new connection: release cause=16 session=%s", id, session);
+                    }
+                    ends.clear();
                 }
                 start(() -> read(connection));
             } catch (IOException e) {
@@ -57,6 +68,30 @@
         }
     }
 
+    /** Tells at one session how full the link is, on the connection of its set-up or else on any open one. */
+    private void report() {
+        while (true) {
+            try {
+                Thread.sleep(REPORT_EVERY_MS);
+                synchronized (this) {
+                    if (!sessions.isEmpty() && !connections.isEmpty()) {
+                        Map.Entry<String, Socket> first = sessions.entrySet().iterator().next();
+                        Socket own = first.getValue();
+                        send(connections.contains(own) ? own : connections.get(0), note(first.getKey()));
+                    }
+                }
+            } catch (IOException e) {
+                owner.record("box %s: note not sent: %s", id, e.getMessage());
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static String note(String session) {
+        return "{\"type\":\"note\",\"id\":\"" + session + "\",\"fields\":{\"note\":\"local\",\"value\":\"0.1\"}}\n";
+    }
+
     private void read(Socket connection) {
         try (connection;
                 BufferedReader in =
@@ -83,14 +118,24 @@
         owner.record("box %s got: %s session=%s", id, type, session);
         if (type.equals("setup")) {
             sessions.put(session, connection);
-            lastSetUpAtMs = System.currentTimeMillis();
-            send(connection, "{\"type\":\"answer\",\"id\":\"" + session + "\",\"fields\":{},\"sdp\":\"v=0\\r\\no=" + id + "\\r\\n\"}\n"
-                    + "{\"type\":\"note\",\"id\":\"" + session + "\",\"fields\":{\"note\":\"local\",\"value\":\"0.1\"}}\n");
+            start(() -> answer(session, connection));
         } else if (type.equals("release") && sessions.remove(session) != null) {
             send(connection, release(session, 31));
         }
     }
 
+    private void answer(String session, Socket connection) {
+        try {
+            Thread.sleep(SET_UP_MS);
+            synchronized (this) {
+                send(connection, "{\"type\":\"answer\",\"id\":\"" + session + "\",\"fields\":{},\"sdp\":\"v=0\\r\\no=" + id
+                        + "\\r\\n\"}\n" + note(session));
+            }
+        } catch (IOException | InterruptedException e) {
+            owner.record("box %s: set-up not answered: %s", id, e.getMessage());
+        }
+    }
+
     private static String release(String session, int cause) {
         return "{\"type\":\"release\",\"id\":\"" + session + "\",\"fields\":{\"load\":\"busy_reqs:1;x0:0.1\"},\"cause\":" + cause
                 + "}\n";
@@ -100,9 +145,14 @@
         connection.getOutputStream().write(lines.getBytes(StandardCharsets.UTF_8));
     }
 
-    /** When it last received a set-up, in Unix milliseconds. */
-    synchronized long lastSetUpAtMs() {
-        return lastSetUpAtMs;
+    /** Number of connections that are open. */
+    synchronized int connectionCount() {
+        return connections.size();
+    }
+
+    /** The port at the other side of the connection on which the session was set up. */
+    synchronized int peerPort(String session) {
+        return sessions.get(session).getPort();
     }
 
     /** Whether the session stands here. */
@@ -113,6 +163,7 @@
     /** The session has come to its end: told on the connection of its set-up, or else on any open one. */
     synchronized void end(String session) throws IOException {
         Socket connection = sessions.remove(session);
+        ends.add(session);
         if (!connections.contains(connection)) {
             connection = connections.get(0);
         }
--- a/review/rig/NameServer.java
+++ b/review/rig/NameServer.java
@@ -8,7 +8,6 @@
 import java.net.InetAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Set;
 
 /** A sound name server: DNS over UDP with the whole list as its answer, and the records of single names. */
 final class NameServer {
@@ -20,12 +19,9 @@
 
     private final Case owner;
     private final DatagramSocket socket;
-    private volatile long serial;
-    private volatile List<Deployment.Member> members;
-    private volatile Set<String> draining = Set.of();
-    private volatile boolean answers = true;
-    private volatile long lastAskedAtMs;
-    private long sentSerial = -1;
+    private final long serial;
+    private final List<Deployment.Member> members;
+    private boolean asked;
 
     NameServer(Case owner, long serial, List<Deployment.Member> members) throws IOException {
         this.owner = owner;
@@ -41,33 +37,12 @@
         return socket.getLocalPort();
     }
 
-    /** When it was last asked anything, in Unix milliseconds. */
-    long lastAskedAtMs() {
-        return lastAskedAtMs;
-    }
-
-    /** From now on it answers, or is silent. */
-    void setAnswers(boolean answers) {
-        this.answers = answers;
-    }
-
-    /** From now on the edge server drains. */
-    void drain(String id) {
-        draining = Set.of(id);
-        serial++;
-        owner.record("name server: %s drains, serial %d", id, serial);
-    }
-
     private void serve() {
         byte[] buffer = new byte[512];
         while (true) {
             DatagramPacket query = new DatagramPacket(buffer, buffer.length);
             try {
                 socket.receive(query);
-                lastAskedAtMs = System.currentTimeMillis();
-                if (!answers) {
-                    continue;
-                }
                 byte[] answer = answer(buffer, query.getLength());
                 socket.send(new DatagramPacket(answer, answer.length, query.getSocketAddress()));
             } catch (IOException | RuntimeException e) {
@@ -89,8 +64,8 @@
         List<Deployment.Member> found = whole
                 ? members
                 : members.stream().filter(m -> host(m).contentEquals(name)).toList();
-        if (whole && sentSerial != serial) {
-            sentSerial = serial;
+        if (whole && !asked) {
+            asked = true;
             owner.record("name server: whole list sent, serial %d, %d edge servers", serial, members.size());
         }
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
@@ -106,7 +81,7 @@
             for (Deployment.Member member : found) {
                 ByteArrayOutputStream data = new ByteArrayOutputStream();
                 DataOutputStream srv = new DataOutputStream(data);
-                srv.writeShort(draining.contains(member.id()) ? 1 : 0);
+                srv.writeShort(0);
                 srv.writeShort(27);
                 srv.writeShort(member.port());
                 srv.write(encode(host(member)));
--- a/review/rig/Viewers.java
+++ b/review/rig/Viewers.java
@@ -97,20 +97,23 @@
 
     /** Asks for a paid lesson, which has to be served. */
     void setUp(String session) throws Exception {
+        ask(session);
+        expect("1 " + session, "RTSP/1.0 200");
+    }
+
+    /** Asks for a paid lesson. */
+    void ask(String session) throws IOException {
         owner.record("on %s sent: SETUP session=%s", name, session);
         send("SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: " + session
                 + "\r\nPriority-Class: cert-lesson\r\nExpires-Ms: 4000\r\nExpected-Ms: 60000.0\r\n"
                 + "P-Trunk-Info: home:0;copies:12;top:4;viewer:" + session + "\r\nContent-Length: " + DESCRIPTION.length()
                 + "\r\n\r\n" + DESCRIPTION);
-        expect("1 " + session, "RTSP/1.0 200");
     }
 
-    /** Asks for a paid lesson, and does not wait for the answer. */
-    void ask(String session) throws IOException {
-        send("SETUP rtsp://media/7f3a9c21e0b4d655 RTSP/1.0\r\nCSeq: 1\r\nSession: " + session
-                + "\r\nPriority-Class: cert-lesson\r\nExpires-Ms: 4000\r\nExpected-Ms: 30000.0\r\n"
-                + "P-Trunk-Info: home:0;copies:12;top:1;viewer:" + session + "\r\nContent-Length: " + DESCRIPTION.length()
-                + "\r\n\r\n" + DESCRIPTION);
+    /** Waits for the answer to a set-up; whether the lesson is served. */
+    boolean isServed(String session) throws InterruptedException {
+        String answer = await("1 " + session, 4_000);
+        return answer != null && answer.startsWith("RTSP/1.0 200");
     }
 
     /** The viewer ends a session that stands. */
