Interpret edge servers' messages in a class of their own

Answers, releases with their causes, metrics and load reports are now in ServerMessages, which asks the connection that a message came on through a small interface. Nothing that the program does changes; log lines keep their logger's name.

--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -1,7 +1,6 @@
 package dockshed.edge;
 
 import dockshed.Director.LoadReport;
-import dockshed.Director.Metric;
 import dockshed.Director.Outcome;
 import dockshed.core.Broker;
 import dockshed.core.ProbeCoordinator;
@@ -70,8 +69,6 @@
     private static final int MAX_BACKLOG_ENTRIES = 1000;
     /** Connections closed per check in favour of servers with sessions that have none. */
     private static final int MAX_ROTATIONS_PER_CHECK = 4;
-    /** Highest value accepted in a metric or load report: no server runs more streams or has more demand on its link. */
-    private static final double MAX_REPORTED_VALUE = 100_000;
 
     /** The logger keeps its earlier name, by which operators filter log lines. */
     private static final Logger LOG = LoggerFactory.getLogger("dockshed.edge.Edges");
@@ -131,12 +128,11 @@
     private final TimerQueue timers;
     private final Options options;
     private final ProbeCoordinator probeCoordinator;
+    private final ServerMessages messages;
     private final Map<String, ServerEntry> servers = new HashMap<>();
     private final Set<Connection> connectionsToFlush = new LinkedHashSet<>(); // at the end of this event loop iteration
     private int maxConnectionsPerServer = 1;
     private int connectionCount; // to all servers, including those still connecting
-    private boolean incompleteReportLogged; // the warning is logged once
-    private long lastMetricAt; // from any server
     private long lastConnectFailureAt = -TimerQueue.NEVER / 2; // of any server with sessions
     private long lastSilenceProbeAt = -TimerQueue.NEVER / 2; // while all servers were silent
 
@@ -158,6 +154,7 @@
         this.clock = clock;
         this.timers = timers;
         this.options = options;
+        messages = new ServerMessages(broker, clock, options.reportFields());
         timers.schedule(clock.now() + CHECK_INTERVAL_US, this::checkConnections);
     }
 
@@ -624,14 +621,17 @@
             return;
         }
         if (withSessions.size() >= MIN_SERVERS_FOR_COMMON_SILENCE
-                && now - lastMetricAt > limit / 2
+                && now - messages.lastMetricAt() > limit / 2
                 && now - lastConnectFailureAt > limit) {
             if (now - lastSilenceProbeAt <= limit) {
                 return;
             }
             lastSilenceProbeAt = now;
             silent = silent.subList(0, 1);
-            LOG.info("no edge server reports: held={} ms={}", withSessions.size(), (now - lastMetricAt) / 1000);
+            LOG.info(
+                    "no edge server reports: held={} ms={}",
+                    withSessions.size(),
+                    (now - messages.lastMetricAt()) / 1000);
         }
         for (ServerEntry entry : silent) {
             markSuspect(entry);
@@ -651,7 +651,7 @@
     }
 
     /** One connection to an edge server and the set-ups assigned to it. */
-    private final class Connection extends ByteHandler {
+    private final class Connection extends ByteHandler implements ServerMessages.Source {
         final ServerEntry entry;
         final Map<String, PendingSetUp> pending = new LinkedHashMap<>();
         private final LineDecoder decoder = new LineDecoder(MAX_LINE_BYTES);
@@ -814,7 +814,23 @@
                     .addListener(done -> attempt.written |= done.isSuccess()));
         }
 
-        void send(Message message) {
+        @Override
+        public String serverId() {
+            return entry.id;
+        }
+
+        @Override
+        public boolean hasPendingSetUp(String id) {
+            return pending.containsKey(id);
+        }
+
+        @Override
+        public boolean removePendingSetUp(String id) {
+            return pending.remove(id) != null;
+        }
+
+        @Override
+        public void send(Message message) {
             lastUsedAt = clock.now();
             writePendingAfter(
                     channel.writeAndFlush(Net.toByteBuf(message.encode().getBytes(StandardCharsets.UTF_8))));
@@ -841,7 +857,7 @@
             try {
                 for (String line = decoder.next(); line != null && !ended; line = decoder.next()) {
                     if (!line.isBlank()) {
-                        handleMessage(this, Message.parse(line));
+                        messages.handle(this, Message.parse(line));
                     }
                 }
             } catch (LineDecoder.InvalidLineException | Message.MalformedMessageException e) {
@@ -877,120 +893,4 @@
         @Override
         public void channelWritabilityChanged(ChannelHandlerContext ctx) {}
     }
-
-    // ---- Messages from the servers.
-
-    private void handleMessage(Connection connection, Message message) throws Message.MalformedMessageException {
-        long now = clock.now();
-        String serverId = connection.entry.id;
-        if (!message.type().equals("note")) {
-            broker.trace().add(now, message.id(), message.type(), serverId);
-            LOG.debug(
-                    "message from edge server: id={} session={} type={} cause={}",
-                    serverId,
-                    message.id(),
-                    message.type(),
-                    message.cause());
-        }
-        switch (message.type()) {
-            case "answer" -> {
-                if (connection.pending.containsKey(message.id())) { // otherwise a duplicate, or never asked for
-                    if (message.sdp() == null) {
-                        throw new Message.MalformedMessageException(
-                                "answer without an sdp: expected a session description");
-                    }
-                    connection.pending.remove(message.id());
-                    broker.setUpAnswered(now, serverId, message.id(), message.sdp());
-                }
-            }
-            case "release" -> {
-                boolean beforeAnswer = connection.pending.remove(message.id()) != null;
-                broker.ended(
-                        now,
-                        serverId,
-                        message.id(),
-                        beforeAnswer ? outcomeBeforeAnswer(message.cause()) : outcomeAfterAnswer(message.cause()),
-                        parseLoadReport(message.fields().get("load")));
-            }
-            case "note" -> {
-                lastMetricAt = now;
-                handleMetric(now, serverId, message);
-            }
-            case "ping" -> connection.send(new Message("pong", message.id(), Map.of(), 1, null));
-            default -> {} // progress and free capacity are not used
-        }
-    }
-
-    /** What a release with this cause means for a set-up that is not answered yet. */
-    private static Outcome outcomeBeforeAnswer(int cause) {
-        return switch (cause) {
-            case 34 -> Outcome.FULL;
-            case 47 -> Outcome.ERROR;
-            case 102 -> Outcome.MOOT;
-            default -> Outcome.RESET;
-        };
-    }
-
-    /** What a release with this cause means for an active session. */
-    private static Outcome outcomeAfterAnswer(int cause) {
-        return switch (cause) {
-            case 16 -> Outcome.OK;
-            case 31 -> Outcome.CANCELLED;
-            default -> Outcome.RESET;
-        };
-    }
-
-    private void handleMetric(long now, String serverId, Message message) {
-        Metric metric =
-                switch (message.fields().getOrDefault("note", "")) {
-                    case "fill" -> Metric.DELIVERED;
-                    case "grade" -> Metric.RENDITION;
-                    case "local" -> Metric.LINK;
-                    case "upstream" -> Metric.UPLINK;
-                    default -> null;
-                };
-        try {
-            double value = Double.parseDouble(message.fields().getOrDefault("value", ""));
-            if (metric != null && value >= 0 && value <= MAX_REPORTED_VALUE) {
-                broker.metricReceived(now, serverId, message.id(), metric, value);
-            }
-        } catch (NumberFormatException e) {
-            LOG.warn("note from edge server without a number: id={}", serverId);
-        }
-    }
-
-    /** Parses a load report such as {@code x0:12;x1:40}; none unless it has every field of the settings. */
-    private LoadReport parseLoadReport(String load) {
-        if (load == null) {
-            return LoadReport.NONE;
-        }
-        Map<String, Double> values = new HashMap<>();
-        for (String pair : load.split(";")) {
-            int colon = pair.indexOf(':');
-            try {
-                if (colon > 0) {
-                    double value = Double.parseDouble(pair.substring(colon + 1).strip());
-                    if (!(value > -1
-                            && value <= MAX_REPORTED_VALUE)) { // measurement noise may put a value slightly below 0
-                        return LoadReport.NONE;
-                    }
-                    values.put(pair.substring(0, colon).strip(), Math.max(0, value));
-                }
-            } catch (NumberFormatException e) {
-                return LoadReport.NONE;
-            }
-        }
-        List<Double> ordered = new ArrayList<>();
-        for (String field : options.reportFields()) {
-            if (!values.containsKey(field)) {
-                if (!incompleteReportLogged) {
-                    LOG.warn("load report lacks a field that the settings name: field={} report={}", field, load);
-                    incompleteReportLogged = true;
-                }
-                return LoadReport.NONE;
-            }
-            ordered.add(values.get(field));
-        }
-        return new LoadReport(ordered);
-    }
 }
