Open a connection after each lost one, so that lost releases are sent again

What callers saw: a session was over at its edge server and its viewer was not notified within 8 s, or ever, with its own connection open.

Cause: an edge server sends a release on one connection and again on the next one that is opened. After a connection had closed the broker opened another only where none to that server was left (keepConnected), so a release lost with one of several connections was not sent again. Whoever closed it makes no difference: reset, closed by the server, or by the broker as malformed, silent after a cancelled set-up, idle, or to free a descriptor.

Change: ReleaseRecovery, without I/O, records per server whether a connection has ended since one was last opened; Connection.end, where all connections end, tells it. One is then opened at the end of the event loop's turn, so several that close at once cost one; one that was already coming up doesn't count. 0.3 s apart, doubling to 4.8 s while they don't come up. Where descriptors are scarce another connection to the same server makes room, so that no chain of evictions begins. Idle connections that are little used are closed together and replaced by one. Own closes are logged at debug level.

--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -30,7 +30,8 @@
 /**
  * Connections to the edge servers, over which JSON lines are exchanged. Each server has a small pool of connections, so
  * that a connection that fails seldom costs more than the one set-up in flight on it. At least one connection is kept
- * open while the server has active sessions, since messages about them may arrive on any connection.
+ * open while the server has active sessions, since messages about them may arrive on any connection; and one is opened
+ * after each that closed, since a release may have been lost with it ({@link ReleaseRecovery}).
  *
  * <p>This adapter also detects that a server's process is gone: repeated attempts to connect are refused or time out.
  * A connection that breaks proves nothing, as connections are reset under live processes too.
@@ -54,6 +55,10 @@
     private static final int MAX_CONNECT_FAILURES = 2;
     /** Delay between two attempts to connect to a server with active sessions. */
     private static final long RECONNECT_INTERVAL_US = 300_000;
+    /** A connection unused for the idle timeout divided by this is closed along with one that reaches the timeout. */
+    private static final int LITTLE_USED_IDLE_DIVISOR = 2;
+    /** For so long after a connection was closed to free a descriptor, descriptors count as scarce. */
+    private static final long DESCRIPTOR_SHORTAGE_US = 1_000_000;
     /** Upper bound of the pool of one server: concurrent set-ups are fewer, and descriptors are scarce. */
     static final int MAX_CONNECTIONS_PER_SERVER = 4;
     /**
@@ -101,6 +106,8 @@
         long lastReceivedAt; // when the server last sent anything
         long lastAttemptAt; // when a connection was last opened on behalf of the server's sessions
         long suspectSince = -1; // since when its process may be gone; -1: not suspect
+        final ReleaseRecovery releaseRecovery = new ReleaseRecovery();
+        boolean recoveryScheduled; // recoverReleases is to run
         final ArrayDeque<Message> queuedMessages = new ArrayDeque<>(); // sent once a connection is open again
         /** Ids of cancelled set-ups, the oldest first, with the time; at most {@link #MAX_BACKLOG_ENTRIES}. */
         final LinkedHashMap<String, Long> cancelledAt = new LinkedHashMap<>();
@@ -135,6 +142,7 @@
     private int connectionCount; // to all servers, including those still connecting
     private long lastConnectFailureAt = -TimerQueue.NEVER / 2; // of any server with sessions
     private long lastSilenceProbeAt = -TimerQueue.NEVER / 2; // while all servers were silent
+    private long lastEvictionAt = -TimerQueue.NEVER / 2; // when a connection was last closed to free a descriptor
 
     public EdgeServerConnections(Broker broker, Net net, Clock clock, TimerQueue timers, Options options) {
         this(broker, net, clock, timers, options, ProbeCoordinator.STANDALONE);
@@ -364,6 +372,8 @@
         if (sessions) {
             entry.lastReceivedAt = clock.now();
             connectIfNone(entry);
+        } else {
+            entry.releaseRecovery.sessionsEnded();
         }
     }
 
@@ -455,6 +465,7 @@
         }
         if (candidate != null) {
             LOG.debug("connection closed to free a descriptor: id={} lines={}", candidate.entry.id, connectionCount);
+            lastEvictionAt = clock.now();
             close(candidate);
         }
         return candidate != null;
@@ -563,6 +574,62 @@
         });
     }
 
+    /** Runs {@link #recoverReleases} once it is due, after all closes of this event loop iteration. */
+    private void scheduleRecovery(ServerEntry entry) {
+        if (!entry.hasSessions || !entry.releaseRecovery.isNeeded() || entry.recoveryScheduled) {
+            return;
+        }
+        entry.recoveryScheduled = true;
+        long dueAt = Math.max(clock.now(), entry.lastAttemptAt + entry.releaseRecovery.interval());
+        timers.schedule(dueAt, t -> {
+            entry.recoveryScheduled = false;
+            recoverReleases(entry);
+        });
+    }
+
+    /**
+     * Opens a connection to a server from which a release may have been lost with another one, so that the server sends
+     * it again. Without any connection left, {@link #keepConnected} opens one. Where descriptors are scarce, a connection
+     * to the same server makes room: one to another server would have to be replaced in turn.
+     */
+    private void recoverReleases(ServerEntry entry) {
+        if (!entry.hasSessions
+                || !entry.releaseRecovery.isNeeded()
+                || entry.connections.isEmpty()
+                || entry.address == null
+                || servers.get(entry.id) != entry) {
+            return;
+        }
+        if (clock.now() - entry.lastAttemptAt < entry.releaseRecovery.interval()) { // one was opened since
+            scheduleRecovery(entry);
+            return;
+        }
+        boolean full = connectionCount >= options.maxConnections()
+                || entry.connections.size() > maxConnectionsPerServer
+                || clock.now() - lastEvictionAt < DESCRIPTOR_SHORTAGE_US;
+        Connection replaced = full ? longestUnused(entry.connections) : null;
+        if (full && replaced == null || !mayProbe(entry)) {
+            return; // tried again by the periodic check
+        }
+        LOG.info(
+                "connection to edge server opened, a release may be lost: id={} lines={}",
+                entry.id,
+                entry.connections.size());
+        if (replaced != null) {
+            close(replaced);
+        }
+        entry.lastAttemptAt = clock.now();
+        openConnection(entry);
+    }
+
+    /** The connection without pending set-ups that has been unused for longest; null if there is none. */
+    private static Connection longestUnused(List<Connection> connections) {
+        return connections.stream()
+                .filter(connection -> connection.connected && connection.pending.isEmpty())
+                .min(Comparator.comparingLong(connection -> connection.lastUsedAt))
+                .orElse(null);
+    }
+
     private void close(ServerEntry entry) {
         List.copyOf(entry.connections).forEach(this::close);
     }
@@ -575,16 +642,24 @@
 
     /**
      * Periodic check: replaces connections that the server would soon close as idle, and closes those that are stuck.
+     * One new connection takes the place of all that are little used, so that a pool shrinks after a burst.
      */
     private void checkConnections(long due) {
         long now = clock.now();
         timers.schedule(now + CHECK_INTERVAL_US, this::checkConnections);
         for (ServerEntry entry : List.copyOf(servers.values())) {
+            boolean renewing = entry.hasSessions
+                    && entry.connections.stream().anyMatch(connection -> connection.nearIdleClose(now));
             for (Connection connection : List.copyOf(entry.connections)) {
                 if (connection.nearIdleClose(now)
+                        || renewing && connection.isLittleUsed(now)
                         || connection.retired
                                 && connection.pending.isEmpty()
                                 && now - connection.lastUsedAt > STUCK_TIMEOUT_US) {
+                    LOG.debug(
+                            "connection to edge server closed by the broker: id={} silent={}",
+                            entry.id,
+                            connection.retired);
                     close(connection);
                 } else if (connection.decoder.hasPartialLine() && now - connection.lastUsedAt > STUCK_TIMEOUT_US) {
                     LOG.warn("connection to edge server dropped: id={} why=message not finished", entry.id);
@@ -593,6 +668,7 @@
             }
             if (entry.hasSessions) {
                 connectIfNone(entry);
+                scheduleRecovery(entry);
             }
         }
         rotateConnections();
@@ -663,9 +739,11 @@
         final long openedAt = clock.now();
         long lastUsedAt = openedAt;
         private long lastReceivedAt = openedAt;
+        private final boolean recoversReleases; // the server sends releases again on it that may have been lost
 
         Connection(ServerEntry entry) {
             this.entry = entry;
+            recoversReleases = entry.releaseRecovery.connectionOpening();
         }
 
         /** The lowest is closed first to free a descriptor; 2: the only connection to a server with sessions. */
@@ -690,6 +768,13 @@
                             > options.idleTimeout() - Math.min(IDLE_CLOSE_MARGIN_US, options.idleTimeout() / 4);
         }
 
+        /** Whether the connection has carried nothing for a good part of the idle timeout. */
+        boolean isLittleUsed(long now) {
+            return connected
+                    && pending.isEmpty()
+                    && now - lastUsedAt > options.idleTimeout() / LITTLE_USED_IDLE_DIVISOR;
+        }
+
         /** Whether nothing has arrived since the set-up was sent, or only part of a message. */
         boolean isStuck(PendingSetUp attempt) {
             return decoder.hasPartialLine()
@@ -715,6 +800,7 @@
         private void onConnected() {
             connected = true;
             entry.connectFailures = 0;
+            entry.releaseRecovery.connectionOpened();
             if (entry.suspectSince >= 0) {
                 probeCoordinator.probeFinished(entry.id, true);
                 clearSuspicion(entry);
@@ -789,7 +875,10 @@
          * not, and ends as {@code outcomeIfUnwritten}, or as not sent where that is RESET.
          */
         void end(Outcome outcomeIfUnwritten) {
-            connectionCount -= ended ? 0 : 1;
+            if (!ended) {
+                connectionCount--;
+                recordLoss();
+            }
             ended = true;
             connected = false;
             if (channel != null && channel.isRegistered()) { // otherwise it never had a socket
@@ -806,6 +895,19 @@
             });
         }
 
+        /** Notes that a release may have been lost with this connection, which is about to end. */
+        private void recordLoss() {
+            if (!entry.hasSessions) {
+                return;
+            }
+            if (connected) {
+                entry.releaseRecovery.connectionClosed();
+            } else {
+                entry.releaseRecovery.connectionFailed(recoversReleases);
+            }
+            scheduleRecovery(entry);
+        }
+
         void writeSetUp(PendingSetUp attempt) {
             lastUsedAt = clock.now();
             attempt.handedOverAt = lastUsedAt;
