Read an HLS lesson request whole before anything is entered for it

What callers saw: a request for a paid lesson with a figure that is not a whole number got its 400, and then no correct request of that viewer for the lesson was answered until the broker restarted.

Cause: HlsFront.handleLessonRequest entered the session in its tables and read expected_ms, home, copies and top after that. The exception left the entry, of which the broker knew nothing, so no deadline ran; later requests joined it and waited for a set-up that nobody had sent.

Evidence: aRejectedRequestDoesNotBlockLaterOnesOfTheSameViewer failed before (no answer within 20 s), as did aFaultyFigureIsRejectedAlsoWhereTheViewerHasASession (200 in place of 400).

Change: LessonRequest.parse reads the title and the whole query before the tables are looked at or changed, as SetUpMessage.parse does for RTSP. Nothing that can fail stands between the entry and the broker's answer to it. A faulty figure is therefore answered 400 also where the viewer has a session.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -6,7 +6,6 @@
 import dockshed.Director.Settings;
 import dockshed.core.Broker;
 import dockshed.core.Front;
-import dockshed.core.SessionRequest;
 import dockshed.core.TimerQueue;
 import dockshed.hls.Playlists.MultivariantPlaylist;
 import dockshed.hls.Playlists.UnusablePlaylistException;
@@ -20,7 +19,6 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import java.net.URI;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -301,16 +299,8 @@
      * gets the same session again.
      */
     private void handleLessonRequest(Exchange exchange, URI target, String rawTitle) {
-        String title = URLDecoder.decode(rawTitle.replace("+", "%2B"), StandardCharsets.UTF_8);
-        Map<String, String> query = parseQuery(target.getRawQuery());
-        String viewer = query.getOrDefault("viewer", "");
-        SessionClass sessionClass = classes.get(query.getOrDefault("class", ""));
-        if (title.isEmpty() || viewer.isEmpty() || sessionClass == null) {
-            throw new IllegalArgumentException(
-                    "title or query parameter viewer is missing, or class is missing or unknown");
-        }
-        String key = sessionClass.name() + '\n' + title + '\n' + viewer;
-        Session existing = sessionsByViewer.get(key);
+        LessonRequest request = LessonRequest.parse(rawTitle, target.getRawQuery(), classes, cells);
+        Session existing = sessionsByViewer.get(request.viewerKey());
         if (existing != null && existing.multivariant != null) {
             answerMultivariantPlaylist(exchange, existing);
             return;
@@ -319,65 +309,25 @@
             existing.pendingExchanges.add(exchange);
             return;
         }
-        long clientDeadline =
-                Math.min(sessionClass.deadline(), microsFromMillis(query, "expires_ms", sessionClass.deadline()));
-        if (clientDeadline <= 0) {
-            throw new IllegalArgumentException("expires_ms: expected a time above 0");
-        }
-        String name;
-        do {
-            name = String.format("%016x", random.nextLong());
-        } while (sessions.containsKey(name));
-        Session session = new Session(name, key, URI.create(HlsEdgeServers.multivariantPlaylistPath(title)));
+        Session session = new Session(
+                unusedName(),
+                request.viewerKey(),
+                URI.create(HlsEdgeServers.multivariantPlaylistPath(request.title())));
         session.pendingExchanges.add(exchange);
-        sessions.put(name, session);
-        sessionsByViewer.put(key, session);
-        SessionRequest request = new SessionRequest(
-                name,
-                sessionClass.name(),
-                viewer,
-                title,
-                clientDeadline,
-                microsFromMillis(query, "expected_ms", 0),
-                (int) wholeNumber(query, "home", 0),
-                (int) wholeNumber(query, "copies", cells),
-                (int) wholeNumber(query, "top", sessionClass.highestRendition()),
-                "1".equals(query.get("repeat")),
-                false,
-                "1".equals(query.get("again")),
-                "");
-        if (!broker.request(clock.now(), 0, this, edgeServers, request)) {
+        sessions.put(session.name, session);
+        sessionsByViewer.put(session.viewerKey, session);
+        if (!broker.request(clock.now(), 0, this, edgeServers, request.toSessionRequest(session.name))) {
             forget(session);
             exchange.answerError(400, "Bad Request");
         }
     }
 
-    private static Map<String, String> parseQuery(String rawQuery) {
-        Map<String, String> parameters = new HashMap<>();
-        for (String pair : rawQuery == null ? new String[0] : rawQuery.split("&")) {
-            int equals = pair.indexOf('=');
-            if (equals > 0) {
-                parameters.put(
-                        URLDecoder.decode(pair.substring(0, equals), StandardCharsets.UTF_8),
-                        URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
-            }
-        }
-        return parameters;
-    }
-
-    private static long wholeNumber(Map<String, String> query, String key, long absent) {
-        String value = query.get(key);
-        if (value == null) {
-            return absent;
-        }
-        if (!value.matches("[0-9]{1,9}")) {
-            throw new IllegalArgumentException(key + ": expected a whole number of 1 to 9 digits");
-        }
-        return Long.parseLong(value);
-    }
-
-    private static long microsFromMillis(Map<String, String> query, String key, long absent) {
-        return query.containsKey(key) ? wholeNumber(query, key, 0) * 1000 : absent;
+    private String unusedName() {
+        String name;
+        do {
+            name = String.format("%016x", random.nextLong());
+        } while (sessions.containsKey(name));
+        return name;
     }
 
     /**
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -390,6 +390,30 @@
         assertEquals(0, requests.size());
     }
 
+    @Test
+    void aRejectedRequestDoesNotBlockLaterOnesOfTheSameViewer() throws Exception {
+        // Guards against viewers that are never answered again: a request with a faulty figure got its 400 but left an
+        // entry behind, and correct requests of that viewer for the lesson waited for a set-up that nobody had sent.
+        for (String key : List.of("expires_ms", "expected_ms", "home", "copies", "top")) {
+            for (String value : List.of("unknown", "8200.0", "-1", "")) {
+                String path = lessonPath("paid", key + value.length());
+                String faulty = path + "&" + key + "=" + value;
+                assertEquals(400, get(faulty).status(), faulty);
+                assertWithinClassTerms(get(path));
+            }
+        }
+        assertEquals(20, requests.size());
+    }
+
+    @Test
+    void aFaultyFigureIsRejectedAlsoWhereTheViewerHasASession() throws Exception {
+        // Guards against a verdict on a request that depends on what the viewer requested before.
+        assertWithinClassTerms(get(lessonPath("paid", "v")));
+        assertEquals(400, get(lessonPath("paid", "v") + "&top=unknown").status());
+        assertWithinClassTerms(get(lessonPath("paid", "v")));
+        assertEquals(1, requests.size());
+    }
+
     @Test
     void pipelinedRequestsAreAnsweredInOrderAndMalformedOneClosesTheConnection() throws Exception {
         try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
