Move one connection to an edge server out of the pool's class

One connection with its set-ups, its limits of silence and its writes is now EdgeServerConnection; what follows for a server from its events stays with the pool, behind a listener. Nothing that the program does changes.

--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -6,16 +6,11 @@
 import dockshed.core.ProbeCoordinator;
 import dockshed.core.ServerAdapter;
 import dockshed.core.TimerQueue;
-import dockshed.net.ByteHandler;
 import dockshed.net.Clock;
 import dockshed.net.Net;
-import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
-import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -41,11 +36,6 @@
 public final class EdgeServerConnections implements ServerAdapter {
     /** Longest line in either direction; no edge server reads a longer one. */
     static final int MAX_LINE_BYTES = 16 * 1024;
-    /**
-     * Before the server may close a connection as idle, it is not used for a set-up for this long, or for a quarter of
-     * the idle timeout where that is shorter: a set-up written just then would be lost.
-     */
-    private static final long IDLE_CLOSE_MARGIN_US = 3_000_000;
     /**
      * A session id cancelled at a server is not sent there again for this long: a late answer to the first set-up could
      * not be distinguished from the answer to the second.
@@ -55,17 +45,10 @@
     private static final int MAX_CONNECT_FAILURES = 2;
     /** Delay between two attempts to connect to a server with active sessions. */
     private static final long RECONNECT_INTERVAL_US = 300_000;
-    /** A connection unused for the idle timeout divided by this is closed along with one that reaches the timeout. */
-    private static final int LITTLE_USED_IDLE_DIVISOR = 2;
     /** For so long after a connection was closed to free a descriptor, descriptors count as scarce. */
     private static final long DESCRIPTOR_SHORTAGE_US = 1_000_000;
     /** Upper bound of the pool of one server: concurrent set-ups are fewer, and descriptors are scarce. */
     static final int MAX_CONNECTIONS_PER_SERVER = 4;
-    /**
-     * A connection with a message still incomplete after this time is closed; one that stays silent for this time after
-     * a set-up is not used for another one.
-     */
-    private static final long STUCK_TIMEOUT_US = 200_000;
 
     private static final long CHECK_INTERVAL_US = 500_000;
     /** With this many servers with sessions, silence of all at once means missing reports, not dead servers. */
@@ -96,39 +79,6 @@
             List<String> reportFields,
             int maxConnections) {}
 
-    /** An edge server and the connections to it, the oldest first. */
-    private final class ServerEntry {
-        final String id;
-        InetSocketAddress address;
-        final List<Connection> connections = new ArrayList<>();
-        boolean hasSessions;
-        int connectFailures; // consecutive
-        long lastReceivedAt; // when the server last sent anything
-        long lastAttemptAt; // when a connection was last opened on behalf of the server's sessions
-        long suspectSince = -1; // since when its process may be gone; -1: not suspect
-        final ReleaseRecovery releaseRecovery = new ReleaseRecovery();
-        boolean recoveryScheduled; // recoverReleases is to run
-        final ArrayDeque<Message> queuedMessages = new ArrayDeque<>(); // sent once a connection is open again
-        /** Ids of cancelled set-ups, the oldest first, with the time; at most {@link #MAX_BACKLOG_ENTRIES}. */
-        final LinkedHashMap<String, Long> cancelledAt = new LinkedHashMap<>();
-
-        ServerEntry(String id) {
-            this.id = id;
-        }
-    }
-
-    /** A set-up that is assigned to a connection and not answered yet. */
-    private static final class PendingSetUp {
-        final byte[] bytes;
-        boolean handedOver; // to the channel, which may still buffer it
-        boolean written; // completely, to the operating system
-        long handedOverAt = Long.MAX_VALUE;
-
-        PendingSetUp(byte[] bytes) {
-            this.bytes = bytes;
-        }
-    }
-
     private final Broker broker;
     private final Net net;
     private final Clock clock;
@@ -136,8 +86,10 @@
     private final Options options;
     private final ProbeCoordinator probeCoordinator;
     private final ServerMessages messages;
+    private final EdgeServerConnection.Context connectionContext;
     private final Map<String, ServerEntry> servers = new HashMap<>();
-    private final Set<Connection> connectionsToFlush = new LinkedHashSet<>(); // at the end of this event loop iteration
+    private final Set<EdgeServerConnection> connectionsToFlush =
+            new LinkedHashSet<>(); // at the end of this event loop iteration
     private int maxConnectionsPerServer = 1;
     private int connectionCount; // to all servers, including those still connecting
     private long lastConnectFailureAt = -TimerQueue.NEVER / 2; // of any server with sessions
@@ -163,6 +115,8 @@
         this.timers = timers;
         this.options = options;
         messages = new ServerMessages(broker, clock, options.reportFields());
+        connectionContext =
+                new EdgeServerConnection.Context(broker, net, clock, options, messages, new ConnectionEvents());
         timers.schedule(clock.now() + CHECK_INTERVAL_US, this::checkConnections);
     }
 
@@ -211,7 +165,7 @@
         ServerEntry entry = servers.get(serverId);
         if (entry != null) {
             entry.connectFailures = 0;
-            for (Connection connection : List.copyOf(entry.connections)) {
+            for (EdgeServerConnection connection : List.copyOf(entry.connections)) {
                 if (connection.openedAt < since) {
                     close(connection);
                 }
@@ -252,7 +206,7 @@
             reportNotSent(serverId, setUp.name());
             return;
         }
-        Connection connection = selectConnection(entry);
+        EdgeServerConnection connection = selectConnection(entry);
         if (connection == null) { // out of descriptors, which says nothing about the server
             LOG.warn("set-up held back: server={} why=out of descriptors: lines={}", serverId, connectionCount);
             reportNotSent(serverId, setUp.name());
@@ -275,7 +229,7 @@
                 setUp.answerTimeout(),
                 connection.connected ? "up" : "new");
         broker.trace().add(clock.now(), setUp.name(), connection.connected ? "out" : "out-on-new-line", serverId);
-        PendingSetUp attempt = new PendingSetUp(encoded);
+        EdgeServerConnection.PendingSetUp attempt = new EdgeServerConnection.PendingSetUp(encoded);
         connection.pending.put(setUp.name(), attempt);
         if (connection.connected) {
             scheduleFlush(connection);
@@ -291,12 +245,12 @@
      * Sends pending set-ups at the end of this event loop iteration, once all input that had arrived is read: a
      * viewer's disconnect or a drain that was waiting unread beside the request still cancels them.
      */
-    private void scheduleFlush(Connection connection) {
+    private void scheduleFlush(EdgeServerConnection connection) {
         if (connectionsToFlush.isEmpty()) {
             net.loop().execute(() -> {
-                List<Connection> toFlush = List.copyOf(connectionsToFlush);
+                List<EdgeServerConnection> toFlush = List.copyOf(connectionsToFlush);
                 connectionsToFlush.clear();
-                toFlush.forEach(Connection::writePending);
+                toFlush.forEach(EdgeServerConnection::writePending);
             });
         }
         connectionsToFlush.add(connection);
@@ -309,8 +263,8 @@
         if (entry == null) {
             return;
         }
-        for (Connection connection : List.copyOf(entry.connections)) {
-            PendingSetUp attempt = connection.pending.remove(name);
+        for (EdgeServerConnection connection : List.copyOf(entry.connections)) {
+            EdgeServerConnection.PendingSetUp attempt = connection.pending.remove(name);
             if (attempt != null) {
                 broker.trace().add(clock.now(), name, "given-up", serverId);
             }
@@ -344,9 +298,9 @@
 
     /** Sends a message at once, or once a connection is open; drops it if the queue is full. */
     private void sendOrQueue(ServerEntry entry, Message message) {
-        Connection usable = entry.connections.stream()
+        EdgeServerConnection usable = entry.connections.stream()
                 .filter(c -> c.connected && !c.isDead())
-                .max(Comparator.comparing((Connection c) -> !c.unconfirmed))
+                .max(Comparator.comparing((EdgeServerConnection c) -> !c.unconfirmed))
                 .orElse(null);
         if (usable != null) {
             usable.send(message);
@@ -390,10 +344,10 @@
      * The connection for a set-up: the oldest without a pending set-up, else a new one, else the one with the fewest;
      * null where none can be opened.
      */
-    private Connection selectConnection(ServerEntry entry) {
+    private EdgeServerConnection selectConnection(ServerEntry entry) {
         long now = clock.now();
-        Connection best = null;
-        for (Connection connection : List.copyOf(entry.connections)) {
+        EdgeServerConnection best = null;
+        for (EdgeServerConnection connection : List.copyOf(entry.connections)) {
             if (connection.nearIdleClose(now)) {
                 close(connection);
             } else if (connection.retired || connection.unconfirmed || connection.isDead()) {
@@ -406,7 +360,7 @@
         }
         if (best == null && entry.connections.size() > maxConnectionsPerServer) {
             // All are retired, unconfirmed or dead.
-            Connection newest = entry.connections.get(entry.connections.size() - 1);
+            EdgeServerConnection newest = entry.connections.get(entry.connections.size() - 1);
             best = newest.isDead() ? null : newest;
         }
         return best == null || !best.pending.isEmpty() && entry.connections.size() < maxConnectionsPerServer
@@ -415,11 +369,11 @@
     }
 
     /** Opens a connection, closing another one where the limit is reached; null where that is not possible. */
-    private Connection openConnection(ServerEntry entry) {
+    private EdgeServerConnection openConnection(ServerEntry entry) {
         if (entry.address == null || connectionCount >= options.maxConnections() && !closeLeastNeeded(false)) {
             return null;
         }
-        Connection connection = new Connection(entry);
+        EdgeServerConnection connection = new EdgeServerConnection(entry, connectionContext);
         entry.connections.add(connection);
         connectionCount++;
         connection.connect();
@@ -449,9 +403,9 @@
      * closed.
      */
     private boolean closeLeastNeeded(boolean keepOnlyConnections) {
-        Connection candidate = null;
+        EdgeServerConnection candidate = null;
         for (ServerEntry entry : servers.values()) {
-            for (Connection connection : entry.connections) {
+            for (EdgeServerConnection connection : entry.connections) {
                 if (connection.connected
                         && connection.pending.isEmpty()
                         && !(keepOnlyConnections && connection.closePriority() == 2)
@@ -607,7 +561,7 @@
         boolean full = connectionCount >= options.maxConnections()
                 || entry.connections.size() > maxConnectionsPerServer
                 || clock.now() - lastEvictionAt < DESCRIPTOR_SHORTAGE_US;
-        Connection replaced = full ? longestUnused(entry.connections) : null;
+        EdgeServerConnection replaced = full ? longestUnused(entry.connections) : null;
         if (full && replaced == null || !mayProbe(entry)) {
             return; // tried again by the periodic check
         }
@@ -623,7 +577,7 @@
     }
 
     /** The connection without pending set-ups that has been unused for longest; null if there is none. */
-    private static Connection longestUnused(List<Connection> connections) {
+    private static EdgeServerConnection longestUnused(List<EdgeServerConnection> connections) {
         return connections.stream()
                 .filter(connection -> connection.connected && connection.pending.isEmpty())
                 .min(Comparator.comparingLong(connection -> connection.lastUsedAt))
@@ -635,7 +589,7 @@
     }
 
     /** Closes the connection and ends its pending set-ups. */
-    private void close(Connection connection) {
+    private void close(EdgeServerConnection connection) {
         connection.entry.connections.remove(connection);
         connection.end(Outcome.RESET);
     }
@@ -650,18 +604,16 @@
         for (ServerEntry entry : List.copyOf(servers.values())) {
             boolean renewing = entry.hasSessions
                     && entry.connections.stream().anyMatch(connection -> connection.nearIdleClose(now));
-            for (Connection connection : List.copyOf(entry.connections)) {
+            for (EdgeServerConnection connection : List.copyOf(entry.connections)) {
                 if (connection.nearIdleClose(now)
                         || renewing && connection.isLittleUsed(now)
-                        || connection.retired
-                                && connection.pending.isEmpty()
-                                && now - connection.lastUsedAt > STUCK_TIMEOUT_US) {
+                        || connection.isSilentAndUnused(now)) {
                     LOG.debug(
                             "connection to edge server closed by the broker: id={} silent={}",
                             entry.id,
                             connection.retired);
                     close(connection);
-                } else if (connection.decoder.hasPartialLine() && now - connection.lastUsedAt > STUCK_TIMEOUT_US) {
+                } else if (connection.isStuckWithinMessage(now)) {
                     LOG.warn("connection to edge server dropped: id={} why=message not finished", entry.id);
                     close(connection);
                 }
@@ -726,137 +678,43 @@
         }
     }
 
-    /** One connection to an edge server and the set-ups assigned to it. */
-    private final class Connection extends ByteHandler implements ServerMessages.Source {
-        final ServerEntry entry;
-        final Map<String, PendingSetUp> pending = new LinkedHashMap<>();
-        private final LineDecoder decoder = new LineDecoder(MAX_LINE_BYTES);
-        Channel channel;
-        boolean connected;
-        boolean ended;
-        boolean retired; // silent after a set-up: not used for another one
-        boolean unconfirmed; // silent for long and a newer connection was opened: not used until something arrives
-        final long openedAt = clock.now();
-        long lastUsedAt = openedAt;
-        private long lastReceivedAt = openedAt;
-        private final boolean recoversReleases; // the server sends releases again on it that may have been lost
-
-        Connection(ServerEntry entry) {
-            this.entry = entry;
-            recoversReleases = entry.releaseRecovery.connectionOpening();
-        }
-
-        /** The lowest is closed first to free a descriptor; 2: the only connection to a server with sessions. */
-        int closePriority() {
-            return !entry.hasSessions ? 0 : entry.connections.size() > 1 ? 1 : 2;
-        }
-
-        /**
-         * Whether the connection is down and {@link #onClosed} is still to be called. When a process dies, the system
-         * resets all its connections at once, but they are reported one after the other: further attempts of the first
-         * one's set-ups must not be sent on the others.
-         */
-        boolean isDead() {
-            return connected && !channel.isActive();
-        }
-
-        /** Whether the connection is idle and the server is about to close it. */
-        boolean nearIdleClose(long now) {
-            return connected
-                    && pending.isEmpty()
-                    && now - lastUsedAt
-                            > options.idleTimeout() - Math.min(IDLE_CLOSE_MARGIN_US, options.idleTimeout() / 4);
-        }
-
-        /** Whether the connection has carried nothing for a good part of the idle timeout. */
-        boolean isLittleUsed(long now) {
-            return connected
-                    && pending.isEmpty()
-                    && now - lastUsedAt > options.idleTimeout() / LITTLE_USED_IDLE_DIVISOR;
-        }
-
-        /** Whether nothing has arrived since the set-up was sent, or only part of a message. */
-        boolean isStuck(PendingSetUp attempt) {
-            return decoder.hasPartialLine()
-                    || attempt.written
-                            && attempt.handedOverAt > lastReceivedAt
-                            && clock.now() - attempt.handedOverAt > STUCK_TIMEOUT_US;
-        }
-
-        void connect() {
-            ChannelFuture connecting = net.connect(entry.address, (int) (options.connectTimeout() / 1000), () -> this);
-            channel = connecting.channel();
-            net.whenDone(connecting, done -> {
-                if (ended) {
-                    channel.close();
-                } else if (done.isSuccess()) {
-                    onConnected();
-                } else {
-                    onConnectFailed(done.cause());
-                }
-            });
-        }
-
-        private void onConnected() {
-            connected = true;
+    /** What follows for a server from the events of its connections. */
+    private final class ConnectionEvents implements EdgeServerConnection.Listener {
+        @Override
+        public void onConnected(EdgeServerConnection connection) {
+            ServerEntry entry = connection.entry;
             entry.connectFailures = 0;
             entry.releaseRecovery.connectionOpened();
             if (entry.suspectSince >= 0) {
                 probeCoordinator.probeFinished(entry.id, true);
                 clearSuspicion(entry);
             }
-            lastUsedAt = clock.now();
-            for (Message message = entry.queuedMessages.poll();
-                    message != null;
-                    message = entry.queuedMessages.poll()) {
-                send(message);
-            }
-            writePending();
         }
 
-        /**
-         * Hands the pending set-ups over to the channel, one at a time while the server reads. One that the server no
-         * longer accepts, because it began to drain in the meantime, is ended as not sent.
-         */
-        void writePending() {
-            for (Map.Entry<String, PendingSetUp> nameAndSetUp : List.copyOf(pending.entrySet())) {
-                if (!connected || isDead()) {
-                    return; // closing the connection ends whatever is still pending
-                }
-                PendingSetUp attempt = nameAndSetUp.getValue();
-                if (attempt.handedOver || pending.get(nameAndSetUp.getKey()) != attempt) {
-                    continue;
-                }
-                if (!broker.acceptsSetUp(clock.now(), entry.id)) {
-                    pending.remove(nameAndSetUp.getKey());
-                    broker.trace().add(clock.now(), nameAndSetUp.getKey(), "held-back", "drain");
-                    reportNotSent(entry.id, nameAndSetUp.getKey());
-                } else if (Net.hasUnwrittenBytes(channel)) {
-                    return; // continued once that is written
-                } else {
-                    writeSetUp(attempt);
-                }
-            }
-        }
-
-        private void onConnectFailed(Throwable cause) {
+        @Override
+        public void onConnectFailed(EdgeServerConnection connection, Throwable cause) {
+            ServerEntry entry = connection.entry;
             if (cause instanceof ChannelException) { // no socket could be opened, so the server was not contacted
                 LOG.warn(
                         "no socket for a connection: id={} lines={} why={}",
                         entry.id,
                         connectionCount,
                         cause.toString());
-                entry.connections.remove(this);
-                end(Outcome.MOOT);
+                entry.connections.remove(connection);
+                connection.end(Outcome.MOOT);
                 closeLeastNeeded(false);
                 scheduleReconnect(entry);
                 return;
             }
             boolean refused = cause instanceof java.net.ConnectException
                     && !(cause instanceof io.netty.channel.ConnectTimeoutException);
-            LOG.info("edge server not reached: id={} refused={} waiting={}", entry.id, refused, pending.size());
-            entry.connections.remove(this);
-            end(Outcome.CONNECT_FAILED);
+            LOG.info(
+                    "edge server not reached: id={} refused={} waiting={}",
+                    entry.id,
+                    refused,
+                    connection.pending.size());
+            entry.connections.remove(connection);
+            connection.end(Outcome.CONNECT_FAILED);
             probeCoordinator.probeFinished(entry.id, false);
             if (!entry.hasSessions || !entry.connections.stream().allMatch(c -> c.unconfirmed)) {
                 return; // another connection is open or being opened, and proves more
@@ -870,129 +728,41 @@
             }
         }
 
-        /**
-         * Closes the channel and ends the pending set-ups. One that was written completely may have run; any other did
-         * not, and ends as {@code outcomeIfUnwritten}, or as not sent where that is RESET.
-         */
-        void end(Outcome outcomeIfUnwritten) {
-            if (!ended) {
-                connectionCount--;
-                recordLoss();
-            }
-            ended = true;
-            connected = false;
-            if (channel != null && channel.isRegistered()) { // otherwise it never had a socket
-                channel.close();
-            }
-            Map<String, PendingSetUp> unfinished = new LinkedHashMap<>(pending);
-            pending.clear();
-            unfinished.forEach((name, attempt) -> {
-                Outcome end = attempt.written
-                        ? Outcome.RESET
-                        : outcomeIfUnwritten == Outcome.RESET ? Outcome.MOOT : outcomeIfUnwritten;
-                broker.trace().add(clock.now(), name, end.name(), entry.id);
-                broker.ended(clock.now(), entry.id, name, end, LoadReport.NONE);
-            });
-        }
-
-        /** Notes that a release may have been lost with this connection, which is about to end. */
-        private void recordLoss() {
-            if (!entry.hasSessions) {
-                return;
-            }
-            if (connected) {
-                entry.releaseRecovery.connectionClosed();
-            } else {
-                entry.releaseRecovery.connectionFailed(recoversReleases);
-            }
-            scheduleRecovery(entry);
-        }
-
-        void writeSetUp(PendingSetUp attempt) {
-            lastUsedAt = clock.now();
-            attempt.handedOverAt = lastUsedAt;
-            attempt.handedOver = true;
-            writePendingAfter(channel.writeAndFlush(Net.toByteBuf(attempt.bytes))
-                    .addListener(done -> attempt.written |= done.isSuccess()));
-        }
-
-        @Override
-        public String serverId() {
-            return entry.id;
-        }
-
         @Override
-        public boolean hasPendingSetUp(String id) {
-            return pending.containsKey(id);
+        public void onReceived(EdgeServerConnection connection) {
+            clearSuspicion(connection.entry);
         }
 
         @Override
-        public boolean removePendingSetUp(String id) {
-            return pending.remove(id) != null;
+        public void onMalformed(EdgeServerConnection connection) {
+            close(connection);
+            keepConnected(connection.entry);
         }
 
         @Override
-        public void send(Message message) {
-            lastUsedAt = clock.now();
-            writePendingAfter(
-                    channel.writeAndFlush(Net.toByteBuf(message.encode().getBytes(StandardCharsets.UTF_8))));
-        }
-
-        /** If the write is not done yet, continues with the pending set-ups once it is. */
-        private void writePendingAfter(ChannelFuture write) {
-            if (!write.isDone()) {
-                write.addListener(done -> writePending());
-            }
-        }
-
-        @Override
-        protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
-            if (ended) {
-                return;
-            }
-            lastUsedAt = clock.now();
-            lastReceivedAt = lastUsedAt;
-            entry.lastReceivedAt = lastUsedAt;
-            unconfirmed = false;
-            clearSuspicion(entry);
-            decoder.add(bytes);
-            try {
-                for (String line = decoder.next(); line != null && !ended; line = decoder.next()) {
-                    if (!line.isBlank()) {
-                        messages.handle(this, Message.parse(line));
-                    }
-                }
-            } catch (LineDecoder.InvalidLineException | Message.MalformedMessageException e) {
-                LOG.warn(
-                        "malformed message from edge server: id={} open={} why={}",
-                        entry.id,
-                        pending.size(),
-                        e.getMessage());
-                close(this); // at once: message boundaries can no longer be trusted
-                keepConnected(entry);
+        public void onDisconnected(EdgeServerConnection connection, boolean reset) {
+            ServerEntry entry = connection.entry;
+            if (reset && entry.hasSessions && entry.connections.stream().allMatch(c -> c == connection || c.isDead())) {
+                markSuspect(entry);
             }
+            close(connection);
+            keepConnected(entry);
         }
 
+        /** Notes that a release may be lost with the connection. */
         @Override
-        protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
-            if (ended) {
+        public void onEnding(EdgeServerConnection connection) {
+            connectionCount--;
+            ServerEntry entry = connection.entry;
+            if (!entry.hasSessions) {
                 return;
             }
-            LOG.info(
-                    "connection to edge server closed: id={} reset={} open={} sessions={}",
-                    entry.id,
-                    reset,
-                    pending.size(),
-                    entry.hasSessions);
-            if (reset && entry.hasSessions && entry.connections.stream().allMatch(c -> c == this || c.isDead())) {
-                markSuspect(entry);
+            if (connection.connected) {
+                entry.releaseRecovery.connectionClosed();
+            } else {
+                entry.releaseRecovery.connectionFailed(connection.recoversReleases);
             }
-            close(this);
-            keepConnected(entry);
+            scheduleRecovery(entry);
         }
-
-        /** Reading continues while writes are blocked: what the server sends is what unblocks it. */
-        @Override
-        public void channelWritabilityChanged(ChannelHandlerContext ctx) {}
     }
 }
