Let the HLS request parser return the broker's request type

LessonRequest repeated ten components of core.SessionRequest. LessonRequestParser reads the address into a SessionRequest, as SetUpMessage does for RTSP; the name is drawn before the request is read.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -6,6 +6,7 @@
 import dockshed.Director.Settings;
 import dockshed.core.Broker;
 import dockshed.core.Front;
+import dockshed.core.SessionRequest;
 import dockshed.core.TimerQueue;
 import dockshed.hls.Playlists.MultivariantPlaylist;
 import dockshed.hls.Playlists.UnusablePlaylistException;
@@ -58,7 +59,7 @@
     private final Clock clock;
     private final TimerQueue timers;
     private final Map<String, SessionClass> classes = new HashMap<>();
-    private final int cells;
+    private final LessonRequestParser requestParser;
     private final long idleTimeoutUs;
     private final int maxConnections;
     private final Random random;
@@ -91,14 +92,14 @@
         this.idleTimeoutUs = idleTimeoutUs;
         this.maxConnections = maxConnections;
         settings.classes().forEach(sessionClass -> classes.put(sessionClass.name(), sessionClass));
-        cells = settings.ladder().cells();
+        requestParser = new LessonRequestParser(classes, settings.ladder().cells());
         random = new Random(seed);
     }
 
     /** A viewer's session, from its request until it has ended. */
     private static final class Session {
         final String name;
-        final String viewerKey; // class, title and viewer, separated by line feeds
+        final String viewerKey; // see viewerKey(SessionRequest)
         final URI playlistPath;
         final List<Exchange> pendingExchanges = new ArrayList<>(); // requests that wait for the session
         final Map<Integer, String> cachedMediaPlaylists = new HashMap<>(); // as last sent, by number
@@ -299,8 +300,9 @@
      * gets the same session again.
      */
     private void handleLessonRequest(Exchange exchange, URI target, String rawTitle) {
-        LessonRequest request = LessonRequest.parse(rawTitle, target.getRawQuery(), classes, cells);
-        Session existing = sessionsByViewer.get(request.viewerKey());
+        SessionRequest request = requestParser.parse(unusedName(), rawTitle, target.getRawQuery());
+        String viewerKey = viewerKey(request);
+        Session existing = sessionsByViewer.get(viewerKey);
         if (existing != null && existing.multivariant != null) {
             answerMultivariantPlaylist(exchange, existing);
             return;
@@ -310,18 +312,21 @@
             return;
         }
         Session session = new Session(
-                unusedName(),
-                request.viewerKey(),
-                URI.create(HlsEdgeServers.multivariantPlaylistPath(request.title())));
+                request.name(), viewerKey, URI.create(HlsEdgeServers.multivariantPlaylistPath(request.title())));
         session.pendingExchanges.add(exchange);
         sessions.put(session.name, session);
         sessionsByViewer.put(session.viewerKey, session);
-        if (!broker.request(clock.now(), 0, this, edgeServers, request.toSessionRequest(session.name))) {
+        if (!broker.request(clock.now(), 0, this, edgeServers, request)) {
             forget(session);
             exchange.answerError(400, "Bad Request");
         }
     }
 
+    /** What identifies the session that a request is for: class, title and viewer, separated by line feeds. */
+    private static String viewerKey(SessionRequest request) {
+        return request.className() + '\n' + request.title() + '\n' + request.viewer();
+    }
+
     private String unusedName() {
         String name;
         do {
--- a/src/main/java/dockshed/hls/LessonRequest.java
+++ b/src/main/java/dockshed/hls/LessonRequestParser.java
@@ -8,32 +8,30 @@
 import java.util.Map;
 
 /**
- * A viewer's request for a lesson, as read from the address of its GET. It is read whole before anything is done for
- * it, so that a request with one faulty value changes nothing. Durations are in microseconds.
- *
- * @param clientDeadline   time within which the viewer needs its answer, at most the deadline of the class
- * @param expectedDuration estimated duration of the session; 0: unknown
+ * Reads a viewer's request for a lesson from the address of its GET. A request is read whole before anything is done
+ * for it, so that one with a faulty value changes nothing.
  */
-record LessonRequest(
-        SessionClass sessionClass,
-        String title,
-        String viewer,
-        long clientDeadline,
-        long expectedDuration,
-        int homeCell,
-        int copies,
-        int highestRendition,
-        boolean retry,
-        boolean returning) {
+final class LessonRequestParser {
+    private final Map<String, SessionClass> classes;
+    private final int cells;
 
     /**
-     * Parses the encoded title and the query of an address.
+     * Creates a parser.
      *
      * @param classes the classes of the settings by name
-     * @param cells   number of cells of the site, which hold the title unless the query says otherwise
+     * @param cells   number of cells of the site, which hold a title unless the query says otherwise
+     */
+    LessonRequestParser(Map<String, SessionClass> classes, int cells) {
+        this.classes = classes;
+        this.cells = cells;
+    }
+
+    /**
+     * Parses the encoded title and the query of an address, as a request for a session of this name.
+     *
      * @throws IllegalArgumentException if a value is missing or not of its form; the message names it
      */
-    static LessonRequest parse(String rawTitle, String rawQuery, Map<String, SessionClass> classes, int cells) {
+    SessionRequest parse(String name, String rawTitle, String rawQuery) {
         String title = URLDecoder.decode(rawTitle.replace("+", "%2B"), StandardCharsets.UTF_8);
         Map<String, String> query = parseQuery(rawQuery);
         String viewer = query.getOrDefault("viewer", "");
@@ -47,17 +45,20 @@
         if (clientDeadline <= 0) {
             throw new IllegalArgumentException("expires_ms: expected a time above 0");
         }
-        return new LessonRequest(
-                sessionClass,
-                title,
+        return new SessionRequest(
+                name,
+                sessionClass.name(),
                 viewer,
+                title,
                 clientDeadline,
                 microsFromMillis(query, "expected_ms", 0),
                 (int) wholeNumber(query, "home", 0),
                 (int) wholeNumber(query, "copies", cells),
                 (int) wholeNumber(query, "top", sessionClass.highestRendition()),
                 "1".equals(query.get("repeat")),
-                "1".equals(query.get("again")));
+                false,
+                "1".equals(query.get("again")),
+                "");
     }
 
     private static Map<String, String> parseQuery(String rawQuery) {
@@ -87,27 +88,4 @@
     private static long microsFromMillis(Map<String, String> query, String key, long absent) {
         return query.containsKey(key) ? wholeNumber(query, key, 0) * 1000 : absent;
     }
-
-    /** What identifies the session that this request is for: class, title and viewer, separated by line feeds. */
-    String viewerKey() {
-        return sessionClass.name() + '\n' + title + '\n' + viewer;
-    }
-
-    /** This request as the broker is given it, for a session of this name. */
-    SessionRequest toSessionRequest(String name) {
-        return new SessionRequest(
-                name,
-                sessionClass.name(),
-                viewer,
-                title,
-                clientDeadline,
-                expectedDuration,
-                homeCell,
-                copies,
-                highestRendition,
-                retry,
-                false,
-                returning,
-                "");
-    }
 }
