--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -566,7 +566,7 @@
             return; // tried again by the periodic check
         }
         LOG.info(
-                "connection to edge server opened, a release may be lost: id={} lines={}",
+                "connection to edge server opened to recover releases: id={} lines={}",
                 entry.id,
                 entry.connections.size());
         if (replaced != null) {
