End a session that is taken over after its release was received

What callers would see: a viewer whose session ended while its broker restarted is never notified, and the broker holds the session for active.

Cause: an edge server sends the releases that it could not send before on the first connection after the restart. One that arrives before the viewers' side has named its session with `at` was ignored as of an unknown session (Broker.ended), and the session was then taken over.

Evidence: aReleaseReceivedBeforeItsSessionIsTakenOverEndsIt failed before (no end notified within 20 s).

Broker tells the adapter of a session taken over; one that its server has released is ended, and its viewer notified. Not taken: a second connection to each server after the take-over, which costs every restarted broker a handshake a server.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -360,6 +360,7 @@
         dispatch(now, eventTime -> {
             activate(session, eventTime);
             director.adoptSession(eventTime, request.toDirectorRequest(session.id), server);
+            adapter.sessionAdopted(server, request.name());
         });
         return true;
     }
--- a/src/main/java/dockshed/core/ServerAdapter.java
+++ b/src/main/java/dockshed/core/ServerAdapter.java
@@ -35,6 +35,9 @@
     /** Sets the rendition of an active session. */
     void setRendition(String server, String name, int rendition);
 
+    /** A session that was set up through another process has been taken over; its end may have been received before. */
+    default void sessionAdopted(String server, String name) {}
+
     /** An active session has ended, for whichever reason. */
     default void sessionEnded(String server, String name) {}
 
--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -319,6 +319,11 @@
         sendOrQueue(entry, new Message("rate", name, Map.of("rung", Integer.toString(rendition)), -1, null));
     }
 
+    @Override
+    public void sessionAdopted(String serverId, String name) {
+        messages.sessionAdopted(serverId, name);
+    }
+
     @Override
     public void setHasActiveSessions(String serverId, boolean sessions) {
         ServerEntry entry = servers.computeIfAbsent(serverId, ServerEntry::new);
--- a/src/main/java/dockshed/edge/ServerMessages.java
+++ b/src/main/java/dockshed/edge/ServerMessages.java
@@ -41,6 +41,7 @@
     private final Broker broker;
     private final Clock clock;
     private final List<String> reportFields;
+    private final RecentReleases recentReleases = new RecentReleases();
     private boolean incompleteReportLogged; // the warning is logged once
     private long lastMetricAt; // from any server
 
@@ -51,6 +52,15 @@
         this.reportFields = reportFields;
     }
 
+    /** A session has been taken over: it is over if its server has released it before. */
+    void sessionAdopted(String serverId, String name) {
+        long now = clock.now();
+        recentReleases.find(now, serverId, name).ifPresent(outcome -> {
+            LOG.info("session taken over after its release: session={} server={}", name, serverId);
+            broker.ended(now, serverId, name, outcome, LoadReport.NONE);
+        });
+    }
+
     /** When any server last reported a metric, in microseconds of Unix time; 0 if none has. */
     long lastMetricAt() {
         return lastMetricAt;
@@ -86,11 +96,16 @@
             }
             case "release" -> {
                 boolean beforeAnswer = source.removePendingSetUp(message.id());
+                Outcome outcome =
+                        beforeAnswer ? outcomeBeforeAnswer(message.cause()) : outcomeAfterAnswer(message.cause());
+                if (!beforeAnswer) {
+                    recentReleases.add(now, serverId, message.id(), outcome);
+                }
                 broker.ended(
                         now,
                         serverId,
                         message.id(),
-                        beforeAnswer ? outcomeBeforeAnswer(message.cause()) : outcomeAfterAnswer(message.cause()),
+                        outcome,
                         parseLoadReport(message.fields().get("load")));
             }
             case "note" -> {
--- a/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
+++ b/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
@@ -971,4 +971,29 @@
             assertEquals(-1, closed.getInputStream().read());
         }
     }
+
+    @Test
+    void aReleaseReceivedBeforeItsSessionIsTakenOverEndsIt() throws Exception {
+        // Guards against sessions that stay active for good after a restart: the release was sent on the first
+        // connection, before the viewers' side had named the session, and the broker did not know it yet.
+        adopt("v1");
+        accept();
+        send("release", "v2", 16, Map.of());
+        send("ping", "p", 0, Map.of());
+        assertEquals("pong", read().type()); // the release has been handled
+        adopt("v2");
+        assertEquals("front sessionEnded v2 OK", harness.await("front sessionEnded"));
+        assertEquals(1, net.callOnLoop(broker::activeSessions));
+    }
+
+    /** Names a session that plays at server a, as the viewers' side does after a restart. */
+    private void adopt(String name) {
+        assertTrue(net.callOnLoop(() -> broker.adoptSession(
+                clock.now(),
+                harness.connection,
+                harness,
+                edgeConnections,
+                BrokerHarness.sessionRequest(name, "safe"),
+                "a")));
+    }
 }
