--- a/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
+++ b/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
@@ -6,14 +6,10 @@
 import dockshed.Director;
 import dockshed.core.Broker;
 import dockshed.core.BrokerHarness;
-import dockshed.core.ProbeCoordinator;
 import dockshed.core.ProbeCoordinator.Verdict;
 import dockshed.core.SessionRequest;
 import dockshed.core.TimerQueue;
-import dockshed.net.LoopClock;
-import dockshed.net.Net;
 import java.io.BufferedReader;
-import java.io.IOException;
 import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -21,146 +17,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.BlockingQueue;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
-/**
- * Connections to edge servers over loopback sockets. The test itself plays the edge server and decides in place of the
- * module.
- */
-class EdgeServerConnectionsTest {
-    /** As interval of load reports: no server counts as silent, and none is probed. */
-    private static final long WITHOUT_REPORTS = 0;
-
-    private final Net net = new Net();
-    private final BrokerHarness harness = new BrokerHarness();
-    private Director.Actions actions;
-    private LoopClock clock;
-    private Broker broker;
-    private EdgeServerConnections edgeConnections;
-    private final BlockingQueue<String> probeEvents = new LinkedBlockingQueue<>();
-    private volatile Verdict verdict = Verdict.TRY;
-    private final ProbeCoordinator probeCoordinator = new ProbeCoordinator() {
-        @Override
-        public Verdict decide(long now, String id, Suspicion s) {
-            probeEvents.add("asked " + id);
-            return verdict;
-        }
-
-        @Override
-        public void probeFinished(String id, boolean up) {
-            probeEvents.add("found " + id + " " + up);
-        }
-
-        @Override
-        public void suspicionChanged(String id, boolean is) {
-            probeEvents.add("suspected " + id + " " + is);
-        }
-    };
-    private ServerSocket serverSocket;
-    private Socket connection;
-    private BufferedReader input;
-
-    @BeforeEach
-    void start() throws Exception {
-        serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        serverSocket.setSoTimeout(20_000);
-        startBroker(30_000_000, 3_000_000);
-    }
-
-    private void startBroker(long idleTimeout, long reportInterval) {
-        startBroker(idleTimeout, reportInterval, 256);
-    }
-
-    private void startBroker(long idleTimeout, long reportInterval, int maxConnections) {
-        net.callOnLoop(() -> {
-            clock = new LoopClock(net.loop());
-            TimerQueue timers = new TimerQueue(clock::wakeAt);
-            broker = new Broker(
-                    harness.settings,
-                    a -> {
-                        actions = a;
-                        return harness;
-                    },
-                    message -> {},
-                    timers);
-            clock.onWakeUp(broker::runDueTimers);
-            edgeConnections = new EdgeServerConnections(
-                    broker,
-                    net,
-                    clock,
-                    timers,
-                    new EdgeServerConnections.Options(
-                            250_000, idleTimeout, reportInterval, 0, List.of("busy_reqs", "x0"), maxConnections),
-                    probeCoordinator);
-            harness.onRequest = request -> actions.send(request.id(), "a", 0);
-            harness.onOutcome = id -> actions.fail(id);
-            harness.connection = broker.connected(clock.now(), harness, h -> {});
-            broker.serversChanged(
-                    clock.now(),
-                    "names",
-                    Director.ListScope.DISK,
-                    List.of(new Director.Server("a", "z", "k", 0, Director.State.UP, 1, 0)));
-            edgeConnections.updateAddresses(
-                    Map.of("a", new InetSocketAddress("127.0.0.1", serverSocket.getLocalPort())));
-            return null;
-        });
-    }
-
-    @AfterEach
-    void stop() throws Exception {
-        net.close();
-        serverSocket.close();
-        if (connection != null) {
-            connection.close();
-        }
-    }
-
-    private void request(String name, String className) {
-        net.callOnLoop(() -> broker.request(
-                clock.now(),
-                harness.connection,
-                harness,
-                edgeConnections,
-                BrokerHarness.sessionRequest(name, className)));
-    }
-
-    private void accept() throws IOException {
-        connection = serverSocket.accept();
-        connection.setSoTimeout(20_000);
-        input = new BufferedReader(new InputStreamReader(connection.getInputStream(), StandardCharsets.UTF_8));
-    }
-
-    private Message read() throws Exception {
-        String text = input.readLine();
-        return text == null ? null : Message.parse(text);
-    }
-
-    private void send(String text) throws IOException {
-        connection.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-    }
-
-    private void send(String type, String id, int cause, Map<String, String> fields) throws IOException {
-        send(new Message(type, id, fields, cause, null).encode());
-    }
-
-    private void startSession(String name) throws Exception {
-        request(name, "safe");
-        if (connection == null) {
-            accept();
-        }
-        assertEquals("setup", read().type());
-        send(new Message("answer", name, Map.of(), -1, "v=0").encode());
-        harness.await("front served " + name);
-    }
-
+/** Set-ups, ends, metrics and pools of connections to edge servers, and detection of servers that are gone. */
+class EdgeServerConnectionsTest extends EdgeServerConnectionsFixture {
     @Test
     void setUpCarriesTheDocumentedFields() throws Exception {
         request("v1", "paid");
@@ -400,19 +262,6 @@
                 harness.log.stream().filter(l -> l.startsWith("module outcome")).toList());
     }
 
-    private void awaitProbeEvent(String expected) throws InterruptedException {
-        for (String event = probeEvents.poll(20, TimeUnit.SECONDS);
-                !expected.equals(event);
-                event = probeEvents.poll(20, TimeUnit.SECONDS)) {
-            assertTrue(event != null, "missing event: " + expected);
-        }
-    }
-
-    private void resetConnection() throws IOException {
-        connection.setSoLinger(true, 0);
-        connection.close();
-    }
-
     @Test
     void suspectServerIsNotProbedWhileAnotherBrokerProbesIt() throws Exception {
         // Guards against a burst of probes: an edge server died and a hundred brokers each opened a connection to probe
@@ -589,25 +438,6 @@
         return b;
     }
 
-    /** Adds servers that all listen on one socket. */
-    private void addServers(List<String> ids, ServerSocket socket) {
-        InetSocketAddress address = new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        Map<String, InetSocketAddress> listed = new HashMap<>();
-        listed.put("a", new InetSocketAddress("127.0.0.1", serverSocket.getLocalPort()));
-        ids.forEach(id -> listed.put(id, address));
-        net.callOnLoop(() -> {
-            broker.serversChanged(
-                    clock.now(),
-                    "names",
-                    Director.ListScope.CHANGES,
-                    ids.stream()
-                            .map(id -> new Director.Server(id, "z", "k", 0, Director.State.UP, 1, 0))
-                            .toList());
-            edgeConnections.updateAddresses(listed);
-            return null;
-        });
-    }
-
     @Test
     void idleConnectionIsClosedToConnectToAnotherServer() throws Exception {
         // Guards against running out of descriptors: at least one connection was kept per server, and several hundred
@@ -830,170 +660,4 @@
             assertTrue(!Message.parse(text).id().equals(waiting), "the cancelled set-up was delivered");
         }
     }
-
-    /** Two connections to server a, each with an active session: v1 on the first one, v2 on the second. */
-    private List<Socket> startSessionsOnTwoConnections() throws Exception {
-        List<Socket> connections = new ArrayList<>();
-        for (String name : List.of("v1", "v2")) { // the first set-up is pending when the second one is sent
-            request(name, "safe");
-            accept();
-            assertEquals(name, read().id());
-            connections.add(connection);
-        }
-        for (int i = 0; i < connections.size(); i++) {
-            connection = connections.get(i);
-            send(new Message("answer", "v" + (i + 1), Map.of(), -1, "v=0").encode());
-            harness.await("front served v" + (i + 1));
-        }
-        return connections;
-    }
-
-    /** Accepts the connection that the broker opens, and sends on it a release that was lost with another one. */
-    private void sendLostRelease(String name) throws Exception {
-        accept();
-        send("release", name, 16, Map.of());
-        assertEquals("front sessionEnded " + name + " OK", harness.await("front sessionEnded " + name));
-    }
-
-    @Test
-    void releaseLostWithAResetConnectionIsReceivedOnANewOneWhileOthersAreOpen() throws Exception {
-        // Guards against ends that viewers were never notified of: a release was lost with a reset connection, and as
-        // others to that server were open, none was opened on which the server could send it again.
-        startBroker(30_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        connection = connections.get(0);
-        resetConnection();
-        sendLostRelease("v1");
-        assertEquals(2, net.callOnLoop(edgeConnections::countConnections));
-        assertEquals(1, net.callOnLoop(broker::activeSessions));
-        connections.get(1).close();
-    }
-
-    @Test
-    void releaseLostBehindAMalformedMessageIsReceivedOnANewConnection() throws Exception {
-        // Guards against the same loss where the broker itself closes the connection at once.
-        startBroker(30_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        connection = connections.get(0);
-        send("noise\n");
-        sendLostRelease("v1");
-        connections.get(1).close();
-    }
-
-    @Test
-    void releaseLostWithASilentConnectionIsReceivedOnANewOne() throws Exception {
-        // Guards against the same loss on a connection that the broker closes since nothing came on it after a set-up
-        // that was cancelled, as seen where restarted brokers were late and cancelled many set-ups.
-        startBroker(30_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        harness.onRequest = request -> actions.send(request.id(), "a", 300_000);
-        request("v3", "safe");
-        harness.await("module outcome 0 a TIMEOUT");
-        sendLostRelease("v1");
-        connections.get(0).close();
-        connections.get(1).close();
-    }
-
-    @Test
-    void connectionForALostReleaseIsOpenedAgainAfterAFailure() throws Exception {
-        // Guards against giving up after one refused connection while others are open; sessions there continue.
-        startBroker(30_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        int port = serverSocket.getLocalPort();
-        serverSocket.close();
-        connection = connections.get(0);
-        resetConnection();
-        awaitProbeEvent("found a false");
-        serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
-        serverSocket.setSoTimeout(20_000);
-        sendLostRelease("v1");
-        assertEquals(1, net.callOnLoop(broker::activeSessions));
-        connections.get(1).close();
-    }
-
-    @Test
-    void idleConnectionsAreReplacedByASingleOne() throws Exception {
-        // Guards against a pool that never shrinks, where each idle connection is replaced by another one.
-        startBroker(2_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        sendLostRelease("v1");
-        assertEquals(1, net.callOnLoop(edgeConnections::countConnections));
-        for (Socket closed : connections) {
-            assertEquals(-1, closed.getInputStream().read());
-        }
-    }
-
-    @Test
-    void withoutADescriptorAConnectionToTheSameServerMakesRoomForALostRelease() throws Exception {
-        // Guards against a chain of evictions: the connection opened in place of one that was closed for lack of
-        // descriptors would close one to another server, which has to be replaced in turn.
-        startBroker(30_000_000, WITHOUT_REPORTS, 4);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        try (ServerSocket others = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
-            others.setSoTimeout(20_000);
-            addServers(List.of("b", "c", "d"), others);
-            List<Socket> otherConnections = new ArrayList<>();
-            for (String id : List.of("b", "c", "d")) { // the last one exceeds the limit
-                harness.onRequest = request -> actions.send(request.id(), id, 0);
-                request("v" + id, "safe");
-                otherConnections.add(others.accept());
-                connection = otherConnections.get(otherConnections.size() - 1);
-                send(new Message("answer", "v" + id, Map.of(), -1, "v=0").encode());
-                harness.await("front served v" + id);
-            }
-            sendLostRelease("v1");
-            for (Socket closed : connections) {
-                closed.setSoTimeout(20_000);
-                assertEquals(-1, closed.getInputStream().read());
-            }
-            assertEquals(4, net.callOnLoop(edgeConnections::countConnections));
-            for (Socket kept : otherConnections) {
-                connection = kept;
-                send("ping", "p", 0, Map.of());
-                kept.setSoTimeout(20_000);
-                assertTrue(kept.getInputStream().read() >= 0, "connection to another server was closed");
-            }
-        }
-    }
-
-    @Test
-    void aDescriptorFreedForAViewerIsNotTakenForALostRelease() throws Exception {
-        // Guards against viewers that cannot connect: the connection closed to free a descriptor was opened again.
-        startBroker(30_000_000, WITHOUT_REPORTS);
-        List<Socket> connections = startSessionsOnTwoConnections();
-        net.callOnLoop(() -> {
-            edgeConnections.closeIdleConnection();
-            return null;
-        });
-        sendLostRelease("v1");
-        assertEquals(1, net.callOnLoop(edgeConnections::countConnections));
-        for (Socket closed : connections) {
-            assertEquals(-1, closed.getInputStream().read());
-        }
-    }
-
-    @Test
-    void aReleaseReceivedBeforeItsSessionIsTakenOverEndsIt() throws Exception {
-        // Guards against sessions that stay active for good after a restart: the release was sent on the first
-        // connection, before the viewers' side had named the session, and the broker did not know it yet.
-        adopt("v1");
-        accept();
-        send("release", "v2", 16, Map.of());
-        send("ping", "p", 0, Map.of());
-        assertEquals("pong", read().type()); // the release has been handled
-        adopt("v2");
-        assertEquals("front sessionEnded v2 OK", harness.await("front sessionEnded"));
-        assertEquals(1, net.callOnLoop(broker::activeSessions));
-    }
-
-    /** Names a session that plays at server a, as the viewers' side does after a restart. */
-    private void adopt(String name) {
-        assertTrue(net.callOnLoop(() -> broker.adoptSession(
-                clock.now(),
-                harness.connection,
-                harness,
-                edgeConnections,
-                BrokerHarness.sessionRequest(name, "safe"),
-                "a")));
-    }
 }
