Do not remember releases of names that no session has

A release may carry an id of up to a whole line, 16 KiB, and RecentReleases kept 1,000 of them. Names of more than 64 characters are not remembered; a session's has 16 digits.

--- a/src/main/java/dockshed/edge/RecentReleases.java
+++ b/src/main/java/dockshed/edge/RecentReleases.java
@@ -16,6 +16,8 @@
     static final long RETENTION_US = 8_000_000;
     /** The oldest releases beyond this number are forgotten. */
     static final int MAX_RELEASES = 1000;
+    /** Longer names are not remembered: a session's has 16 digits. */
+    static final int MAX_NAME_LENGTH = 64;
 
     private record Release(String serverId, Outcome outcome, long receivedAt) {}
 
@@ -23,6 +25,9 @@
 
     /** Remembers the release of a session. */
     void add(long now, String serverId, String session, Outcome outcome) {
+        if (session.length() > MAX_NAME_LENGTH) {
+            return;
+        }
         releases.remove(session);
         releases.put(session, new Release(serverId, outcome, now));
         while (releases.size() > MAX_RELEASES || isExpired(now, oldest())) {
--- a/src/test/java/dockshed/edge/RecentReleasesTest.java
+++ b/src/test/java/dockshed/edge/RecentReleasesTest.java
@@ -32,6 +32,14 @@
         assertEquals(Optional.of(Outcome.OK), releases.find(RecentReleases.RETENTION_US + 1, "a", "v1"));
     }
 
+    @Test
+    void aNameThatNoSessionHasIsNotRemembered() {
+        // Guards against memory taken by an edge server that sends garbled ids of up to a whole line.
+        String tooLong = "v".repeat(RecentReleases.MAX_NAME_LENGTH + 1);
+        releases.add(0, "a", tooLong, Outcome.OK);
+        assertEquals(Optional.empty(), releases.find(0, "a", tooLong));
+    }
+
     @Test
     void theOldestAreForgottenBeyondTheBound() {
         for (int i = 0; i <= RecentReleases.MAX_RELEASES; i++) {
