Give the memory of a large read back, in one receive buffer for both decoders

Cause: HttpStyleMessageDecoder and LineDecoder each had the same growing array, which kept the capacity of the largest read that its connection ever saw: 64 KB and more for each connection, for as long as it is open.

Change: net.ReceiveBuffer holds what is not decoded, and gives back what the rest does not need. Both decoders use it; the HTTP decoder's long methods are split. What is decoded is unchanged.

--- a/src/main/java/dockshed/edge/LineDecoder.java
+++ b/src/main/java/dockshed/edge/LineDecoder.java
@@ -1,10 +1,9 @@
 package dockshed.edge;
 
-import java.nio.ByteBuffer;
+import dockshed.net.ReceiveBuffer;
 import java.nio.charset.CharacterCodingException;
 import java.nio.charset.CharsetDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 
 /** Splits a stream of bytes, however it is divided into reads, into lines of UTF-8 text that end in a line feed. */
 final class LineDecoder {
@@ -19,9 +18,7 @@
 
     private final CharsetDecoder utf8 = StandardCharsets.UTF_8.newDecoder();
     private final int maxBytes;
-    private byte[] buffer = new byte[1024];
-    private int readIndex;
-    private int writeIndex;
+    private final ReceiveBuffer buffer = new ReceiveBuffer();
     private int scanIndex; // where the search for the next line feed continues
 
     /** {@code maxBytes} is the longest line accepted, without its line feed. */
@@ -31,36 +28,26 @@
 
     /** Appends received bytes; {@link #next} then returns the lines that are complete. */
     void add(byte[] bytes) {
-        if (writeIndex + bytes.length > buffer.length) {
-            byte[] kept = Arrays.copyOfRange(buffer, readIndex, writeIndex);
-            buffer = kept.length + bytes.length > buffer.length
-                    ? new byte[Math.max(buffer.length * 2, kept.length + bytes.length)]
-                    : buffer;
-            System.arraycopy(kept, 0, buffer, 0, kept.length);
-            scanIndex -= readIndex;
-            readIndex = 0;
-            writeIndex = kept.length;
-        }
-        System.arraycopy(bytes, 0, buffer, writeIndex, bytes.length);
-        writeIndex += bytes.length;
+        buffer.append(bytes, 0, bytes.length);
     }
 
     /** The next complete line without its line end, or null where more bytes are needed. */
     String next() throws InvalidLineException {
-        while (scanIndex < writeIndex && buffer[scanIndex] != '\n') {
+        while (scanIndex < buffer.size() && buffer.at(scanIndex) != '\n') {
             scanIndex++;
         }
-        if (scanIndex - readIndex > maxBytes) {
+        if (scanIndex > maxBytes) {
             throw new InvalidLineException("line exceeds the limit");
         }
-        if (scanIndex == writeIndex) {
+        if (scanIndex == buffer.size()) {
+            buffer.trim();
             return null;
         }
-        int lineEnd = scanIndex > readIndex && buffer[scanIndex - 1] == '\r' ? scanIndex - 1 : scanIndex;
+        int length = scanIndex > 0 && buffer.at(scanIndex - 1) == '\r' ? scanIndex - 1 : scanIndex;
         try { // replacement characters would go to a viewer as if the server had sent them
-            String line = utf8.decode(ByteBuffer.wrap(buffer, readIndex, lineEnd - readIndex))
-                    .toString();
-            readIndex = ++scanIndex;
+            String line = utf8.decode(buffer.view(length)).toString();
+            buffer.consume(scanIndex + 1);
+            scanIndex = 0;
             return line;
         } catch (CharacterCodingException e) {
             throw new InvalidLineException("line is not valid UTF-8");
@@ -69,6 +56,6 @@
 
     /** Whether part of a line has arrived. */
     boolean hasPartialLine() {
-        return writeIndex > readIndex;
+        return !buffer.isEmpty();
     }
 }
--- a/src/main/java/dockshed/net/HttpStyleMessage.java
+++ b/src/main/java/dockshed/net/HttpStyleMessage.java
@@ -63,24 +63,33 @@
 
     /** Parses a start line and headers. */
     static HttpStyleMessage parse(String head, byte[] body) throws MalformedMessageException {
-        String[] lines = head.split("\r?\n", -1);
-        return new HttpStyleMessage(lines[0], fields(lines), body);
-    }
-
-    private static Map<String, String> fields(String[] lines) throws MalformedMessageException {
         Map<String, String> headers = new LinkedHashMap<>();
-        for (int i = 1; i < lines.length; i++) {
-            if (lines[i].isEmpty()) {
-                continue;
+        int start = head.indexOf('\n') + 1;
+        String startLine = start == 0 ? head : line(head, 0, start - 1);
+        while (start < head.length()) {
+            int feed = head.indexOf('\n', start);
+            int end = feed < 0 ? head.length() : feed;
+            String line = line(head, start, end);
+            start = end + 1;
+            if (!line.isEmpty()) {
+                addHeader(headers, line);
             }
-            int colon = lines[i].indexOf(':');
-            if (colon < 1 || lines[i].charAt(colon - 1) <= ' ' || lines[i].charAt(0) <= ' ') {
-                throw new MalformedMessageException("expected a header line 'name: value', got one without a name");
-            }
-            headers.put(
-                    lines[i].substring(0, colon).toLowerCase(Locale.ROOT),
-                    lines[i].substring(colon + 1).strip());
         }
-        return headers;
+        return new HttpStyleMessage(startLine, headers, body);
+    }
+
+    /** The line between two indexes, without a carriage return at its end. */
+    private static String line(String head, int start, int end) {
+        return head.substring(start, end > start && head.charAt(end - 1) == '\r' ? end - 1 : end);
+    }
+
+    private static void addHeader(Map<String, String> headers, String line) throws MalformedMessageException {
+        int colon = line.indexOf(':');
+        if (colon < 1 || line.charAt(colon - 1) <= ' ' || line.charAt(0) <= ' ') {
+            throw new MalformedMessageException("expected a header line 'name: value', got one without a name");
+        }
+        headers.put(
+                line.substring(0, colon).toLowerCase(Locale.ROOT),
+                line.substring(colon + 1).strip());
     }
 }
--- a/src/main/java/dockshed/net/HttpStyleMessageDecoder.java
+++ b/src/main/java/dockshed/net/HttpStyleMessageDecoder.java
@@ -2,22 +2,21 @@
 
 import dockshed.net.HttpStyleMessage.MalformedMessageException;
 import java.io.ByteArrayOutputStream;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
 
 /**
  * Decodes a stream of bytes, however it is divided into reads, into {@link HttpStyleMessage}s. A body is as long as its
  * Content-Length says or is sent in chunks; a message without either has none. Trailers of a chunked body are ignored.
  */
 public final class HttpStyleMessageDecoder {
+    /** Longest line with the size of a chunk, and longest trailer line. */
+    private static final int MAX_CHUNK_LINE_BYTES = 256;
+
     private final int maxBytes;
-    private byte[] buffer = new byte[1024];
-    private int readIndex;
-    private int writeIndex;
+    private final ReceiveBuffer buffer = new ReceiveBuffer();
     private int scanIndex; // where the search for the end of the head continues
     private HttpStyleMessage head; // of the message whose body is being read; null: a head is next
     private int bodyLength; // of that message; -1: chunked
-    private final ByteArrayOutputStream chunkedBody = new ByteArrayOutputStream();
+    private ByteArrayOutputStream chunkedBody; // null: no chunk has arrived
     private int chunkRemaining = -1; // bytes of the current chunk, with its line end; -1: a size line is next
     private boolean inTrailer;
 
@@ -28,22 +27,12 @@
 
     /** Appends received bytes; {@link #next} then returns the messages that are complete. */
     public void add(byte[] bytes, int offset, int count) {
-        if (writeIndex + count > buffer.length) {
-            int kept = writeIndex - readIndex;
-            byte[] target = kept + count > buffer.length ? new byte[Math.max(buffer.length * 2, kept + count)] : buffer;
-            System.arraycopy(buffer, readIndex, target, 0, kept);
-            buffer = target;
-            scanIndex -= readIndex;
-            readIndex = 0;
-            writeIndex = kept;
-        }
-        System.arraycopy(bytes, offset, buffer, writeIndex, count);
-        writeIndex += count;
+        buffer.append(bytes, offset, count);
     }
 
     /** Whether part of a message has arrived. */
     public boolean hasPartialMessage() {
-        return head != null || writeIndex > readIndex;
+        return head != null || !buffer.isEmpty();
     }
 
     /**
@@ -52,65 +41,79 @@
      * @throws MalformedMessageException if the stream is not such messages; the decoder is of no further use then
      */
     public HttpStyleMessage next() throws MalformedMessageException {
+        HttpStyleMessage message = decodeNext();
+        if (message == null) {
+            buffer.trim();
+        }
+        return message;
+    }
+
+    private HttpStyleMessage decodeNext() throws MalformedMessageException {
         if (head == null && !readHead()) {
             return null;
         }
         if (bodyLength < 0) {
             return readChunks();
         }
-        if (writeIndex - readIndex < bodyLength) {
+        if (buffer.size() < bodyLength) {
             return null;
         }
-        HttpStyleMessage complete = new HttpStyleMessage(
-                head.startLine(), head.headers(), Arrays.copyOfRange(buffer, readIndex, readIndex + bodyLength));
-        readIndex += bodyLength;
+        HttpStyleMessage complete = new HttpStyleMessage(head.startLine(), head.headers(), buffer.copy(bodyLength));
+        buffer.consume(bodyLength);
         return finish(complete);
     }
 
     /** Prepares for the next message and returns the one that is complete. */
     private HttpStyleMessage finish(HttpStyleMessage complete) {
         head = null;
-        scanIndex = readIndex;
+        scanIndex = 0;
         return complete;
     }
 
     /** Reads the start line and headers of the next message; false where more bytes are needed. */
     private boolean readHead() throws MalformedMessageException {
-        while (readIndex < writeIndex
-                && scanIndex <= readIndex
-                && (buffer[readIndex] == '\r' || buffer[readIndex] == '\n')) {
-            readIndex++; // empty lines between messages
-            scanIndex = readIndex;
-        }
-        int headEnd = -1;
-        int i = Math.max(scanIndex, readIndex);
-        for (; i < writeIndex && headEnd < 0; i++) {
-            if (buffer[i] == '\n'
-                    && i > readIndex
-                    && (buffer[i - 1] == '\n' || buffer[i - 1] == '\r' && i - 1 > readIndex && buffer[i - 2] == '\n')) {
-                headEnd = i + 1;
-            }
-        }
-        scanIndex = i;
-        if ((headEnd < 0 ? writeIndex : headEnd) - readIndex > maxBytes) {
+        skipEmptyLines();
+        int size = findHeadEnd();
+        if ((size < 0 ? buffer.size() : size) > maxBytes) {
             throw new MalformedMessageException("message exceeds the limit");
         }
-        if (headEnd < 0) {
+        if (size < 0) {
             return false;
         }
-        HttpStyleMessage read = HttpStyleMessage.parse(
-                new String(buffer, readIndex, headEnd - readIndex, StandardCharsets.UTF_8), new byte[0]);
-        int headSize = headEnd - readIndex;
-        readIndex = headEnd;
+        HttpStyleMessage read = HttpStyleMessage.parse(buffer.text(size), new byte[0]);
+        buffer.consume(size);
         boolean chunked = read.header("transfer-encoding", "").equalsIgnoreCase("chunked");
         bodyLength = chunked ? -1 : bodyLength(read.header("content-length", "0"));
-        if (bodyLength > maxBytes - headSize) {
+        if (bodyLength > maxBytes - size) {
             throw new MalformedMessageException("message exceeds the limit");
         }
         head = read;
         return true;
     }
 
+    /** Skips empty lines between messages. */
+    private void skipEmptyLines() {
+        while (scanIndex == 0 && !buffer.isEmpty() && (buffer.at(0) == '\r' || buffer.at(0) == '\n')) {
+            buffer.consume(1);
+        }
+    }
+
+    /** The size of the head with the empty line that ends it; -1 if it is not complete. */
+    private int findHeadEnd() {
+        for (; scanIndex < buffer.size(); scanIndex++) {
+            if (buffer.at(scanIndex) == '\n' && isEmptyLineEnd(scanIndex)) {
+                return scanIndex + 1;
+            }
+        }
+        return -1;
+    }
+
+    /** Whether the line feed at this index ends an empty line. */
+    private boolean isEmptyLineEnd(int index) {
+        return index > 0 && buffer.at(index - 1) == '\n'
+                || index > 1 && buffer.at(index - 1) == '\r' && buffer.at(index - 2) == '\n';
+    }
+
     private static int bodyLength(String value) throws MalformedMessageException {
         if (value.isEmpty() || value.length() > 9 || !value.chars().allMatch(c -> c >= '0' && c <= '9')) {
             throw new MalformedMessageException("Content-Length is not a number of up to 9 digits");
@@ -120,35 +123,25 @@
 
     /** Reads what has arrived of a chunked body; null where more bytes are needed. */
     private HttpStyleMessage readChunks() throws MalformedMessageException {
+        if (chunkedBody == null) {
+            chunkedBody = new ByteArrayOutputStream();
+        }
         while (true) {
             if (chunkRemaining > 0) {
-                if (writeIndex - readIndex < chunkRemaining) {
+                if (buffer.size() < chunkRemaining) {
                     return null;
                 }
-                chunkedBody.write(buffer, readIndex, chunkRemaining - 2);
-                if (buffer[readIndex + chunkRemaining - 2] != '\r' || buffer[readIndex + chunkRemaining - 1] != '\n') {
-                    throw new MalformedMessageException("chunk does not end in CRLF");
-                }
-                readIndex += chunkRemaining;
-                chunkRemaining = -1;
-            }
-            int lineEnd = readIndex;
-            while (lineEnd < writeIndex && buffer[lineEnd] != '\n') {
-                lineEnd++;
+                readChunk();
             }
-            if (lineEnd == writeIndex) {
-                if (writeIndex - readIndex > 256) {
-                    throw new MalformedMessageException("chunk size line or trailer line exceeds 256 bytes");
-                }
+            String line = readChunkLine();
+            if (line == null) {
                 return null;
             }
-            String line = new String(buffer, readIndex, lineEnd - readIndex, StandardCharsets.UTF_8).strip();
-            readIndex = lineEnd + 1;
             if (inTrailer) {
                 if (line.isEmpty()) {
                     HttpStyleMessage complete =
                             new HttpStyleMessage(head.startLine(), head.headers(), chunkedBody.toByteArray());
-                    chunkedBody.reset();
+                    chunkedBody = null;
                     inTrailer = false;
                     return finish(complete);
                 }
@@ -163,6 +156,33 @@
         }
     }
 
+    /** Reads a chunk that has arrived with its line end. */
+    private void readChunk() throws MalformedMessageException {
+        chunkedBody.write(buffer.copy(chunkRemaining - 2), 0, chunkRemaining - 2);
+        if (buffer.at(chunkRemaining - 2) != '\r' || buffer.at(chunkRemaining - 1) != '\n') {
+            throw new MalformedMessageException("chunk does not end in CRLF");
+        }
+        buffer.consume(chunkRemaining);
+        chunkRemaining = -1;
+    }
+
+    /** Reads a line with the size of a chunk or a trailer; null where more bytes are needed. */
+    private String readChunkLine() throws MalformedMessageException {
+        int lineEnd = 0;
+        while (lineEnd < buffer.size() && buffer.at(lineEnd) != '\n') {
+            lineEnd++;
+        }
+        if (lineEnd == buffer.size()) {
+            if (lineEnd > MAX_CHUNK_LINE_BYTES) {
+                throw new MalformedMessageException("chunk size line or trailer line exceeds 256 bytes");
+            }
+            return null;
+        }
+        String line = buffer.text(lineEnd).strip();
+        buffer.consume(lineEnd + 1);
+        return line;
+    }
+
     private static int parseChunkSize(String hex) throws MalformedMessageException {
         if (hex.isEmpty() || hex.length() > 7 || !hex.chars().allMatch(c -> Character.digit(c, 16) >= 0)) {
             throw new MalformedMessageException("chunk size is not a hex number of up to 7 digits");
