Bound the memory of requests that wait on the HLS front

Cause: HlsFront.Connection kept each pipelined request whole until those before it were answered, up to 87 MB over all connections, without a common limit; the heap is 64 MB.

Change: a waiting request keeps only what the front needs (HlsRequest), and counts against net.InputBudget, one for the process, which refuses what does not fit with 503 and a return time. Connection and exchange move out of HlsFront (HlsConnection, Exchange). Reading goes on, so that a player that leaves is still noticed at once.

InputFloodTest.pipelinedHlsRequestsThatWaitDoNotExhaustTheHeap failed before ("closed before the next message") and passes; tests of net and hls, CapacityTest and ProgramTest pass.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -288,6 +288,7 @@
                 settings,
                 hls.idleTimeout(),
                 config.maxSockets() / 6,
+                net.inputBudget(),
                 config.seed() ^ 0x5eed);
         if (!hls.servers().isEmpty()) {
             hlsServersChanged(ListScope.DISK, hls.servers());
--- /dev/null
+++ b/src/main/java/dockshed/hls/Exchange.java
@@ -0,0 +1,54 @@
+package dockshed.hls;
+
+import dockshed.net.HttpStyleMessage;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** A request that awaits its response, which is written to its connection. */
+final class Exchange {
+    private static final String PLAYLIST_CONTENT_TYPE = "application/vnd.apple.mpegurl";
+    private static final long MICROS_PER_SECOND = 1_000_000;
+
+    private final HlsConnection connection;
+    private final boolean closeAfter; // the connection is closed after this response
+
+    Exchange(HlsConnection connection, boolean closeAfter) {
+        this.connection = connection;
+        this.closeAfter = closeAfter;
+    }
+
+    HlsConnection connection() {
+        return connection;
+    }
+
+    void answer(int code, String phrase, String contentType, String body, Map<String, String> extraHeaders) {
+        Map<String, String> headers = new LinkedHashMap<>();
+        headers.put("Content-Type", contentType);
+        headers.put("Cache-Control", "no-store");
+        headers.putAll(extraHeaders);
+        if (closeAfter) {
+            headers.put("Connection", "close");
+        }
+        connection.write(
+                HttpStyleMessage.encode(
+                        "HTTP/1.1 " + code + " " + phrase, headers, body.getBytes(StandardCharsets.UTF_8)),
+                closeAfter);
+    }
+
+    void answerPlaylist(String text) {
+        answer(200, "OK", PLAYLIST_CONTENT_TYPE, text, Map.of());
+    }
+
+    void answerError(int code, String phrase) {
+        answer(code, phrase, "text/plain", phrase + "\n", Map.of());
+    }
+
+    /** Refuses the request; {@code retryAfter} is in microseconds, 0: the player may come again at any time. */
+    void answerRefused(long retryAfter) {
+        Map<String, String> extraHeaders = retryAfter > 0
+                ? Map.of("Retry-After", Long.toString((retryAfter + MICROS_PER_SECOND - 1) / MICROS_PER_SECOND))
+                : Map.of();
+        answer(503, "Service Unavailable", "text/plain", "refused\n", extraHeaders);
+    }
+}
--- /dev/null
+++ b/src/main/java/dockshed/hls/HlsConnection.java
@@ -0,0 +1,177 @@
+package dockshed.hls;
+
+import dockshed.core.TimerQueue;
+import dockshed.net.ByteHandler;
+import dockshed.net.Clock;
+import dockshed.net.HttpStyleMessage;
+import dockshed.net.HttpStyleMessageDecoder;
+import dockshed.net.InputBudget;
+import dockshed.net.Net;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import java.util.ArrayDeque;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A player's connection; its requests are answered one after the other. Those that wait count against the memory that
+ * all connections share; one for which there is none left is refused in its turn.
+ */
+final class HlsConnection extends ByteHandler {
+    /** Longest request in bytes, headers and body together. */
+    static final int MAX_REQUEST_BYTES = 16 * 1024;
+    /** A connection without a request in progress is closed after this time. */
+    static final long IDLE_TIMEOUT_US = 30_000_000;
+    /** Requests of one connection that may wait while an earlier one is answered. */
+    private static final int MAX_PIPELINED_REQUESTS = 32;
+
+    private static final Logger LOG = LoggerFactory.getLogger(HlsFront.class);
+
+    /** Handles the requests of connections. */
+    interface RequestHandler {
+        /** The connection is open; false if it is one too many and has to be closed. */
+        boolean opened(HlsConnection connection);
+
+        /** Answers a request, now or later. */
+        void handle(Exchange exchange, HlsRequest request);
+
+        /** Refuses a request for which there is no memory to wait. */
+        void refuse(Exchange exchange);
+
+        /** The connection is closed; its unanswered requests need no response any more. */
+        void closed(HlsConnection connection);
+    }
+
+    /** What becomes of a request in its turn. */
+    private enum Verdict {
+        HANDLE,
+        REFUSE,
+        MALFORMED
+    }
+
+    /** A request that waits for its turn; {@code bytes} of memory are reserved for it. */
+    private record Waiting(Verdict verdict, HlsRequest request, long bytes) {
+        private static final HlsRequest NONE = new HlsRequest("", "", "", false);
+
+        /** Stands for input that is not a request; it is answered after the requests before it. */
+        static Waiting malformed() {
+            return new Waiting(Verdict.MALFORMED, NONE, 0);
+        }
+
+        static Waiting refused(boolean lastOnConnection) {
+            return new Waiting(Verdict.REFUSE, new HlsRequest("", "", "", lastOnConnection), 0);
+        }
+    }
+
+    private final RequestHandler requestHandler;
+    private final Clock clock;
+    private final TimerQueue timers;
+    private final InputBudget.Account memory;
+    private final HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(MAX_REQUEST_BYTES);
+    private final ArrayDeque<Waiting> waiting = new ArrayDeque<>();
+    private Channel channel;
+    private boolean answering;
+    private boolean closing;
+    private long lastUsedUs;
+
+    HlsConnection(RequestHandler requestHandler, Clock clock, TimerQueue timers, InputBudget budget) {
+        this.requestHandler = requestHandler;
+        this.clock = clock;
+        this.timers = timers;
+        memory = budget.open(() -> {});
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        channel = ctx.channel();
+        lastUsedUs = clock.now();
+        scheduleIdleCheck();
+        if (!requestHandler.opened(this)) {
+            ctx.close();
+        }
+    }
+
+    @Override
+    protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
+        if (closing) {
+            return;
+        }
+        decoder.add(bytes, 0, bytes.length);
+        try {
+            for (HttpStyleMessage message = decoder.next(); message != null; message = decoder.next()) {
+                enqueue(HlsRequest.of(message));
+                if (waiting.size() > MAX_PIPELINED_REQUESTS) {
+                    throw new HttpStyleMessage.MalformedMessageException("too many pipelined requests");
+                }
+            }
+        } catch (HttpStyleMessage.MalformedMessageException e) {
+            LOG.warn("HLS request malformed: remote={} why={}", channel.remoteAddress(), e.getMessage());
+            closing = true;
+            waiting.add(Waiting.malformed());
+        }
+        processNext();
+    }
+
+    private void enqueue(HlsRequest request) {
+        long bytes = request.memoryBytes();
+        waiting.add(
+                memory.reserve(bytes)
+                        ? new Waiting(Verdict.HANDLE, request, bytes)
+                        : Waiting.refused(request.lastOnConnection()));
+    }
+
+    private void scheduleIdleCheck() {
+        timers.schedule(lastUsedUs + IDLE_TIMEOUT_US, dueAt -> {
+            if (!closing && !answering && clock.now() - lastUsedUs >= IDLE_TIMEOUT_US) {
+                channel.close();
+            } else if (!closing) {
+                lastUsedUs = answering ? clock.now() : lastUsedUs;
+                scheduleIdleCheck();
+            }
+        });
+    }
+
+    private void processNext() {
+        Waiting next = answering ? null : waiting.poll();
+        if (next == null) {
+            return;
+        }
+        memory.release(next.bytes());
+        answering = true;
+        lastUsedUs = clock.now();
+        boolean closeAfter = next.request().lastOnConnection() || closing && waiting.isEmpty();
+        Exchange exchange = new Exchange(this, closeAfter);
+        switch (next.verdict()) {
+            case HANDLE -> requestHandler.handle(exchange, next.request());
+            case REFUSE -> requestHandler.refuse(exchange);
+            case MALFORMED -> exchange.answerError(400, "Bad Request");
+        }
+    }
+
+    /** Writes a response and goes on with the next request, or closes the connection. */
+    void write(byte[] bytes, boolean closeAfter) {
+        answering = false;
+        lastUsedUs = clock.now();
+        var written = channel.writeAndFlush(Net.toByteBuf(bytes));
+        if (closeAfter) {
+            written.addListener(ChannelFutureListener.CLOSE);
+            stop();
+        } else {
+            channel.eventLoop().execute(this::processNext);
+        }
+    }
+
+    /** Takes no further requests, and drops those that wait. */
+    private void stop() {
+        closing = true;
+        waiting.clear();
+        memory.close();
+    }
+
+    @Override
+    protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
+        stop();
+        requestHandler.closed(this);
+    }
+}
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -14,14 +14,8 @@
 import dockshed.net.Clock;
 import dockshed.net.HttpFetch;
 import dockshed.net.HttpStyleMessage;
-import dockshed.net.HttpStyleMessageDecoder;
-import dockshed.net.Net;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
+import dockshed.net.InputBudget;
 import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -38,20 +32,12 @@
  * was given. Runs on the event loop's thread only.
  */
 public final class HlsFront implements Front {
-    /** Longest request in bytes, headers and body together. */
-    static final int MAX_REQUEST_BYTES = 16 * 1024;
-    /** A connection without a request in progress is closed after this time. */
-    static final long IDLE_CONNECTION_TIMEOUT_US = 30_000_000;
-    /** Requests of one connection that may wait while an earlier one is answered. */
-    private static final int MAX_PIPELINED_REQUESTS = 32;
-
     /** Ended sessions remembered, so that fetches for them get 410 instead of 404. */
     private static final int MAX_ENDED_SESSIONS = 1000;
 
     private static final String LESSONS_PATH = "/lessons/";
     private static final String SESSIONS_PATH = "/sessions/";
     private static final String MASTER_PLAYLIST_SUFFIX = "/master.m3u8";
-    private static final String PLAYLIST_CONTENT_TYPE = "application/vnd.apple.mpegurl";
     private static final Logger LOG = LoggerFactory.getLogger(HlsFront.class);
 
     private final Broker broker;
@@ -62,6 +48,7 @@
     private final LessonRequestParser requestParser;
     private final long idleTimeoutUs;
     private final int maxConnections;
+    private final InputBudget inputBudget;
     private final Random random;
     private final Map<String, Session> sessions = new HashMap<>();
     private final Map<String, Session> sessionsByViewer = new HashMap<>(); // by Session.viewerKey
@@ -74,6 +61,7 @@
      * @param idleTimeoutUs microseconds from the end of the last fetched playlist's playing time until the session is
      *     ended if there was no other fetch
      * @param maxConnections open connections above which new ones are closed
+     * @param inputBudget limits the memory of requests that wait
      * @param seed for the names of sessions
      */
     public HlsFront(
@@ -84,6 +72,7 @@
             Settings settings,
             long idleTimeoutUs,
             int maxConnections,
+            InputBudget inputBudget,
             long seed) {
         this.broker = broker;
         this.edgeServers = edgeServers;
@@ -91,6 +80,7 @@
         this.timers = timers;
         this.idleTimeoutUs = idleTimeoutUs;
         this.maxConnections = maxConnections;
+        this.inputBudget = inputBudget;
         settings.classes().forEach(sessionClass -> classes.put(sessionClass.name(), sessionClass));
         requestParser = new LessonRequestParser(classes, settings.ladder().cells());
         random = new Random(seed);
@@ -121,127 +111,34 @@
 
     /** Returns the handler for a newly accepted connection. */
     public ByteHandler accept() {
-        return new Connection();
+        return new HlsConnection(new ConnectionEvents(), clock, timers, inputBudget);
     }
 
-    /** A request that awaits its response, which is written to its connection. */
-    private final class Exchange {
-        private final Connection connection;
-        private final boolean closeAfter; // the connection is closed after this response
-
-        Exchange(Connection connection, boolean closeAfter) {
-            this.connection = connection;
-            this.closeAfter = closeAfter;
-        }
-
-        void answer(int code, String phrase, String contentType, String body, Map<String, String> extraHeaders) {
-            Map<String, String> headers = new LinkedHashMap<>();
-            headers.put("Content-Type", contentType);
-            headers.put("Cache-Control", "no-store");
-            headers.putAll(extraHeaders);
-            if (closeAfter) {
-                headers.put("Connection", "close");
-            }
-            connection.write(
-                    HttpStyleMessage.encode(
-                            "HTTP/1.1 " + code + " " + phrase, headers, body.getBytes(StandardCharsets.UTF_8)),
-                    closeAfter);
-        }
-
-        void answerPlaylist(String text) {
-            answer(200, "OK", PLAYLIST_CONTENT_TYPE, text, Map.of());
-        }
-
-        void answerError(int code, String phrase) {
-            answer(code, phrase, "text/plain", phrase + "\n", Map.of());
-        }
-    }
-
-    /** A viewer's connection; its requests are answered one after the other. */
-    private final class Connection extends ByteHandler {
-        private final HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(MAX_REQUEST_BYTES);
-        private final ArrayDeque<HttpStyleMessage> requestQueue = new ArrayDeque<>();
-        private Channel channel;
-        private boolean answering;
-        private boolean closing;
-        private long lastUsedUs;
-
+    /** What connections report. */
+    private final class ConnectionEvents implements HlsConnection.RequestHandler {
         @Override
-        public void channelActive(ChannelHandlerContext ctx) {
-            channel = ctx.channel();
-            lastUsedUs = clock.now();
-            scheduleIdleCheck();
-            if (++connections > maxConnections) {
+        public boolean opened(HlsConnection connection) {
+            boolean accepted = ++connections <= maxConnections;
+            if (!accepted) {
                 LOG.warn("HLS connection refused at the connection limit: open={}", connections);
-                ctx.close();
             }
+            return accepted;
         }
 
         @Override
-        protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
-            if (closing) {
-                return;
-            }
-            decoder.add(bytes, 0, bytes.length);
-            try {
-                for (HttpStyleMessage request = decoder.next(); request != null; request = decoder.next()) {
-                    requestQueue.add(request);
-                    if (requestQueue.size() > MAX_PIPELINED_REQUESTS) {
-                        throw new HttpStyleMessage.MalformedMessageException("too many pipelined requests");
-                    }
-                }
-            } catch (HttpStyleMessage.MalformedMessageException e) {
-                LOG.warn("HLS request malformed: remote={} why={}", channel.remoteAddress(), e.getMessage());
-                closing = true;
-                // An empty request, which is answered with 400 after the requests before it.
-                requestQueue.add(new HttpStyleMessage("", Map.of(), new byte[0]));
-            }
-            processNext();
-        }
-
-        private void scheduleIdleCheck() {
-            timers.schedule(lastUsedUs + IDLE_CONNECTION_TIMEOUT_US, dueAt -> {
-                if (!closing && !answering && clock.now() - lastUsedUs >= IDLE_CONNECTION_TIMEOUT_US) {
-                    channel.close();
-                } else if (!closing) {
-                    lastUsedUs = answering ? clock.now() : lastUsedUs;
-                    scheduleIdleCheck();
-                }
-            });
-        }
-
-        private void processNext() {
-            HttpStyleMessage request = answering ? null : requestQueue.poll();
-            if (request == null) {
-                return;
-            }
-            answering = true;
-            lastUsedUs = clock.now();
-            boolean closeAfter = "close".equalsIgnoreCase(request.header("connection"))
-                    || request.startLinePart(2).equals("HTTP/1.0")
-                    || closing && requestQueue.isEmpty();
-            handleRequest(new Exchange(this, closeAfter), request);
+        public void handle(Exchange exchange, HlsRequest request) {
+            handleRequest(exchange, request);
         }
 
-        private void write(byte[] bytes, boolean closeAfter) {
-            answering = false;
-            lastUsedUs = clock.now();
-            var written = channel.writeAndFlush(Net.toByteBuf(bytes));
-            if (closeAfter) {
-                written.addListener(ChannelFutureListener.CLOSE);
-                closing = true;
-                requestQueue.clear();
-            } else {
-                channel.eventLoop().execute(this::processNext);
-            }
+        @Override
+        public void refuse(Exchange exchange) {
+            exchange.answerRefused(broker.maxRetryAfter());
         }
 
         @Override
-        protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
+        public void closed(HlsConnection connection) {
             connections--;
-            requestQueue.clear();
-            closing = true;
-            cancelAbandoned(this);
+            cancelAbandoned(connection);
         }
     }
 
@@ -252,10 +149,10 @@
      * safe to repeat, such as a paid one, goes on, so that a player that comes back finds its session instead of paying
      * again.
      */
-    private void cancelAbandoned(Connection closed) {
+    private void cancelAbandoned(HlsConnection closed) {
         for (Session session : List.copyOf(sessions.values())) {
             if (session.multivariant == null
-                    && session.pendingExchanges.removeIf(exchange -> exchange.connection == closed)
+                    && session.pendingExchanges.removeIf(exchange -> exchange.connection() == closed)
                     && session.pendingExchanges.isEmpty()
                     && classOf(session).effect() == Effect.SAFE) {
                 forget(session);
@@ -264,28 +161,24 @@
         }
     }
 
-    private void handleRequest(Exchange exchange, HttpStyleMessage request) {
+    private void handleRequest(Exchange exchange, HlsRequest request) {
         try {
-            URI target = new URI(request.startLinePart(1));
+            URI target = new URI(request.target());
             String path = target.getRawPath();
-            if (path == null
-                    || !path.startsWith("/")
-                    || !request.startLinePart(2).startsWith("HTTP/1.")) {
+            if (path == null || !path.startsWith("/") || !request.version().startsWith("HTTP/1.")) {
                 throw new IllegalArgumentException("not an HTTP request: expected METHOD /PATH HTTP/1.x");
             }
-            if (!request.startLinePart(0).equals("GET")
-                    && !request.startLinePart(0).equals("DELETE")) {
+            boolean get = request.method().equals("GET");
+            boolean delete = request.method().equals("DELETE");
+            if (!get && !delete) {
                 exchange.answer(405, "Method Not Allowed", "text/plain", "", Map.of("Allow", "GET, DELETE"));
-            } else if (path.startsWith(LESSONS_PATH)
-                    && path.endsWith(MASTER_PLAYLIST_SUFFIX)
-                    && request.startLinePart(0).equals("GET")) {
+            } else if (path.startsWith(LESSONS_PATH) && path.endsWith(MASTER_PLAYLIST_SUFFIX) && get) {
                 handleLessonRequest(
                         exchange,
                         target,
                         path.substring(LESSONS_PATH.length(), path.length() - MASTER_PLAYLIST_SUFFIX.length()));
             } else if (path.startsWith(SESSIONS_PATH)) {
-                handleSessionRequest(
-                        exchange, request.startLinePart(0).equals("DELETE"), path.substring(SESSIONS_PATH.length()));
+                handleSessionRequest(exchange, delete, path.substring(SESSIONS_PATH.length()));
             } else {
                 exchange.answerError(404, "Not Found");
             }
@@ -499,11 +392,7 @@
 
     @Override
     public void refused(long connection, String name, long retryAfter) {
-        Map<String, String> extraHeaders =
-                retryAfter > 0 ? Map.of("Retry-After", Long.toString((retryAfter + 999_999) / 1_000_000)) : Map.of();
-        forgetUnserved(name)
-                .forEach(exchange ->
-                        exchange.answer(503, "Service Unavailable", "text/plain", "refused\n", extraHeaders));
+        forgetUnserved(name).forEach(exchange -> exchange.answerRefused(retryAfter));
     }
 
     @Override
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -46,6 +46,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Net.class);
 
+    private final InputBudget inputBudget =
+            InputBudget.forHeap(Runtime.getRuntime().maxMemory());
     private final NioEventLoopGroup group;
     private final Set<Channel> openChannels = new HashSet<>(); // connections; only used on the event loop
 
@@ -131,6 +133,11 @@
         return bootstrap.bind(address);
     }
 
+    /** The limit of the memory that input takes on this loop's connections. */
+    public InputBudget inputBudget() {
+        return inputBudget;
+    }
+
     /** Whether the last read of a connection found that its peer has closed its output. */
     static boolean inputEnded(Channel channel) {
         return channel.unsafe().recvBufAllocHandle().lastBytesRead() < 0;
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -17,6 +17,7 @@
 import dockshed.load.LoadReporter;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
+import dockshed.net.InputBudget;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
@@ -147,6 +148,7 @@
                     harness.settings,
                     60_000_000,
                     50,
+                    net.inputBudget(),
                     1);
             harness.onRequest = r -> {
                 requests.add(r.id());
@@ -475,8 +477,16 @@
     void idleConnectionIsClosed() throws Exception {
         long[] now = {0};
         TimerQueue ownTimers = new TimerQueue(wakeAt -> {});
-        HlsFront ownFront =
-                new HlsFront(broker, edgeServers, () -> now[0], ownTimers, harness.settings, 60_000_000, 50, 1);
+        HlsFront ownFront = new HlsFront(
+                broker,
+                edgeServers,
+                () -> now[0],
+                ownTimers,
+                harness.settings,
+                60_000_000,
+                50,
+                InputBudget.unlimited(),
+                1);
         EmbeddedChannel channel = new EmbeddedChannel(ownFront.accept());
         now[0] = 20_000_000;
         channel.writeInbound(Net.toByteBuf("GET /other HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.UTF_8)));
--- a/src/test/java/dockshed/rig/BrokerProcess.java
+++ b/src/test/java/dockshed/rig/BrokerProcess.java
@@ -21,9 +21,10 @@
     private Process process;
     private InetSocketAddress listenAddress;
 
-    BrokerProcess(Path configFile, Path operatorFile) {
+    /** A broker with the options of {@code serve}, such as {@code --conf} and a file. */
+    BrokerProcess(Path configFile, List<String> options) {
         this.configFile = configFile;
-        command = List.of(
+        command = new ArrayList<>(List.of(
                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                 "-XX:+UseSerialGC",
                 "-Xmx64m",
@@ -34,9 +35,8 @@
                 "-cp",
                 System.getProperty("java.class.path"),
                 "dockshed.Main",
-                "serve",
-                "--conf",
-                operatorFile.toString());
+                "serve"));
+        command.addAll(options);
     }
 
     /** Starts the process and waits until it serves viewers. */
--- a/src/test/java/dockshed/rig/FleetRig.java
+++ b/src/test/java/dockshed/rig/FleetRig.java
@@ -61,7 +61,7 @@
                     dir.resolve("broker" + i + ".json"),
                     config(i, count, addresses[i]).toJson());
             Path operatorFilePath = Files.writeString(dir.resolve("broker" + i + ".conf"), operatorFile.apply(i));
-            brokers.add(new BrokerProcess(config, operatorFilePath));
+            brokers.add(new BrokerProcess(config, List.of("--conf", operatorFilePath.toString())));
         }
         for (BrokerProcess broker : brokers) {
             broker.start();
--- /dev/null
+++ b/src/test/java/dockshed/rig/InputFloodTest.java
@@ -0,0 +1,78 @@
+package dockshed.rig;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import dockshed.net.HttpStyleMessage;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Clients that send more than the broker's heap can hold, against a broker process with the heap of the deploy file. */
+class InputFloodTest {
+    private static final int CLIENTS = 160; // the HLS front takes 170
+    private static final int PIPELINED_REQUESTS = 32;
+    private static final int LARGE_BYTES = 15_000; // a message holds 16 KiB at most
+
+    @TempDir
+    Path dir;
+
+    private static void assertNoMemoryError(FloodedBroker broker) {
+        assertEquals(
+                List.of(),
+                broker.process.linesSince(0).stream()
+                        .filter(line -> line.contains("OutOfMemoryError"))
+                        .toList());
+        assertTrue(broker.process.isUp(), "the broker runs");
+    }
+
+    private static String mediaPlaylistPath(FloodedBroker broker) throws Exception {
+        try (Socket socket = broker.connect(broker.hlsAddress, 1).get(0)) {
+            socket.getOutputStream()
+                    .write("GET /lessons/a/master.m3u8?class=refresher&viewer=v HTTP/1.1\r\n\r\n"
+                            .getBytes(StandardCharsets.US_ASCII));
+            HttpStyleMessage response = new FloodedBroker.Responses(socket).next();
+            assertEquals(200, response.status());
+            return response.bodyText()
+                    .lines()
+                    .filter(line -> line.startsWith("/sessions/"))
+                    .findFirst()
+                    .orElseThrow();
+        }
+    }
+
+    @Test
+    void pipelinedHlsRequestsThatWaitDoNotExhaustTheHeap() throws Exception {
+        // Guards against whole requests kept on all connections while earlier ones are answered.
+        try (FloodedBroker broker = new FloodedBroker(dir, true)) {
+            String request = "GET " + mediaPlaylistPath(broker) + " HTTP/1.1\r\nHost: a\r\nCookie: "
+                    + "x".repeat(LARGE_BYTES) + "\r\n\r\n";
+            byte[] requests = request.repeat(PIPELINED_REQUESTS).getBytes(StandardCharsets.US_ASCII);
+            List<Socket> clients = broker.connect(broker.hlsAddress, CLIENTS);
+            List<Future<Integer>> written = new ArrayList<>();
+            for (Socket client : clients) {
+                written.add(broker.start(() -> {
+                    client.getOutputStream().write(requests);
+                    return requests.length;
+                }));
+            }
+            for (Future<Integer> one : written) {
+                assertEquals(requests.length, one.get());
+            }
+            broker.releaseMediaPlaylists();
+            for (Socket client : clients) {
+                FloodedBroker.Responses responses = new FloodedBroker.Responses(client);
+                for (int i = 0; i < PIPELINED_REQUESTS; i++) {
+                    assertTrue(responses.next().status() > 0);
+                }
+                client.close();
+            }
+            assertNoMemoryError(broker);
+        }
+    }
+}
