Bound the memory of incomplete messages over all connections, and the lines of a head

Callers saw: with hundreds of clients that send heads of very many short fields and stop before the body, set-ups of usual viewers were answered late or never; the heap was exhausted.

Cause: a head of 16 KB takes some 600 KB once parsed into header lines of four bytes, and is held for 2 s on each of 384 connections. Decoders on both fronts, towards edge servers and in fetches were bounded for each connection only, and the HLS front had no time limit for a request that was begun.

Change: 128 header lines at most; incomplete messages of all connections count against InputBudget, beyond which the one that has waited longest is dropped (a client is answered 503); reads of 16 KB; a request on the HLS front has to be complete within 2 s (408); the HLS front writes the next response once the player has read those before.

InputFloodTest.headsOfManyShortFieldsDoNotExhaustTheHeap failed before (no answer within 60 s) and passes, as do the tests of net, rtsp, edge and hls.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -121,7 +121,7 @@
                         ? ProbeCoordinator.STANDALONE
                         : new FleetHealthProber(
                                 settings.brokerNumber(), fleet::snapshot, fleet::offer, admission[0]::avoid));
-        rtspFront = new RtspFront(broker, edgeConnections, clock, timers, config.maxViewers());
+        rtspFront = new RtspFront(broker, edgeConnections, clock, timers, config.maxViewers(), net.inputBudget());
     }
 
     /** Creates the rollout of shared configurations; IllegalStateException if its state cannot be read. */
--- a/src/main/java/dockshed/edge/EdgeServerConnection.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnection.java
@@ -5,6 +5,7 @@
 import dockshed.core.Broker;
 import dockshed.net.ByteHandler;
 import dockshed.net.Clock;
+import dockshed.net.InputBudget;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -86,6 +87,7 @@
     final Map<String, PendingSetUp> pending = new LinkedHashMap<>();
 
     private final LineDecoder decoder = new LineDecoder(EdgeServerConnections.MAX_LINE_BYTES);
+    private final InputBudget.Account memory;
     Channel channel;
     boolean connected;
     boolean ended;
@@ -99,6 +101,7 @@
     EdgeServerConnection(ServerEntry entry, Context context) {
         this.entry = entry;
         this.context = context;
+        memory = context.net().inputBudget().open(this::dropMessage);
         openedAt = context.clock().now();
         lastUsedAt = openedAt;
         lastReceivedAt = openedAt;
@@ -216,6 +219,7 @@
         }
         ended = true;
         connected = false;
+        memory.close();
         if (channel != null && channel.isRegistered()) { // otherwise it never had a socket
             channel.close();
         }
@@ -279,10 +283,14 @@
         decoder.add(bytes);
         try {
             for (String line = decoder.next(); line != null && !ended; line = decoder.next()) {
+                memory.setIncomplete(0); // what follows is another message
                 if (!line.isBlank()) {
                     context.messages().handle(this, Message.parse(line));
                 }
             }
+            if (!ended) {
+                memory.setIncomplete(decoder.incompleteBytes());
+            }
         } catch (LineDecoder.InvalidLineException | Message.MalformedMessageException e) {
             LOG.warn(
                     "malformed message from edge server: id={} open={} why={}",
@@ -293,6 +301,12 @@
         }
     }
 
+    /** There is no memory for the rest of a message: the messages after it cannot be told apart any more. */
+    private void dropMessage() {
+        LOG.warn("message from edge server dropped, too many are incomplete: id={} open={}", entry.id, pending.size());
+        context.listener().onMalformed(this);
+    }
+
     @Override
     protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
         if (ended) {
--- a/src/main/java/dockshed/edge/LineDecoder.java
+++ b/src/main/java/dockshed/edge/LineDecoder.java
@@ -58,4 +58,9 @@
     boolean hasPartialLine() {
         return !buffer.isEmpty();
     }
+
+    /** Bytes of memory that an incomplete line takes; 0 if there is none. */
+    long incompleteBytes() {
+        return buffer.isEmpty() ? 0 : buffer.capacity();
+    }
 }
--- a/src/main/java/dockshed/hls/HlsConnection.java
+++ b/src/main/java/dockshed/hls/HlsConnection.java
@@ -23,6 +23,8 @@
     static final int MAX_REQUEST_BYTES = 16 * 1024;
     /** A connection without a request in progress is closed after this time. */
     static final long IDLE_TIMEOUT_US = 30_000_000;
+    /** Time within which a request must be complete, from its first byte. */
+    static final long REQUEST_TIMEOUT_US = 2_000_000;
     /** Requests of one connection that may wait while an earlier one is answered. */
     private static final int MAX_PIPELINED_REQUESTS = 32;
 
@@ -47,6 +49,7 @@
     private enum Verdict {
         HANDLE,
         REFUSE,
+        TIMED_OUT,
         MALFORMED
     }
 
@@ -54,9 +57,9 @@
     private record Waiting(Verdict verdict, HlsRequest request, long bytes) {
         private static final HlsRequest NONE = new HlsRequest("", "", "", false);
 
-        /** Stands for input that is not a request; it is answered after the requests before it. */
-        static Waiting malformed() {
-            return new Waiting(Verdict.MALFORMED, NONE, 0);
+        /** Stands for input that is not a whole request; it is answered after the requests before it. */
+        static Waiting unreadable(Verdict verdict) {
+            return new Waiting(verdict, NONE, 0);
         }
 
         static Waiting refused(boolean lastOnConnection) {
@@ -74,12 +77,13 @@
     private boolean answering;
     private boolean closing;
     private long lastUsedUs;
+    private TimerQueue.Timer requestTimeout; // null: no request is incomplete
 
     HlsConnection(RequestHandler requestHandler, Clock clock, TimerQueue timers, InputBudget budget) {
         this.requestHandler = requestHandler;
         this.clock = clock;
         this.timers = timers;
-        memory = budget.open(() -> {});
+        memory = budget.open(this::dropRequest);
     }
 
     @Override
@@ -100,19 +104,56 @@
         decoder.add(bytes, 0, bytes.length);
         try {
             for (HttpStyleMessage message = decoder.next(); message != null; message = decoder.next()) {
+                requestCompleted();
                 enqueue(HlsRequest.of(message));
                 if (waiting.size() > MAX_PIPELINED_REQUESTS) {
                     throw new HttpStyleMessage.MalformedMessageException("too many pipelined requests");
                 }
             }
+            awaitRest();
         } catch (HttpStyleMessage.MalformedMessageException e) {
             LOG.warn("HLS request malformed: remote={} why={}", channel.remoteAddress(), e.getMessage());
-            closing = true;
-            waiting.add(Waiting.malformed());
+            endInput(Verdict.MALFORMED);
         }
         processNext();
     }
 
+    private void requestCompleted() {
+        timers.cancel(requestTimeout);
+        requestTimeout = null;
+        memory.setIncomplete(0); // what follows is another request
+    }
+
+    /** Limits time and memory of a request of which only a part has arrived. */
+    private void awaitRest() {
+        if (!decoder.hasPartialMessage()) {
+            return;
+        }
+        if (requestTimeout == null) {
+            requestTimeout = timers.schedule(clock.now() + REQUEST_TIMEOUT_US, dueAt -> {
+                LOG.info("HLS request not complete within the time limit: remote={}", channel.remoteAddress());
+                endInput(Verdict.TIMED_OUT);
+                processNext();
+            });
+        }
+        memory.setIncomplete(decoder.incompleteBytes());
+    }
+
+    /** There is no memory for the rest of a request. */
+    private void dropRequest() {
+        LOG.warn("HLS request dropped, too many are incomplete: remote={}", channel.remoteAddress());
+        endInput(Verdict.REFUSE);
+        processNext();
+    }
+
+    /** Takes no further input; the rest is answered after the requests before it, and the connection closed. */
+    private void endInput(Verdict verdict) {
+        closing = true;
+        requestCompleted();
+        decoder.clear();
+        waiting.add(Waiting.unreadable(verdict));
+    }
+
     private void enqueue(HlsRequest request) {
         long bytes = request.memoryBytes();
         waiting.add(
@@ -133,7 +174,8 @@
     }
 
     private void processNext() {
-        Waiting next = answering ? null : waiting.poll();
+        // While the player does not read its responses, none is added to them.
+        Waiting next = answering || !channel.isWritable() ? null : waiting.poll();
         if (next == null) {
             return;
         }
@@ -145,6 +187,7 @@
         switch (next.verdict()) {
             case HANDLE -> requestHandler.handle(exchange, next.request());
             case REFUSE -> requestHandler.refuse(exchange);
+            case TIMED_OUT -> exchange.answerError(408, "Request Timeout");
             case MALFORMED -> exchange.answerError(400, "Bad Request");
         }
     }
@@ -153,19 +196,29 @@
     void write(byte[] bytes, boolean closeAfter) {
         answering = false;
         lastUsedUs = clock.now();
+        if (closeAfter) {
+            stop();
+        }
         var written = channel.writeAndFlush(Net.toByteBuf(bytes));
         if (closeAfter) {
             written.addListener(ChannelFutureListener.CLOSE);
-            stop();
         } else {
             channel.eventLoop().execute(this::processNext);
         }
     }
 
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+        super.channelWritabilityChanged(ctx);
+        processNext();
+    }
+
     /** Takes no further requests, and drops those that wait. */
     private void stop() {
         closing = true;
         waiting.clear();
+        decoder.clear();
+        requestCompleted();
         memory.close();
     }
 
--- a/src/main/java/dockshed/net/HttpFetch.java
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -19,12 +19,14 @@
     }
 
     private final Listener listener;
+    private final InputBudget.Account memory;
     private Channel channel;
     private boolean finished;
     private boolean written;
 
-    private HttpFetch(Listener listener) {
+    private HttpFetch(Listener listener, InputBudget budget) {
         this.listener = listener;
+        memory = budget.open(() -> fail(true, "too many responses are incomplete"));
     }
 
     /**
@@ -42,7 +44,7 @@
             int connectMillis,
             int maxBytes,
             Listener listener) {
-        HttpFetch fetch = new HttpFetch(listener);
+        HttpFetch fetch = new HttpFetch(listener, net.inputBudget());
         StringBuilder head = new StringBuilder("GET ")
                 .append(path)
                 .append(" HTTP/1.1\r\nHost: ")
@@ -70,6 +72,7 @@
     /** Closes the connection without calling the listener. */
     public void cancel() {
         finished = true;
+        memory.close();
         channel.close();
     }
 
@@ -106,6 +109,8 @@
                 if (message != null) {
                     cancel();
                     listener.onResponse(message);
+                } else {
+                    memory.setIncomplete(decoder.incompleteBytes());
                 }
             } catch (HttpStyleMessage.MalformedMessageException e) {
                 fail(true, e.getMessage());
--- a/src/main/java/dockshed/net/HttpStyleMessage.java
+++ b/src/main/java/dockshed/net/HttpStyleMessage.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * A message in the format that RTSP and HTTP/1.1 share: a start line, headers, an empty line and a body.
@@ -61,17 +62,28 @@
         return out;
     }
 
-    /** Parses a start line and headers. */
-    static HttpStyleMessage parse(String head, byte[] body) throws MalformedMessageException {
+    /** This message with only those of its headers that have one of these names, in lower case, and without its body. */
+    public HttpStyleMessage onlyHeaders(Set<String> names) {
+        Map<String, String> kept = new LinkedHashMap<>(headers);
+        kept.keySet().retainAll(names);
+        return new HttpStyleMessage(startLine, kept, new byte[0]);
+    }
+
+    /** Parses a start line and up to {@code maxLines} header lines. */
+    static HttpStyleMessage parse(String head, byte[] body, int maxLines) throws MalformedMessageException {
         Map<String, String> headers = new LinkedHashMap<>();
         int start = head.indexOf('\n') + 1;
         String startLine = start == 0 ? head : line(head, 0, start - 1);
+        int lines = 0;
         while (start < head.length()) {
             int feed = head.indexOf('\n', start);
             int end = feed < 0 ? head.length() : feed;
             String line = line(head, start, end);
             start = end + 1;
             if (!line.isEmpty()) {
+                if (++lines > maxLines) {
+                    throw new MalformedMessageException("more than " + maxLines + " header lines");
+                }
                 addHeader(headers, line);
             }
         }
--- a/src/main/java/dockshed/net/HttpStyleMessageDecoder.java
+++ b/src/main/java/dockshed/net/HttpStyleMessageDecoder.java
@@ -8,6 +8,8 @@
  * Content-Length says or is sent in chunks; a message without either has none. Trailers of a chunked body are ignored.
  */
 public final class HttpStyleMessageDecoder {
+    /** Most header lines of a message: parsed, a line takes many times its length, so the size alone is no limit. */
+    static final int MAX_HEADER_LINES = 128;
     /** Longest line with the size of a chunk, and longest trailer line. */
     private static final int MAX_CHUNK_LINE_BYTES = 256;
 
@@ -15,6 +17,7 @@
     private final ReceiveBuffer buffer = new ReceiveBuffer();
     private int scanIndex; // where the search for the end of the head continues
     private HttpStyleMessage head; // of the message whose body is being read; null: a head is next
+    private int headSize; // of that message
     private int bodyLength; // of that message; -1: chunked
     private ByteArrayOutputStream chunkedBody; // null: no chunk has arrived
     private int chunkRemaining = -1; // bytes of the current chunk, with its line end; -1: a size line is next
@@ -35,6 +38,23 @@
         return head != null || !buffer.isEmpty();
     }
 
+    /** Bytes of memory that an incomplete message takes; 0 if there is none. */
+    public long incompleteBytes() {
+        if (!hasPartialMessage()) {
+            return 0;
+        }
+        long body = chunkedBody == null ? 0 : chunkedBody.size();
+        return buffer.capacity() + headSize + body;
+    }
+
+    /** Drops what has arrived of a message; the decoder is of no further use. */
+    public void clear() {
+        buffer.clear();
+        head = null;
+        headSize = 0;
+        chunkedBody = null;
+    }
+
     /**
      * The next complete message, or null where more bytes are needed.
      *
@@ -66,6 +86,7 @@
     /** Prepares for the next message and returns the one that is complete. */
     private HttpStyleMessage finish(HttpStyleMessage complete) {
         head = null;
+        headSize = 0;
         scanIndex = 0;
         return complete;
     }
@@ -80,7 +101,7 @@
         if (size < 0) {
             return false;
         }
-        HttpStyleMessage read = HttpStyleMessage.parse(buffer.text(size), new byte[0]);
+        HttpStyleMessage read = HttpStyleMessage.parse(buffer.text(size), new byte[0], MAX_HEADER_LINES);
         buffer.consume(size);
         boolean chunked = read.header("transfer-encoding", "").equalsIgnoreCase("chunked");
         bodyLength = chunked ? -1 : bodyLength(read.header("content-length", "0"));
@@ -88,6 +109,7 @@
             throw new MalformedMessageException("message exceeds the limit");
         }
         head = read;
+        headSize = size;
         return true;
     }
 
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
@@ -41,6 +42,15 @@
     /** Reads of one connection before the others get their turn; Netty's own default. */
     private static final int MAX_READS_PER_TURN = 16;
 
+    /**
+     * Most bytes of one read: many connections are read in one turn of the event loop, and what is read is in memory
+     * until it is handled.
+     */
+    private static final int MAX_READ_BYTES = 16 * 1024;
+
+    private static final int MIN_READ_BYTES = 64;
+    private static final int INITIAL_READ_BYTES = 2048;
+
     /** Pause of accepting after a connection could not be accepted. */
     private static final int ACCEPT_RETRY_DELAY_MS = 20;
 
@@ -121,16 +131,17 @@
                 .childOption(ChannelOption.SO_KEEPALIVE, true) // frees the descriptor of a phone that vanished
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_BYTES)
                 .childHandler(initializer(handler));
-        if (allowHalfClosure) {
-            bootstrap
-                    .childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                    .childOption(
-                            ChannelOption.RCVBUF_ALLOCATOR,
-                            new AdaptiveRecvByteBufAllocator()
-                                    .respectMaybeMoreData(false)
-                                    .maxMessagesPerRead(MAX_READS_PER_TURN));
-        }
-        return bootstrap.bind(address);
+        return bootstrap
+                .childOption(ChannelOption.ALLOW_HALF_CLOSURE, allowHalfClosure)
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, receiveAllocator().respectMaybeMoreData(!allowHalfClosure))
+                .bind(address);
+    }
+
+    private static DefaultMaxMessagesRecvByteBufAllocator receiveAllocator() {
+        DefaultMaxMessagesRecvByteBufAllocator allocator =
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
+        allocator.maxMessagesPerRead(MAX_READS_PER_TURN);
+        return allocator;
     }
 
     /** The limit of the memory that input takes on this loop's connections. */
@@ -181,6 +192,7 @@
                 .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMillis)
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, WRITE_BUFFER_BYTES)
+                .option(ChannelOption.RCVBUF_ALLOCATOR, receiveAllocator())
                 .handler(initializer(handler))
                 .connect(to);
     }
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -10,6 +10,7 @@
 import dockshed.net.Clock;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
+import dockshed.net.InputBudget;
 import dockshed.net.Net;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -68,6 +69,7 @@
     private final Clock clock;
     private final TimerQueue timers;
     private final int maxConnections;
+    private final InputBudget inputBudget;
     private final Map<Long, Connection> connectionsByHandle = new HashMap<>();
     private final Set<Connection> openConnections = new LinkedHashSet<>(); // includes those that are ending
     /** Used only to round Retry-After, where predictable numbers do no harm, so any seed will do. */
@@ -80,9 +82,17 @@
      *
      * @param maxConnections number of viewers' connections from which older ones are closed to make room; viewers get a
      *     third of the file descriptors, the rest is left for other connections
+     * @param inputBudget limits the memory of what viewers have sent
      */
-    public RtspFront(Broker broker, ServerAdapter servers, Clock clock, TimerQueue timers, int maxConnections) {
+    public RtspFront(
+            Broker broker,
+            ServerAdapter servers,
+            Clock clock,
+            TimerQueue timers,
+            int maxConnections,
+            InputBudget inputBudget) {
         this.maxConnections = maxConnections;
+        this.inputBudget = inputBudget;
         this.broker = broker;
         this.servers = servers;
         this.clock = clock;
@@ -167,6 +177,7 @@
     /** A viewer's connection. */
     private final class Connection extends ByteHandler {
         private final HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(MAX_MESSAGE_BYTES);
+        private final InputBudget.Account memory = inputBudget.open(this::dropMessage);
         private final Set<String> openSetUps = new HashSet<>(); // names of sessions requested and not answered
         /**
          * Set-ups read but not yet passed to the broker, by session name. They wait until all received bytes have been
@@ -245,6 +256,10 @@
                 } else if (sentRequest && (completedAny || !startedEarlier)) {
                     pendingSinceUs = clock.now();
                 }
+                if (completedAny) {
+                    memory.setIncomplete(0); // what follows is another message
+                }
+                memory.setIncomplete(decoder.incompleteBytes());
             } catch (HttpStyleMessage.MalformedMessageException e) {
                 rejectMalformed(e.getMessage());
             }
@@ -320,6 +335,13 @@
             closeAfterAnswers();
         }
 
+        /** There is no memory for the rest of a message: refuses it, and closes as the input after it is unreadable. */
+        private void dropMessage() {
+            LOG.warn("viewer's message dropped, too many are incomplete: remote={}", channel.remoteAddress());
+            reply(channel, 503, "Service Unavailable", null);
+            closeAfterAnswers();
+        }
+
         /** Closes a connection on which no set-up is open; what is still unwritten is sent first. */
         private void closeUnused(String why) {
             LOG.debug("closing viewer's connection: remote={} why={}", channel.remoteAddress(), why);
@@ -343,7 +365,7 @@
             if (ending) {
                 return;
             }
-            ending = true;
+            stopInput();
             pendingSinceUs = clock.now();
             channel.config().setAutoRead(true);
             if (!openSetUps.isEmpty()) {
@@ -378,9 +400,16 @@
             });
         }
 
+        /** Accepts no further input, and drops what has arrived of a message. */
+        private void stopInput() {
+            ending = true;
+            decoder.clear();
+            memory.close();
+        }
+
         /** Removes the connection and cancels its open set-ups: its viewer has its answers or has disconnected. */
         private void detach() {
-            ending = true;
+            stopInput();
             openConnections.remove(this);
             if (connectionsByHandle.remove(handle, this)) {
                 openSetUps.clear();
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -20,6 +20,7 @@
 import dockshed.net.InputBudget;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
@@ -498,6 +499,33 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void requestThatIsNotCompletedInTimeIsAnsweredAndItsConnectionClosed() throws Exception {
+        // Guards against players that stop half way through a request and hold its memory.
+        long[] now = {0};
+        TimerQueue ownTimers = new TimerQueue(wakeAt -> {});
+        HlsFront ownFront = new HlsFront(
+                broker,
+                edgeServers,
+                () -> now[0],
+                ownTimers,
+                harness.settings,
+                60_000_000,
+                50,
+                InputBudget.unlimited(),
+                1);
+        EmbeddedChannel channel = new EmbeddedChannel(ownFront.accept());
+        channel.writeInbound(Net.toByteBuf("GET /a HTTP/1.1\r\n".getBytes(StandardCharsets.UTF_8)));
+        now[0] = HlsConnection.REQUEST_TIMEOUT_US - 1;
+        ownTimers.runDue(now[0]);
+        assertTrue(channel.isOpen());
+        now[0] = HlsConnection.REQUEST_TIMEOUT_US;
+        ownTimers.runDue(now[0]);
+        ByteBuf response = channel.readOutbound();
+        assertTrue(response.toString(StandardCharsets.UTF_8).startsWith("HTTP/1.1 408 "));
+        assertFalse(channel.isOpen());
+    }
+
     @Test
     void lostEdgeServerEndsItsSessions() throws Exception {
         String uri = uris(get(lessonPath("paid", "v"))).get(0);
--- a/src/test/java/dockshed/net/HttpStyleMessageDecoderTest.java
+++ b/src/test/java/dockshed/net/HttpStyleMessageDecoderTest.java
@@ -148,4 +148,24 @@
                 .ofMaxSize(20)
                 .map(l -> String.join("", l));
     }
+
+    @Test
+    void aHeadOfTooManyLinesIsMalformed() throws Exception {
+        String line = "a:b\r\n";
+        String most = "A b c\r\n" + line.repeat(HttpStyleMessageDecoder.MAX_HEADER_LINES);
+        assertEquals(1, read(4000, bytes(most + "\r\n")).size());
+        assertThrows(HttpStyleMessage.MalformedMessageException.class, () -> read(4000, bytes(most + line + "\r\n")));
+    }
+
+    @Test
+    void onlyAnIncompleteMessageTakesMemory() throws Exception {
+        HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(100_000);
+        byte[] part = bytes("A b c\r\nContent-Length: 50000\r\n\r\n" + "x".repeat(40_000));
+        decoder.add(part, 0, part.length);
+        assertNull(decoder.next());
+        assertTrue(decoder.incompleteBytes() >= 40_000);
+        decoder.add(new byte[10_000], 0, 10_000);
+        assertEquals(50_000, decoder.next().body().length);
+        assertEquals(0, decoder.incompleteBytes());
+    }
 }
--- a/src/test/java/dockshed/rig/ConcurrentEndingsTest.java
+++ b/src/test/java/dockshed/rig/ConcurrentEndingsTest.java
@@ -10,6 +10,7 @@
 import dockshed.edge.EdgeServerConnections;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
+import dockshed.net.InputBudget;
 import dockshed.net.LoopBlocker;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
@@ -197,7 +198,7 @@
             edgeServers.updateAddresses(
                     Map.of("a", (InetSocketAddress) serverA.listener.getLocalSocketAddress(), "b", (InetSocketAddress)
                             serverB.listener.getLocalSocketAddress()));
-            return new RtspFront(broker, edgeServers, clock, timers, 10);
+            return new RtspFront(broker, edgeServers, clock, timers, 10, InputBudget.unlimited());
         });
         frontAddress = (InetSocketAddress)
                 net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept, () -> {}, true)
--- a/src/test/java/dockshed/rig/InputFloodTest.java
+++ b/src/test/java/dockshed/rig/InputFloodTest.java
@@ -16,6 +16,7 @@
 /** Clients that send more than the broker's heap can hold, against a broker process with the heap of the deploy file. */
 class InputFloodTest {
     private static final int CLIENTS = 160; // the HLS front takes 170
+    private static final int RTSP_CLIENTS = 380; // the RTSP front takes 384
     private static final int PIPELINED_REQUESTS = 32;
     private static final int LARGE_BYTES = 15_000; // a message holds 16 KiB at most
 
@@ -75,4 +76,31 @@
             assertNoMemoryError(broker);
         }
     }
+
+    @Test
+    void headsOfManyShortFieldsDoNotExhaustTheHeap() throws Exception {
+        // Guards against messages that take many times their length once parsed, held while their body is awaited.
+        try (FloodedBroker broker = new FloodedBroker(dir, true)) {
+            List<Socket> clients = broker.connect(broker.process.listenAddress(), RTSP_CLIENTS);
+            clients.addAll(broker.connect(broker.hlsAddress, CLIENTS));
+            for (int i = 0; i < clients.size(); i++) {
+                String startLine = i < RTSP_CLIENTS ? "OPTIONS rtsp://media/a RTSP/1.0" : "GET /a HTTP/1.1";
+                clients.get(i).getOutputStream().write(unfinishedMessage(startLine));
+            }
+            for (Socket client : clients) {
+                assertTrue(new FloodedBroker.Responses(client).next().status() >= 400);
+                client.close();
+            }
+            assertNoMemoryError(broker);
+        }
+    }
+
+    /** A message without its body, with as many short header lines as a message can hold. */
+    private static byte[] unfinishedMessage(String startLine) {
+        StringBuilder head = new StringBuilder(startLine).append("\r\nContent-Length: 100\r\n");
+        for (int i = 0; head.length() < LARGE_BYTES; i++) {
+            head.append(Integer.toString(i, Character.MAX_RADIX)).append(":\n");
+        }
+        return head.append("\r\n").toString().getBytes(StandardCharsets.US_ASCII);
+    }
 }
--- a/src/test/java/dockshed/rtsp/ConnectionModelTest.java
+++ b/src/test/java/dockshed/rtsp/ConnectionModelTest.java
@@ -5,6 +5,7 @@
 
 import dockshed.Director.Outcome;
 import dockshed.core.BrokerHarness;
+import dockshed.net.InputBudget;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -41,7 +42,8 @@
     }
 
     private final BrokerHarness harness = new BrokerHarness();
-    private final RtspFront front = new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 100);
+    private final RtspFront front =
+            new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 100, InputBudget.unlimited());
     private final List<EmbeddedChannel> channels = new ArrayList<>();
     private final Set<Integer> requesters = new HashSet<>(); // indexes of connections that have brought a set-up
     private final Map<String, Viewer> viewers = new LinkedHashMap<>();
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -8,6 +8,7 @@
 
 import dockshed.Director.Outcome;
 import dockshed.core.BrokerHarness;
+import dockshed.net.InputBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -19,7 +20,8 @@
 /** RTSP front with a harness for the broker's other sides, on channels without sockets. */
 class RtspFrontTest {
     private final BrokerHarness harness = new BrokerHarness();
-    private final RtspFront front = new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 3);
+    private final RtspFront front =
+            new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 3, InputBudget.unlimited());
     private final EmbeddedChannel channel = new EmbeddedChannel(front.accept());
 
     static String setUpMessage(String session, String extraHeaders) {
@@ -167,8 +169,9 @@
     void openSetUpIsAnsweredBeforeItsConnectionCloses() {
         for (String closingInput : connectionClosingInputs()) {
             BrokerHarness harness = new BrokerHarness();
-            EmbeddedChannel viewer = new EmbeddedChannel(
-                    new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 3).accept());
+            EmbeddedChannel viewer = new EmbeddedChannel(new RtspFront(
+                            harness.broker, harness, () -> harness.now, harness.timers, 3, InputBudget.unlimited())
+                    .accept());
             send(viewer, setUpMessage(sessionId(1), ""));
             send(viewer, closingInput);
             List<String> answers = received(viewer);
@@ -518,4 +521,23 @@
         assertEquals(1, RtspFront.retryAfterSeconds(1_999_999, 1_999_999, random), "never above the settings' maximum");
         assertEquals(0, RtspFront.retryAfterSeconds(500_000, 900_000, random), "the maximum is under a second");
     }
+
+    @Test
+    void ofTooManyIncompleteMessagesTheOldestIsRefused() {
+        // Guards against memory that clients fill by stopping half way through large messages.
+        RtspFront ownFront = new RtspFront(
+                harness.broker, harness, () -> harness.now, harness.timers, 10, new InputBudget(2 * 20_000));
+        EmbeddedChannel slow = new EmbeddedChannel(ownFront.accept());
+        EmbeddedChannel later = new EmbeddedChannel(ownFront.accept());
+        EmbeddedChannel usual = new EmbeddedChannel(ownFront.accept());
+        String half = "SETUP rtsp://media/a RTSP/1.0\r\nX: " + "x".repeat(9_000);
+        send(slow, half);
+        send(later, half);
+        assertEquals(List.of(), received(slow));
+        send(usual, "SETUP rtsp://media/a RTSP/1.0\r\nX: " + "x".repeat(5_000));
+        assertTrue(received(slow).get(0).startsWith("RTSP/1.0 503 "));
+        send(usual, "\r\nCSeq: 1\r\nContent-Length: 0\r\n\r\n");
+        assertTrue(received(usual).get(0).startsWith("RTSP/1.0 400 "), "complete, though without a session");
+        assertEquals(List.of(), received(later));
+    }
 }
