Move the notices of ended sessions out of Broker

Change: core.EndNotices holds the viewers' connections and the notices on them: which connection carries one, which are sent again, which wait. Broker calls it; what is sent is unchanged.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -40,11 +40,6 @@
     static final long DRAIN_MARGIN_US = 300_000;
     /** Most that a client deadline may be, as a multiple of its class's deadline; no real viewer asks for more. */
     private static final int MAX_CLIENT_DEADLINE_RATIO = 2;
-    /** Time for which an end notice that no connection could carry is kept for the next connection. */
-    static final long END_NOTICE_VALIDITY_US = 8_000_000;
-    /** An unconfirmed end notice is sent again if its connection closes within this time: it may not have arrived. */
-    static final long END_NOTICE_RESEND_WINDOW_US = 300_000;
-
     /** Time after which a server that is gone is removed from the table; no attempt lasts that long. */
     private static final long GONE_SERVER_RETENTION_US = 60_000_000;
 
@@ -109,34 +104,15 @@
         }
     }
 
-    /** The end of a session, of which its viewer has yet to be notified; discarded at {@code validUntil}. */
-    private record EndNotice(Front front, String name, Outcome outcome, long validUntil) {}
-
-    /** An end notice that was written to a connection and has not been confirmed. */
-    private record SentNotice(EndNotice notice, long sentAt) {}
-
-    /** A connection from viewers. */
-    private static final class Connection {
-        final Front front;
-        final ArrayDeque<SentNotice> sentNotices = new ArrayDeque<>();
-        long lastSetUpAt = -1; // time of the last set-up received on it; -1: none yet
-        boolean knownRead; // it carried a session or confirmed an end notice, so a viewer reads from it
-
-        Connection(Front front) {
-            this.front = front;
-        }
-    }
-
     private final Settings settings;
     private final Director director;
     private final Peers peers;
     private final TimerQueue timers;
     private final Map<String, SessionClass> classes = new HashMap<>();
     private final SlotTable<BrokerSession> sessions = new SlotTable<>();
-    private final SlotTable<Connection> connections = new SlotTable<>();
+    private final EndNotices endNotices = new EndNotices();
     private final Map<String, BrokerSession> sessionsByName = new HashMap<>();
     private final LinkedHashMap<String, ServerEntry> servers = new LinkedHashMap<>();
-    private final ArrayDeque<EndNotice> pendingNotices = new ArrayDeque<>();
     private final ArrayDeque<LongConsumer> eventQueue = new ArrayDeque<>();
     private boolean dispatching;
     private boolean shuttingDown;
@@ -214,47 +190,28 @@
 
     /** A connection from viewers has been opened; {@code onHandle} gets its handle before anything is sent on it. */
     public long connected(long now, Front front, LongConsumer onHandle) {
-        long handle = connections.add(new Connection(front));
-        onHandle.accept(handle);
+        long handle = endNotices.opened(front, onHandle);
         dispatch(now, director::connected);
         return handle;
     }
 
     /** Records a set-up on a connection. Viewers use that connection, so it is also sent the pending end notices. */
     private void recordSetUp(long now, long handle, boolean knownRead) {
-        Connection connection = connections.get(handle);
-        if (connection == null) {
-            return;
-        }
-        connection.lastSetUpAt = now;
-        connection.knownRead |= knownRead;
-        if (!pendingNotices.isEmpty()) {
-            dispatch(now, eventTime -> {
-                List<EndNotice> waiting = new ArrayList<>(pendingNotices);
-                pendingNotices.clear();
-                for (EndNotice notice : waiting) {
-                    if (notice.validUntil() > eventTime) {
-                        notifyEnd(notice, 0);
-                    }
-                }
-            });
+        if (endNotices.setUpReceived(now, handle, knownRead)) {
+            dispatch(now, endNotices::sendWaiting);
         }
     }
 
     /** A connection has been closed: cancels the requests that waited for an answer on it. */
     public void disconnected(long now, long connection) {
-        Connection closed = connections.remove(connection);
-        if (closed == null) {
+        LongConsumer sendLostNotices = endNotices.closed(connection);
+        if (sendLostNotices == null) {
             return;
         }
         dispatch(now, eventTime -> {
             sessionsWhere(session -> session.connection == connection && !session.active)
                     .forEach(this::cancelRequest);
-            for (SentNotice sent : closed.sentNotices) {
-                if (eventTime - sent.sentAt() < END_NOTICE_RESEND_WINDOW_US) {
-                    notifyEnd(sent.notice(), 0);
-                }
-            }
+            sendLostNotices.accept(eventTime);
         });
     }
 
@@ -283,11 +240,7 @@
 
     /** The viewer has confirmed the end notice of the session {@code name}. */
     public void endConfirmed(long handle, String name) {
-        Connection connection = connections.get(handle);
-        if (connection != null) {
-            connection.knownRead |=
-                    connection.sentNotices.removeIf(sent -> sent.notice().name().equals(name));
-        }
+        endNotices.confirmed(handle, name);
     }
 
     /**
@@ -408,10 +361,7 @@
             timers.cancel(session.clientDeadlineTimer);
             markAnswered(session);
             counts.served++;
-            Connection connection = connections.get(session.connection);
-            if (connection != null) {
-                connection.knownRead = true;
-            }
+            endNotices.sessionStarted(session.connection);
             activate(session, eventTime);
             session.front.served(
                     session.connection,
@@ -438,9 +388,7 @@
             } else if (session.active) {
                 Outcome end = outcome == Outcome.OK || outcome == Outcome.CANCELLED ? outcome : Outcome.RESET;
                 if (end != Outcome.CANCELLED) {
-                    notifyEnd(
-                            new EndNotice(session.front, name, end, eventTime + END_NOTICE_VALIDITY_US),
-                            session.connection);
+                    notifyEnd(session, end);
                 }
                 endSession(session, end, report);
             }
@@ -481,13 +429,7 @@
                 LOG.warn("server process lost, ending its sessions: id={} sessions={}", server, lost.size());
             }
             for (BrokerSession session : lost) {
-                notifyEnd(
-                        new EndNotice(
-                                session.front,
-                                session.request.name(),
-                                Outcome.RESET,
-                                eventTime + END_NOTICE_VALIDITY_US),
-                        session.connection);
+                notifyEnd(session, Outcome.RESET);
                 endSession(session, Outcome.RESET, LoadReport.NONE);
             }
         });
@@ -614,13 +556,7 @@
             shuttingDown = true;
             for (BrokerSession session : sessionsWhere(candidate -> candidate.active)) {
                 session.adapter.release(session.server.id, session.request.name());
-                notifyEnd(
-                        new EndNotice(
-                                session.front,
-                                session.request.name(),
-                                Outcome.RESET,
-                                eventTime + END_NOTICE_VALIDITY_US),
-                        session.connection);
+                notifyEnd(session, Outcome.RESET);
                 endSession(session, Outcome.RESET, LoadReport.NONE);
             }
         });
@@ -745,14 +681,11 @@
             return;
         }
         counts.moved++;
-        long connection = findConnection(session.front, session.connection);
+        long connection = endNotices.findConnection(session.front, session.connection);
         if (connection != 0 || !session.front.needsConnection()) {
             session.front.moved(connection, session.request.name());
         } else {
-            notifyEnd(
-                    new EndNotice(
-                            session.front, session.request.name(), Outcome.RESET, currentTime + END_NOTICE_VALIDITY_US),
-                    0);
+            endNotices.notifyEnd(currentTime, session.front, session.request.name(), Outcome.RESET, 0);
         }
         session.adapter.release(session.server.id, session.request.name());
         eventQueue.add(eventTime -> endSession(session, Outcome.CANCELLED, LoadReport.NONE));
@@ -949,51 +882,8 @@
         session.front.renditionChanged(session.request.name(), session.rendition);
     }
 
-    /**
-     * Notifies a viewer of the end of its session: on the connection {@code own} if it is still open, else on another,
-     * else on the next one that brings a set-up.
-     */
-    private void notifyEnd(EndNotice notice, long own) {
-        if (!notice.front().needsConnection()) {
-            notice.front().sessionEnded(0, notice.name(), notice.outcome());
-            return;
-        }
-        long handle = findConnection(notice.front(), own);
-        if (handle == 0) {
-            pendingNotices.add(notice);
-            return;
-        }
-        Connection connection = connections.get(handle);
-        while (!connection.sentNotices.isEmpty()
-                && currentTime - connection.sentNotices.peekFirst().sentAt() > END_NOTICE_RESEND_WINDOW_US) {
-            connection.sentNotices.removeFirst();
-        }
-        connection.sentNotices.add(new SentNotice(notice, currentTime));
-        notice.front().sessionEnded(handle, notice.name(), notice.outcome());
-    }
-
-    /**
-     * The connection {@code own} if it is still open, else that with the latest set-up, preferring those known to be
-     * read; 0 if there is none. A connection that never brought a set-up is not used: it may be held open by a
-     * program that does not read from it.
-     */
-    private long findConnection(Front front, long own) {
-        if (connections.get(own) != null) {
-            return own;
-        }
-        long[] found = {0};
-        Connection[] best = {null};
-        connections.forEachWithHandle((handle, connection) -> {
-            if (connection.front == front
-                    && connection.lastSetUpAt >= 0
-                    && (best[0] == null
-                            || (connection.knownRead == best[0].knownRead
-                                    ? connection.lastSetUpAt >= best[0].lastSetUpAt
-                                    : connection.knownRead))) {
-                found[0] = handle;
-                best[0] = connection;
-            }
-        });
-        return found[0];
+    /** Notifies a viewer of the end of its session. */
+    private void notifyEnd(BrokerSession session, Outcome outcome) {
+        endNotices.notifyEnd(currentTime, session.front, session.request.name(), outcome, session.connection);
     }
 }
