Bound the memory of open set-ups over all RTSP connections

Cause: 512 open set-ups a connection on 384 connections, each with up to 16 KB of description held twice, and no limit for all of them; a session kept its description until its end.

Change: an open set-up counts against InputBudget (SetUpReservations); without room it is refused with the longest return time, and so is one beyond the 512 of a connection. The description goes once the set-up is answered, the encoded message once it is handed over.

Measured: RtspFrontTest.setUpsBeyondTheMemoryForThemAreRefusedAndOthersStillTaken failed before ("taken: 20" of 20 with a budget for six) and passes; tests of core, rtsp, edge and hls pass.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -55,7 +55,7 @@
     private static final class BrokerSession {
         long handle;
         String id;
-        final SessionRequest request;
+        SessionRequest request;
         final Front front;
         final ServerAdapter adapter;
         final SessionClass sessionClass;
@@ -360,6 +360,7 @@
             timers.cancel(session.attemptTimer);
             timers.cancel(session.clientDeadlineTimer);
             markAnswered(session);
+            session.request = session.request.withoutDescription();
             counts.served++;
             endNotices.sessionStarted(session.connection);
             activate(session, eventTime);
--- a/src/main/java/dockshed/core/SessionRequest.java
+++ b/src/main/java/dockshed/core/SessionRequest.java
@@ -34,6 +34,24 @@
         boolean returning,
         String description) {
 
+    /** This request as it is kept once it is answered: no further attempt needs the description. */
+    SessionRequest withoutDescription() {
+        return new SessionRequest(
+                name,
+                className,
+                viewer,
+                title,
+                clientDeadline,
+                expectedDuration,
+                homeCell,
+                copies,
+                highestRendition,
+                retry,
+                afterMove,
+                returning,
+                "");
+    }
+
     /** This request as the decision module is given it, under the broker's id of it. */
     Director.Request toDirectorRequest(String id) {
         return new Director.Request(
--- a/src/main/java/dockshed/edge/EdgeServerConnection.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnection.java
@@ -7,6 +7,7 @@
 import dockshed.net.Clock;
 import dockshed.net.InputBudget;
 import dockshed.net.Net;
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -55,7 +56,7 @@
 
     /** A set-up that is assigned to a connection and not answered yet. */
     static final class PendingSetUp {
-        final byte[] bytes;
+        byte[] bytes; // null once handed over
         boolean handedOver; // to the channel, which may still buffer it
         boolean written; // completely, to the operating system
         long handedOverAt = Long.MAX_VALUE;
@@ -238,8 +239,9 @@
         lastUsedAt = context.clock().now();
         attempt.handedOverAt = lastUsedAt;
         attempt.handedOver = true;
-        writePendingAfter(channel.writeAndFlush(Net.toByteBuf(attempt.bytes))
-                .addListener(done -> attempt.written |= done.isSuccess()));
+        ByteBuf message = Net.toByteBuf(attempt.bytes);
+        attempt.bytes = null;
+        writePendingAfter(channel.writeAndFlush(message).addListener(done -> attempt.written |= done.isSuccess()));
     }
 
     @Override
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -63,6 +63,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(RtspFront.class);
     private static final byte[] EMPTY_BODY = new byte[0];
+    /** Headers of a request that a reply repeats, by their names in lower case. */
+    private static final Set<String> REPEATED_HEADERS = Set.of("cseq", "session");
 
     private final Broker broker;
     private final ServerAdapter servers;
@@ -171,13 +173,14 @@
         return true;
     }
 
-    /** A parsed set-up with the message that it arrived in. */
+    /** A parsed set-up with the headers of its message that a reply repeats. */
     private record PendingSetUp(SessionRequest request, HttpStyleMessage message) {}
 
     /** A viewer's connection. */
     private final class Connection extends ByteHandler {
         private final HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(MAX_MESSAGE_BYTES);
         private final InputBudget.Account memory = inputBudget.open(this::dropMessage);
+        private final SetUpReservations reservations = new SetUpReservations(memory);
         private final Set<String> openSetUps = new HashSet<>(); // names of sessions requested and not answered
         /**
          * Set-ups read but not yet passed to the broker, by session name. They wait until all received bytes have been
@@ -288,10 +291,21 @@
          * read, so each of them is answered.
          */
         private void refusePending() {
-            pendingSetUps.keySet().forEach(name -> refused(handle, name, broker.maxRetryAfter()));
+            pendingSetUps.keySet().forEach(this::refuse);
             pendingSetUps.clear();
         }
 
+        /** A set-up is answered or taken back. */
+        private void setUpClosed(String name) {
+            openSetUps.remove(name);
+            reservations.release(name);
+        }
+
+        /** Refuses a set-up that was not passed to the broker. */
+        private void refuse(String name) {
+            refused(handle, name, broker.maxRetryAfter());
+        }
+
         /**
          * The viewer has closed its output. A half-close cannot be distinguished from a full close, so no further
          * attempt is made for it, and its open set-ups are answered at once, before our side is closed.
@@ -404,13 +418,14 @@
         private void stopInput() {
             ending = true;
             decoder.clear();
-            memory.close();
+            memory.setIncomplete(0);
         }
 
         /** Removes the connection and cancels its open set-ups: its viewer has its answers or has disconnected. */
         private void detach() {
             stopInput();
             openConnections.remove(this);
+            reservations.releaseAll();
             if (connectionsByHandle.remove(handle, this)) {
                 openSetUps.clear();
                 broker.disconnected(clock.now(), handle);
@@ -466,6 +481,8 @@
                 broker.trace().add(clock.now(), session, "torn-down", message.header("reason"));
                 if (connection.pendingSetUps.remove(session) == null) {
                     broker.cancel(clock.now(), session);
+                } else {
+                    connection.reservations.release(session);
                 }
                 reply(channel, 200, "OK", message);
             }
@@ -497,10 +514,6 @@
             connection.closeAfterAnswers();
             return;
         }
-        if (connection.openSetUps.size() + connection.pendingSetUps.size() >= MAX_OPEN_SET_UPS) {
-            answer(connection, request.name(), 503, "Service Unavailable", EMPTY_BODY, Map.of());
-            return;
-        }
         connection.sentSetUp = true;
         if (setUp.playingServer() != null) {
             if (!broker.adoptSession(clock.now(), connection.handle, this, servers, request, setUp.playingServer())) {
@@ -509,7 +522,12 @@
             }
             return;
         }
-        connection.pendingSetUps.put(request.name(), new PendingSetUp(request, message));
+        if (connection.openSetUps.size() + connection.pendingSetUps.size() >= MAX_OPEN_SET_UPS
+                || !connection.reservations.reserve(request.name(), message)) {
+            connection.refuse(request.name());
+            return;
+        }
+        connection.pendingSetUps.put(request.name(), new PendingSetUp(request, message.onlyHeaders(REPEATED_HEADERS)));
     }
 
     private void requestSession(Connection connection, PendingSetUp setUp) {
@@ -518,7 +536,7 @@
         broker.trace().add(clock.now(), request.name(), "taken", request.className());
         LOG.debug("set-up accepted: session={} remote={}", request.name(), connection.channel.remoteAddress());
         if (!broker.request(clock.now(), connection.handle, this, servers, request)) {
-            connection.openSetUps.remove(request.name());
+            connection.setUpClosed(request.name());
             connection.rejectSetUp(
                     "session is in use already, Priority-Class is unknown, or a number is out of range",
                     setUp.message());
@@ -573,7 +591,7 @@
     public void setUpCancelled(long connection, String name) {
         Connection c = connectionsByHandle.get(connection);
         if (c != null) {
-            c.openSetUps.remove(name);
+            c.setUpClosed(name);
             c.closeOutputOnceAnswered();
         }
     }
@@ -607,7 +625,7 @@
             String phrase,
             byte[] body,
             Map<String, String> extraHeaders) {
-        connection.openSetUps.remove(name);
+        connection.setUpClosed(name);
         connection.lastUsedUs = clock.now();
         broker.trace().add(connection.lastUsedUs, name, "answered", phrase);
         Map<String, String> headers = new LinkedHashMap<>();
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -540,4 +540,34 @@
         assertTrue(received(usual).get(0).startsWith("RTSP/1.0 400 "), "complete, though without a session");
         assertEquals(List.of(), received(later));
     }
+
+    @Test
+    void setUpsBeyondTheMemoryForThemAreRefusedAndOthersStillTaken() {
+        // Guards against a heap full of set-ups with large descriptions that wait for their edge servers.
+        RtspFront ownFront = new RtspFront(
+                harness.broker, harness, () -> harness.now, harness.timers, 10, new InputBudget(2 * 200_000));
+        EmbeddedChannel heavy = new EmbeddedChannel(ownFront.accept());
+        String description = "d".repeat(15_000) + "\n";
+        for (int i = 1; i <= 20; i++) {
+            send(
+                    heavy,
+                    setUpMessage(sessionId(i), "")
+                            .replace(
+                                    "Content-Length: 9\r\n\r\nabc\r\nd=e\n",
+                                    "Content-Length: 15001\r\n\r\n" + description));
+        }
+        List<String> refused = received(heavy);
+        assertEquals(20, refused.size() + harness.count("server a setUp"));
+        assertTrue(harness.count("server a setUp") <= 200_000 / 30_000, "taken: " + harness.log.size());
+        assertTrue(refused.stream()
+                .allMatch(answer -> answer.startsWith("RTSP/1.0 503 ") && answer.contains("P-Back-Off: ")));
+        EmbeddedChannel usual = new EmbeddedChannel(ownFront.accept());
+        send(usual, setUpMessage(sessionId(99), ""));
+        harness.broker.setUpAnswered(harness.now, "a", sessionId(99), "x");
+        assertTrue(received(usual).get(0).startsWith("RTSP/1.0 200 "));
+        harness.advance(3 * SECOND_US); // those taken are answered, and their memory is free again
+        received(heavy);
+        send(heavy, setUpMessage(sessionId(100), ""));
+        assertEquals(List.of(), received(heavy));
+    }
 }
