Bound the names that requests and edge servers bring into tables

Callers saw: one client that sends TEARDOWNs under ever new names of 15 KB exhausts the heap; other connections are closed without an answer.

Cause: RequestTrace kept 4,096 steps with names and texts of any length (RequestTrace.add), 61 MB of a heap of 64; ids of viewers and HLS titles had no limit.

Change: steps under names of over 64 characters are not kept, longer texts are shortened; an id of a viewer or a title of over 256 characters is rejected with 400.

Measured: InputFloodTest.longNamesOfUnknownSessionsDoNotFillTheHeap failed before ("closed before the next message" of 6,000) and passes; tests of rtsp and hls and RequestTraceTest pass.

--- a/src/main/java/dockshed/core/RequestTrace.java
+++ b/src/main/java/dockshed/core/RequestTrace.java
@@ -5,12 +5,17 @@
 
 /**
  * Ring buffer of the latest steps of all requests. Recording a step costs a few stores; the steps of a request are
- * formatted and logged only if it fails. Times are in microseconds of the broker's clock. Not thread-safe.
+ * formatted and logged only if it fails. What is kept of a text is bounded, as peers may send any. Times are in microseconds of the broker's clock. Not thread-safe.
  */
 public final class RequestTrace {
     /** Most steps kept: those of the last ten seconds, at some tens of requests a second with eight steps each. */
     static final int MAX_STEPS = 4096;
 
+    /** Longest name whose steps are kept: a session's has 16 digits. */
+    static final int MAX_NAME_LENGTH = 64;
+    /** Longest part of a step or a detail that is kept. */
+    static final int MAX_TEXT_LENGTH = 64;
+
     private static final Logger LOG = LoggerFactory.getLogger("dockshed.core.Trail");
 
     private final long[] times = new long[MAX_STEPS];
@@ -20,19 +25,27 @@
     private int next;
 
     /**
-     * Records a step of a request. Nothing is copied; to keep this cheap, pass existing strings, and build none.
+     * Records a step of a request. Texts of usual length are not copied; to keep this cheap, pass existing strings, and
+     * build none.
      *
      * @param name   name of the session
      * @param detail may be null
      */
     public void add(long now, String name, String step, String detail) {
+        if (name.length() > MAX_NAME_LENGTH) {
+            return;
+        }
         times[next] = now;
         names[next] = name;
-        steps[next] = step;
-        details[next] = detail;
+        steps[next] = shortened(step);
+        details[next] = shortened(detail);
         next = (next + 1) % MAX_STEPS;
     }
 
+    private static String shortened(String text) {
+        return text == null || text.length() <= MAX_TEXT_LENGTH ? text : text.substring(0, MAX_TEXT_LENGTH);
+    }
+
     /**
      * The recorded steps of a request, oldest first, with the microseconds since the first of them, in the format
      * {@code taken+0 out(s-1)+210 ...}; empty if there are none.
--- a/src/main/java/dockshed/core/SessionRequest.java
+++ b/src/main/java/dockshed/core/SessionRequest.java
@@ -33,6 +33,10 @@
         boolean afterMove,
         boolean returning,
         String description) {
+    /** Longest id of a viewer: it is kept in tables. */
+    public static final int MAX_VIEWER_LENGTH = 256;
+    /** Longest title. */
+    public static final int MAX_TITLE_LENGTH = 256;
 
     /** This request as it is kept once it is answered: no further attempt needs the description. */
     SessionRequest withoutDescription() {
--- a/src/main/java/dockshed/hls/LessonRequestParser.java
+++ b/src/main/java/dockshed/hls/LessonRequestParser.java
@@ -40,6 +40,10 @@
             throw new IllegalArgumentException(
                     "title or query parameter viewer is missing, or class is missing or unknown");
         }
+        if (title.length() > SessionRequest.MAX_TITLE_LENGTH || viewer.length() > SessionRequest.MAX_VIEWER_LENGTH) {
+            throw new IllegalArgumentException("title: expected at most " + SessionRequest.MAX_TITLE_LENGTH
+                    + " characters, and viewer at most " + SessionRequest.MAX_VIEWER_LENGTH);
+        }
         long clientDeadline =
                 Math.min(sessionClass.deadline(), microsFromMillis(query, "expires_ms", sessionClass.deadline()));
         if (clientDeadline <= 0) {
--- a/src/main/java/dockshed/rtsp/SetUpMessage.java
+++ b/src/main/java/dockshed/rtsp/SetUpMessage.java
@@ -17,7 +17,7 @@
  */
 record SetUpMessage(SessionRequest request, String playingServer) {
     private static final String MEDIA_URI_PREFIX = "rtsp://media/";
-    private static final Pattern TITLE_PATTERN = Pattern.compile("[!-~]{1,256}");
+    private static final Pattern TITLE_PATTERN = Pattern.compile("[!-~]{1," + SessionRequest.MAX_TITLE_LENGTH + "}");
     private static final Pattern WHOLE_NUMBER = Pattern.compile("[0-9]{1,6}");
     private static final Pattern DECIMAL_NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
 
@@ -36,10 +36,15 @@
                     "title in the request address: expected 1 to 256 printable ASCII characters without spaces");
         }
         Map<String, String> info = parsePairs(message.header("p-trunk-info", ""));
+        String viewer = info.getOrDefault("viewer", "");
+        if (viewer.length() > SessionRequest.MAX_VIEWER_LENGTH) {
+            throw new IllegalArgumentException(
+                    "field viewer: expected at most " + SessionRequest.MAX_VIEWER_LENGTH + " characters");
+        }
         SessionRequest request = new SessionRequest(
                 session,
                 message.header("priority-class", ""),
-                info.getOrDefault("viewer", ""),
+                viewer,
                 title,
                 microsFromMillis(message, "expires-ms"),
                 microsFromMillis(message, "expected-ms"),
--- a/src/test/java/dockshed/core/RequestTraceTest.java
+++ b/src/test/java/dockshed/core/RequestTraceTest.java
@@ -1,6 +1,7 @@
 package dockshed.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -20,4 +21,15 @@
         trace.add(9999, "c", "taken", null);
         assertEquals("", trace.stepsOf("a"));
     }
+
+    @Test
+    void longTextsAreNotKept() {
+        // Guards against a trace full of whole messages that a client has sent as the name of a session.
+        RequestTrace trace = new RequestTrace();
+        String longName = "a".repeat(RequestTrace.MAX_NAME_LENGTH + 1);
+        trace.add(1, longName, "torn-down", null);
+        assertEquals("", trace.stepsOf(longName));
+        trace.add(1, "b", "s".repeat(1000), "d".repeat(1000));
+        assertTrue(trace.stepsOf("b").length() <= 2 * RequestTrace.MAX_TEXT_LENGTH + 10, trace.stepsOf("b"));
+    }
 }
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -12,6 +12,7 @@
 import dockshed.config.HlsConfig;
 import dockshed.core.Broker;
 import dockshed.core.BrokerHarness;
+import dockshed.core.SessionRequest;
 import dockshed.core.TimerQueue;
 import dockshed.eureka.EurekaClient;
 import dockshed.load.LoadReporter;
@@ -526,6 +527,18 @@
         assertFalse(channel.isOpen());
     }
 
+    @Test
+    void viewerOrTitleThatIsTooLongForTablesIsRejected() throws Exception {
+        // Guards against tables that keep names as long as a message.
+        String longName = "v".repeat(SessionRequest.MAX_VIEWER_LENGTH + 1);
+        assertEquals(400, get(lessonPath("paid", longName)).status());
+        assertEquals(
+                400,
+                get(lessonPath("paid", "v").replaceFirst("/lessons/[^/]*", "/lessons/" + longName))
+                        .status());
+        assertEquals(0, requests.size());
+    }
+
     @Test
     void lostEdgeServerEndsItsSessions() throws Exception {
         String uri = uris(get(lessonPath("paid", "v"))).get(0);
--- a/src/test/java/dockshed/rig/InputFloodTest.java
+++ b/src/test/java/dockshed/rig/InputFloodTest.java
@@ -18,6 +18,7 @@
     private static final int CLIENTS = 160; // the HLS front takes 170
     private static final int RTSP_CLIENTS = 380; // the RTSP front takes 384
     private static final int PIPELINED_REQUESTS = 32;
+    private static final int TEARDOWNS = 6000; // more than the trace of requests has steps
     private static final int LARGE_BYTES = 15_000; // a message holds 16 KiB at most
 
     @TempDir
@@ -95,6 +96,29 @@
         }
     }
 
+    @Test
+    void longNamesOfUnknownSessionsDoNotFillTheHeap() throws Exception {
+        // Guards against tables that keep names as long as a message, under ever new names of one client.
+        try (FloodedBroker broker = new FloodedBroker(dir, false)) {
+            Socket client = broker.connect(broker.process.listenAddress(), 1).get(0);
+            Future<Integer> written = broker.start(() -> {
+                for (int i = 0; i < TEARDOWNS; i++) {
+                    client.getOutputStream()
+                            .write(("TEARDOWN rtsp://media/a RTSP/1.0\r\nCSeq: 2\r\nSession: " + i
+                                            + "x".repeat(LARGE_BYTES) + "\r\nContent-Length: 0\r\n\r\n")
+                                    .getBytes(StandardCharsets.US_ASCII));
+                }
+                return TEARDOWNS;
+            });
+            FloodedBroker.Responses responses = new FloodedBroker.Responses(client);
+            for (int i = 0; i < TEARDOWNS; i++) {
+                assertEquals(200, responses.next().status());
+            }
+            assertEquals(TEARDOWNS, written.get());
+            assertNoMemoryError(broker);
+        }
+    }
+
     /** A message without its body, with as many short header lines as a message can hold. */
     private static byte[] unfinishedMessage(String startLine) {
         StringBuilder head = new StringBuilder(startLine).append("\r\nContent-Length: 100\r\n");
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -8,6 +8,7 @@
 
 import dockshed.Director.Outcome;
 import dockshed.core.BrokerHarness;
+import dockshed.core.SessionRequest;
 import dockshed.net.InputBudget;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -570,4 +571,15 @@
         send(heavy, setUpMessage(sessionId(100), ""));
         assertEquals(List.of(), received(heavy));
     }
+
+    @Test
+    void viewerIdThatIsTooLongForTablesIsRejected() {
+        // Guards against histories of viewers that keep ids as long as a message.
+        String longest = "v".repeat(SessionRequest.MAX_VIEWER_LENGTH);
+        send(channel, setUpMessage(sessionId(1), "P-Trunk-Info: home:0;copies:3;top:2;viewer:" + longest + "\r\n"));
+        assertEquals(1, harness.count("server a setUp"));
+        send(channel, setUpMessage(sessionId(2), "P-Trunk-Info: home:0;copies:3;top:2;viewer:" + longest + "v\r\n"));
+        assertTrue(received(channel).get(0).startsWith("RTSP/1.0 400 "));
+        assertEquals(1, harness.count("server a setUp"));
+    }
 }
