Handle the messages of a connection in turns of bounded size

Callers saw: while one client sends small messages at full speed, other viewers are answered up to 3.5 s late.

Cause: all that a turn of the event loop read from one connection, up to a megabyte or 15,000 messages, was handled in that turn (RtspFront.Connection.onBytes, EdgeServerConnection.onBytes), and each answer that could not be written to a closed client searched the trace and was logged.

Failed requests are logged 20 times a second at most; a description is checked in one pass.

--- a/src/main/java/dockshed/Wiring.java
+++ b/src/main/java/dockshed/Wiring.java
@@ -121,7 +121,7 @@
                         ? ProbeCoordinator.STANDALONE
                         : new FleetHealthProber(
                                 settings.brokerNumber(), fleet::snapshot, fleet::offer, admission[0]::avoid));
-        rtspFront = new RtspFront(broker, edgeConnections, clock, timers, config.maxViewers(), net.inputBudget());
+        rtspFront = new RtspFront(broker, edgeConnections, clock, timers, config.maxViewers(), net.inputLimits());
     }
 
     /** Creates the rollout of shared configurations; IllegalStateException if its state cannot be read. */
@@ -288,7 +288,7 @@
                 settings,
                 hls.idleTimeout(),
                 config.maxSockets() / 6,
-                net.inputBudget(),
+                net.inputLimits(),
                 config.seed() ^ 0x5eed);
         if (!hls.servers().isEmpty()) {
             hlsServersChanged(ListScope.DISK, hls.servers());
--- a/src/main/java/dockshed/core/RequestTrace.java
+++ b/src/main/java/dockshed/core/RequestTrace.java
@@ -16,6 +16,11 @@
     /** Longest part of a step or a detail that is kept. */
     static final int MAX_TEXT_LENGTH = 64;
 
+    /** Most failures logged a second: each is searched for in the whole buffer, and may come by the thousand. */
+    static final int MAX_FAILURES_LOGGED_PER_S = 20;
+
+    private static final long SECOND_US = 1_000_000;
+
     private static final Logger LOG = LoggerFactory.getLogger("dockshed.core.Trail");
 
     private final long[] times = new long[MAX_STEPS];
@@ -23,6 +28,9 @@
     private final String[] steps = new String[MAX_STEPS];
     private final String[] details = new String[MAX_STEPS];
     private int next;
+    private long latestAt; // time of the latest step
+    private long failureSecond; // the second to which failuresLogged applies
+    private int failuresLogged;
 
     /**
      * Records a step of a request. Texts of usual length are not copied; to keep this cheap, pass existing strings, and
@@ -32,6 +40,7 @@
      * @param detail may be null
      */
     public void add(long now, String name, String step, String detail) {
+        latestAt = now;
         if (name.length() > MAX_NAME_LENGTH) {
             return;
         }
@@ -67,8 +76,19 @@
         return out.toString();
     }
 
-    /** Logs the failure of a request with its recorded steps. */
+    /** Logs the failure of a request with its recorded steps, unless too many have failed within this second. */
     public void logFailure(String name, String why) {
-        LOG.warn("request failed: session={} why={} steps={}", name, why, stepsOf(name));
+        if (mayLogFailure()) {
+            LOG.warn("request failed: session={} why={} steps={}", name, why, stepsOf(name));
+        }
+    }
+
+    /** Counts a failure; whether it is to be logged. */
+    boolean mayLogFailure() {
+        if (latestAt / SECOND_US != failureSecond) {
+            failureSecond = latestAt / SECOND_US;
+            failuresLogged = 0;
+        }
+        return failuresLogged++ < MAX_FAILURES_LOGGED_PER_S;
     }
 }
--- a/src/main/java/dockshed/edge/EdgeServerConnection.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnection.java
@@ -3,9 +3,9 @@
 import dockshed.Director.LoadReport;
 import dockshed.Director.Outcome;
 import dockshed.core.Broker;
-import dockshed.net.ByteHandler;
 import dockshed.net.Clock;
 import dockshed.net.InputBudget;
+import dockshed.net.MessageHandler;
 import dockshed.net.Net;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -23,7 +23,7 @@
  * belongs to, which alone opens and closes connections. Runs on the event loop's thread only. Times are Unix times and
  * durations in microseconds.
  */
-final class EdgeServerConnection extends ByteHandler implements ServerMessages.Source {
+final class EdgeServerConnection extends MessageHandler implements ServerMessages.Source {
     /** Told by its connections what happens on them. */
     interface Listener {
         /** The connection has come up; nothing was sent on it yet. */
@@ -100,9 +100,10 @@
     final boolean recoversReleases; // the server sends releases again on it that may have been lost
 
     EdgeServerConnection(ServerEntry entry, Context context) {
+        super(context.net().inputLimits().turns());
         this.entry = entry;
         this.context = context;
-        memory = context.net().inputBudget().open(this::dropMessage);
+        memory = context.net().inputLimits().memory().open(this::dropMessage);
         openedAt = context.clock().now();
         lastUsedAt = openedAt;
         lastReceivedAt = openedAt;
@@ -273,25 +274,39 @@
     }
 
     @Override
-    protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
-        if (ended) {
-            return;
-        }
+    protected boolean discardsInput(int byteCount) {
+        return ended;
+    }
+
+    @Override
+    protected void append(byte[] bytes) {
         lastUsedAt = context.clock().now();
         lastReceivedAt = lastUsedAt;
         entry.lastReceivedAt = lastUsedAt;
         unconfirmed = false;
         context.listener().onReceived(this);
         decoder.add(bytes);
+    }
+
+    @Override
+    protected boolean hasInput() {
+        return decoder.hasPartialLine();
+    }
+
+    @Override
+    protected boolean handleNext() {
+        if (ended) {
+            return false;
+        }
         try {
-            for (String line = decoder.next(); line != null && !ended; line = decoder.next()) {
-                memory.setIncomplete(0); // what follows is another message
-                if (!line.isBlank()) {
-                    context.messages().handle(this, Message.parse(line));
-                }
-            }
-            if (!ended) {
+            String line = decoder.next();
+            if (line == null) {
                 memory.setIncomplete(decoder.incompleteBytes());
+                return false;
+            }
+            memory.setIncomplete(0); // what follows is another message
+            if (!line.isBlank()) {
+                context.messages().handle(this, Message.parse(line));
             }
         } catch (LineDecoder.InvalidLineException | Message.MalformedMessageException e) {
             LOG.warn(
@@ -301,6 +316,7 @@
                     e.getMessage());
             context.listener().onMalformed(this);
         }
+        return !ended;
     }
 
     /** There is no memory for the rest of a message: the messages after it cannot be told apart any more. */
@@ -311,6 +327,7 @@
 
     @Override
     protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
+        handleRemaining();
         if (ended) {
             return;
         }
--- a/src/main/java/dockshed/hls/HlsConnection.java
+++ b/src/main/java/dockshed/hls/HlsConnection.java
@@ -1,11 +1,12 @@
 package dockshed.hls;
 
 import dockshed.core.TimerQueue;
-import dockshed.net.ByteHandler;
 import dockshed.net.Clock;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
 import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
+import dockshed.net.MessageHandler;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -18,7 +19,7 @@
  * A player's connection; its requests are answered one after the other. Those that wait count against the memory that
  * all connections share; one for which there is none left is refused in its turn.
  */
-final class HlsConnection extends ByteHandler {
+final class HlsConnection extends MessageHandler {
     /** Longest request in bytes, headers and body together. */
     static final int MAX_REQUEST_BYTES = 16 * 1024;
     /** A connection without a request in progress is closed after this time. */
@@ -79,11 +80,12 @@
     private long lastUsedUs;
     private TimerQueue.Timer requestTimeout; // null: no request is incomplete
 
-    HlsConnection(RequestHandler requestHandler, Clock clock, TimerQueue timers, InputBudget budget) {
+    HlsConnection(RequestHandler requestHandler, Clock clock, TimerQueue timers, InputLimits limits) {
+        super(limits.turns());
         this.requestHandler = requestHandler;
         this.clock = clock;
         this.timers = timers;
-        memory = budget.open(this::dropRequest);
+        memory = limits.memory().open(this::dropRequest);
     }
 
     @Override
@@ -97,24 +99,45 @@
     }
 
     @Override
-    protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
+    protected boolean discardsInput(int byteCount) {
+        return closing;
+    }
+
+    @Override
+    protected void append(byte[] bytes) {
+        decoder.add(bytes, 0, bytes.length);
+    }
+
+    @Override
+    protected boolean hasInput() {
+        return decoder.hasPartialMessage();
+    }
+
+    @Override
+    protected boolean handleNext() {
         if (closing) {
-            return;
+            return false;
         }
-        decoder.add(bytes, 0, bytes.length);
         try {
-            for (HttpStyleMessage message = decoder.next(); message != null; message = decoder.next()) {
-                requestCompleted();
-                enqueue(HlsRequest.of(message));
-                if (waiting.size() > MAX_PIPELINED_REQUESTS) {
-                    throw new HttpStyleMessage.MalformedMessageException("too many pipelined requests");
-                }
+            HttpStyleMessage message = decoder.next();
+            if (message == null) {
+                awaitRest();
+                return false;
+            }
+            requestCompleted();
+            enqueue(HlsRequest.of(message));
+            if (waiting.size() > MAX_PIPELINED_REQUESTS) {
+                throw new HttpStyleMessage.MalformedMessageException("too many pipelined requests");
             }
-            awaitRest();
         } catch (HttpStyleMessage.MalformedMessageException e) {
             LOG.warn("HLS request malformed: remote={} why={}", channel.remoteAddress(), e.getMessage());
             endInput(Verdict.MALFORMED);
         }
+        return !closing;
+    }
+
+    @Override
+    protected void onTurnEnded() {
         processNext();
     }
 
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -14,7 +14,7 @@
 import dockshed.net.Clock;
 import dockshed.net.HttpFetch;
 import dockshed.net.HttpStyleMessage;
-import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -48,7 +48,7 @@
     private final LessonRequestParser requestParser;
     private final long idleTimeoutUs;
     private final int maxConnections;
-    private final InputBudget inputBudget;
+    private final InputLimits inputLimits;
     private final Random random;
     private final Map<String, Session> sessions = new HashMap<>();
     private final Map<String, Session> sessionsByViewer = new HashMap<>(); // by Session.viewerKey
@@ -61,7 +61,7 @@
      * @param idleTimeoutUs microseconds from the end of the last fetched playlist's playing time until the session is
      *     ended if there was no other fetch
      * @param maxConnections open connections above which new ones are closed
-     * @param inputBudget limits the memory of requests that wait
+     * @param inputLimits of what players send
      * @param seed for the names of sessions
      */
     public HlsFront(
@@ -72,7 +72,7 @@
             Settings settings,
             long idleTimeoutUs,
             int maxConnections,
-            InputBudget inputBudget,
+            InputLimits inputLimits,
             long seed) {
         this.broker = broker;
         this.edgeServers = edgeServers;
@@ -80,7 +80,7 @@
         this.timers = timers;
         this.idleTimeoutUs = idleTimeoutUs;
         this.maxConnections = maxConnections;
-        this.inputBudget = inputBudget;
+        this.inputLimits = inputLimits;
         settings.classes().forEach(sessionClass -> classes.put(sessionClass.name(), sessionClass));
         requestParser = new LessonRequestParser(classes, settings.ladder().cells());
         random = new Random(seed);
@@ -111,7 +111,7 @@
 
     /** Returns the handler for a newly accepted connection. */
     public ByteHandler accept() {
-        return new HlsConnection(new ConnectionEvents(), clock, timers, inputBudget);
+        return new HlsConnection(new ConnectionEvents(), clock, timers, inputLimits);
     }
 
     /** What connections report. */
--- a/src/main/java/dockshed/net/ByteHandler.java
+++ b/src/main/java/dockshed/net/ByteHandler.java
@@ -1,10 +1,13 @@
 package dockshed.net;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import java.io.IOException;
+import java.util.EnumSet;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -15,6 +18,17 @@
 public abstract class ByteHandler extends ChannelInboundHandlerAdapter {
     private static final Logger LOG = LoggerFactory.getLogger(ByteHandler.class);
 
+    /** Why nothing is read from a connection. */
+    protected enum ReadPause {
+        /** The peer does not read what it is sent. */
+        PEER_DOES_NOT_READ,
+        /** Messages that were received are still to be handled. */
+        MESSAGES_LEFT,
+        /** The limit of what is read and discarded is reached. */
+        DISCARD_LIMIT
+    }
+
+    private final Set<ReadPause> readPauses = EnumSet.noneOf(ReadPause.class);
     /** Whether the connection failed with an I/O error, such as a reset, rather than being closed. */
     private boolean brokenOff;
 
@@ -78,7 +92,22 @@
     /** While a peer does not read what it is sent, nothing is read from it either. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-        ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+        setReadingPaused(
+                ctx.channel(), ReadPause.PEER_DOES_NOT_READ, !ctx.channel().isWritable());
+    }
+
+    /** Adds or removes a reason not to read; the connection is read while there is none. */
+    protected final void setReadingPaused(Channel channel, ReadPause reason, boolean paused) {
+        boolean changed = paused ? readPauses.add(reason) : readPauses.remove(reason);
+        if (changed) {
+            channel.config().setAutoRead(readPauses.isEmpty());
+        }
+    }
+
+    /** Reads on, whatever the reasons not to read. */
+    protected final void resumeReading(Channel channel) {
+        readPauses.clear();
+        channel.config().setAutoRead(true);
     }
 
     @Override
--- a/src/main/java/dockshed/net/HttpFetch.java
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -44,7 +44,7 @@
             int connectMillis,
             int maxBytes,
             Listener listener) {
-        HttpFetch fetch = new HttpFetch(listener, net.inputBudget());
+        HttpFetch fetch = new HttpFetch(listener, net.inputLimits().memory());
         StringBuilder head = new StringBuilder("GET ")
                 .append(path)
                 .append(" HTTP/1.1\r\nHost: ")
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -56,8 +56,8 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Net.class);
 
-    private final InputBudget inputBudget =
-            InputBudget.forHeap(Runtime.getRuntime().maxMemory());
+    private final InputLimits inputLimits =
+            InputLimits.forHeap(Runtime.getRuntime().maxMemory());
     private final NioEventLoopGroup group;
     private final Set<Channel> openChannels = new HashSet<>(); // connections; only used on the event loop
 
@@ -144,9 +144,15 @@
         return allocator;
     }
 
-    /** The limit of the memory that input takes on this loop's connections. */
-    public InputBudget inputBudget() {
-        return inputBudget;
+    /** What this loop's connections share for their input. */
+    public InputLimits inputLimits() {
+        return inputLimits;
+    }
+
+    /** Runs a task of the event loop once it has read from its connections again. */
+    static void inNextTurn(EventLoop loop, Runnable task) {
+        // A task that is due at once still belongs to this turn; one scheduled by it is run in the next.
+        loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
     }
 
     /** Whether the last read of a connection found that its peer has closed its output. */
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -11,6 +11,8 @@
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
 import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
+import dockshed.net.MessageHandler;
 import dockshed.net.Net;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -71,7 +73,7 @@
     private final Clock clock;
     private final TimerQueue timers;
     private final int maxConnections;
-    private final InputBudget inputBudget;
+    private final InputLimits inputLimits;
     private final Map<Long, Connection> connectionsByHandle = new HashMap<>();
     private final Set<Connection> openConnections = new LinkedHashSet<>(); // includes those that are ending
     /** Used only to round Retry-After, where predictable numbers do no harm, so any seed will do. */
@@ -84,7 +86,7 @@
      *
      * @param maxConnections number of viewers' connections from which older ones are closed to make room; viewers get a
      *     third of the file descriptors, the rest is left for other connections
-     * @param inputBudget limits the memory of what viewers have sent
+     * @param inputLimits of what viewers send
      */
     public RtspFront(
             Broker broker,
@@ -92,9 +94,9 @@
             Clock clock,
             TimerQueue timers,
             int maxConnections,
-            InputBudget inputBudget) {
+            InputLimits inputLimits) {
         this.maxConnections = maxConnections;
-        this.inputBudget = inputBudget;
+        this.inputLimits = inputLimits;
         this.broker = broker;
         this.servers = servers;
         this.clock = clock;
@@ -177,9 +179,9 @@
     private record PendingSetUp(SessionRequest request, HttpStyleMessage message) {}
 
     /** A viewer's connection. */
-    private final class Connection extends ByteHandler {
+    private final class Connection extends MessageHandler {
         private final HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(MAX_MESSAGE_BYTES);
-        private final InputBudget.Account memory = inputBudget.open(this::dropMessage);
+        private final InputBudget.Account memory = inputLimits.memory().open(this::dropMessage);
         private final SetUpReservations reservations = new SetUpReservations(memory);
         private final Set<String> openSetUps = new HashSet<>(); // names of sessions requested and not answered
         /**
@@ -200,6 +202,10 @@
         private long discardedBytes;
         private int faultyMessages;
 
+        Connection() {
+            super(inputLimits.turns());
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
@@ -233,43 +239,57 @@
                 if (outputClosed) {
                     channel.close();
                 } else {
-                    channel.config().setAutoRead(false); // reading resumes once the outstanding answers are written
+                    setReadingPaused(
+                            channel,
+                            ReadPause.DISCARD_LIMIT,
+                            true); // reading resumes once the outstanding answers are written
                 }
             }
             return ending;
         }
 
         @Override
-        protected void onBytes(ChannelHandlerContext ctx, byte[] bytes) {
-            boolean startedEarlier = decoder.hasPartialMessage();
+        protected void append(byte[] bytes) {
             decoder.add(bytes, 0, bytes.length);
+        }
+
+        @Override
+        protected boolean hasInput() {
+            return decoder.hasPartialMessage();
+        }
+
+        @Override
+        protected boolean handleNext() {
+            if (ending) {
+                return false;
+            }
             try {
-                boolean completedAny = false;
-                for (HttpStyleMessage message = decoder.next(); message != null; message = decoder.next()) {
-                    completedAny = true;
-                    sentRequest = true;
-                    lastUsedUs = clock.now();
-                    handleMessage(this, message);
-                    if (ending) {
-                        return;
-                    }
-                }
-                if (!decoder.hasPartialMessage()) {
-                    pendingSinceUs = sentRequest ? -1 : pendingSinceUs;
-                } else if (sentRequest && (completedAny || !startedEarlier)) {
-                    pendingSinceUs = clock.now();
+                HttpStyleMessage message = decoder.next();
+                if (message == null) {
+                    awaitRest();
+                    return false;
                 }
-                if (completedAny) {
-                    memory.setIncomplete(0); // what follows is another message
-                }
-                memory.setIncomplete(decoder.incompleteBytes());
+                sentRequest = true;
+                pendingSinceUs = -1;
+                memory.setIncomplete(0); // what follows is another message
+                lastUsedUs = clock.now();
+                handleMessage(this, message);
             } catch (HttpStyleMessage.MalformedMessageException e) {
                 rejectMalformed(e.getMessage());
             }
+            return !ending;
+        }
+
+        /** Limits time and memory of a message of which only a part has arrived. */
+        private void awaitRest() {
+            if (sentRequest && pendingSinceUs < 0 && decoder.hasPartialMessage()) {
+                pendingSinceUs = clock.now();
+            }
+            memory.setIncomplete(decoder.incompleteBytes());
         }
 
         @Override
-        protected void onReadComplete(ChannelHandlerContext ctx, boolean ended) {
+        protected void onInputHandled(boolean ended) {
             if (ended) {
                 refusePending();
             } else {
@@ -381,7 +401,7 @@
             }
             stopInput();
             pendingSinceUs = clock.now();
-            channel.config().setAutoRead(true);
+            resumeReading(channel);
             if (!openSetUps.isEmpty()) {
                 LOG.info(
                         "viewer's connection closes once its open set-ups are answered: remote={} open={}",
@@ -403,7 +423,7 @@
             outputClosed = true;
             openConnections.add(this);
             pendingSinceUs = clock.now();
-            channel.config().setAutoRead(true);
+            resumeReading(channel);
             // Waits for the writes before it, as shutting down the output discards whatever is still queued.
             channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(done -> {
                 if (channel instanceof DuplexChannel duplex) {
--- a/src/main/java/dockshed/rtsp/SetUpMessage.java
+++ b/src/main/java/dockshed/rtsp/SetUpMessage.java
@@ -64,23 +64,30 @@
 
     /** Returns the body as text; one that is truncated or not text cannot be passed to an edge server. */
     private static String description(HttpStyleMessage message) {
-        String text;
+        byte[] body = message.body();
+        boolean ascii = true;
+        for (byte value : body) {
+            ascii &= value >= 0;
+            if (value >= 0 && value < ' ' && value != '\r' && value != '\n' && value != '\t') {
+                throw new IllegalArgumentException(
+                        "description: control characters other than CR, LF and TAB are not allowed");
+            }
+        }
+        if (body.length == 0 || body[body.length - 1] != '\n') {
+            throw new IllegalArgumentException("description truncated: expected a line feed at its end");
+        }
+        return ascii ? new String(body, StandardCharsets.US_ASCII) : decode(body);
+    }
+
+    private static String decode(byte[] body) {
         try {
-            text = StandardCharsets.UTF_8
+            return StandardCharsets.UTF_8
                     .newDecoder()
-                    .decode(ByteBuffer.wrap(message.body()))
+                    .decode(ByteBuffer.wrap(body))
                     .toString();
         } catch (CharacterCodingException e) {
             throw new IllegalArgumentException("description: expected UTF-8 text");
         }
-        if (!text.endsWith("\n")) {
-            throw new IllegalArgumentException("description truncated: expected a line feed at its end");
-        }
-        if (text.chars().anyMatch(c -> c < ' ' && c != '\r' && c != '\n' && c != '\t')) {
-            throw new IllegalArgumentException(
-                    "description: control characters other than CR, LF and TAB are not allowed");
-        }
-        return text;
     }
 
     /** Parses {@code key:value;key:value}; parts without a key and a colon are ignored. */
--- a/src/test/java/dockshed/core/RequestTraceTest.java
+++ b/src/test/java/dockshed/core/RequestTraceTest.java
@@ -1,6 +1,7 @@
 package dockshed.core;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
@@ -32,4 +33,18 @@
         trace.add(1, "b", "s".repeat(1000), "d".repeat(1000));
         assertTrue(trace.stepsOf("b").length() <= 2 * RequestTrace.MAX_TEXT_LENGTH + 10, trace.stepsOf("b"));
     }
+
+    @Test
+    void failuresAreLoggedAtABoundedRate() {
+        // Guards against a log line, and a search of the whole trace, for each of thousands of answers to a closed
+        // client.
+        RequestTrace trace = new RequestTrace();
+        trace.add(1_000_000, "a", "taken", null);
+        for (int i = 0; i < RequestTrace.MAX_FAILURES_LOGGED_PER_S; i++) {
+            assertTrue(trace.mayLogFailure());
+        }
+        assertFalse(trace.mayLogFailure());
+        trace.add(2_000_000, "a", "answered", null);
+        assertTrue(trace.mayLogFailure());
+    }
 }
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -18,7 +18,7 @@
 import dockshed.load.LoadReporter;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
-import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
 import io.netty.buffer.ByteBuf;
@@ -150,7 +150,7 @@
                     harness.settings,
                     60_000_000,
                     50,
-                    net.inputBudget(),
+                    net.inputLimits(),
                     1);
             harness.onRequest = r -> {
                 requests.add(r.id());
@@ -487,7 +487,7 @@
                 harness.settings,
                 60_000_000,
                 50,
-                InputBudget.unlimited(),
+                InputLimits.unlimitedMemory(),
                 1);
         EmbeddedChannel channel = new EmbeddedChannel(ownFront.accept());
         now[0] = 20_000_000;
@@ -513,7 +513,7 @@
                 harness.settings,
                 60_000_000,
                 50,
-                InputBudget.unlimited(),
+                InputLimits.unlimitedMemory(),
                 1);
         EmbeddedChannel channel = new EmbeddedChannel(ownFront.accept());
         channel.writeInbound(Net.toByteBuf("GET /a HTTP/1.1\r\n".getBytes(StandardCharsets.UTF_8)));
--- a/src/test/java/dockshed/rig/ConcurrentEndingsTest.java
+++ b/src/test/java/dockshed/rig/ConcurrentEndingsTest.java
@@ -10,7 +10,7 @@
 import dockshed.edge.EdgeServerConnections;
 import dockshed.net.HttpStyleMessage;
 import dockshed.net.HttpStyleMessageDecoder;
-import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import dockshed.net.LoopBlocker;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
@@ -198,7 +198,7 @@
             edgeServers.updateAddresses(
                     Map.of("a", (InetSocketAddress) serverA.listener.getLocalSocketAddress(), "b", (InetSocketAddress)
                             serverB.listener.getLocalSocketAddress()));
-            return new RtspFront(broker, edgeServers, clock, timers, 10, InputBudget.unlimited());
+            return new RtspFront(broker, edgeServers, clock, timers, 10, InputLimits.unlimitedMemory());
         });
         frontAddress = (InetSocketAddress)
                 net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept, () -> {}, true)
--- a/src/test/java/dockshed/rtsp/ConnectionModelTest.java
+++ b/src/test/java/dockshed/rtsp/ConnectionModelTest.java
@@ -5,7 +5,7 @@
 
 import dockshed.Director.Outcome;
 import dockshed.core.BrokerHarness;
-import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import io.netty.channel.embedded.EmbeddedChannel;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -42,8 +42,8 @@
     }
 
     private final BrokerHarness harness = new BrokerHarness();
-    private final RtspFront front =
-            new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 100, InputBudget.unlimited());
+    private final RtspFront front = new RtspFront(
+            harness.broker, harness, () -> harness.now, harness.timers, 100, InputLimits.unlimitedMemory());
     private final List<EmbeddedChannel> channels = new ArrayList<>();
     private final Set<Integer> requesters = new HashSet<>(); // indexes of connections that have brought a set-up
     private final Map<String, Viewer> viewers = new LinkedHashMap<>();
--- a/src/test/java/dockshed/rtsp/RtspFrontTest.java
+++ b/src/test/java/dockshed/rtsp/RtspFrontTest.java
@@ -10,6 +10,7 @@
 import dockshed.core.BrokerHarness;
 import dockshed.core.SessionRequest;
 import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.embedded.EmbeddedChannel;
@@ -22,7 +23,7 @@
 class RtspFrontTest {
     private final BrokerHarness harness = new BrokerHarness();
     private final RtspFront front =
-            new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 3, InputBudget.unlimited());
+            new RtspFront(harness.broker, harness, () -> harness.now, harness.timers, 3, InputLimits.unlimitedMemory());
     private final EmbeddedChannel channel = new EmbeddedChannel(front.accept());
 
     static String setUpMessage(String session, String extraHeaders) {
@@ -171,7 +172,12 @@
         for (String closingInput : connectionClosingInputs()) {
             BrokerHarness harness = new BrokerHarness();
             EmbeddedChannel viewer = new EmbeddedChannel(new RtspFront(
-                            harness.broker, harness, () -> harness.now, harness.timers, 3, InputBudget.unlimited())
+                            harness.broker,
+                            harness,
+                            () -> harness.now,
+                            harness.timers,
+                            3,
+                            InputLimits.unlimitedMemory())
                     .accept());
             send(viewer, setUpMessage(sessionId(1), ""));
             send(viewer, closingInput);
@@ -527,7 +533,12 @@
     void ofTooManyIncompleteMessagesTheOldestIsRefused() {
         // Guards against memory that clients fill by stopping half way through large messages.
         RtspFront ownFront = new RtspFront(
-                harness.broker, harness, () -> harness.now, harness.timers, 10, new InputBudget(2 * 20_000));
+                harness.broker,
+                harness,
+                () -> harness.now,
+                harness.timers,
+                10,
+                new InputLimits(new InputBudget(2 * 20_000)));
         EmbeddedChannel slow = new EmbeddedChannel(ownFront.accept());
         EmbeddedChannel later = new EmbeddedChannel(ownFront.accept());
         EmbeddedChannel usual = new EmbeddedChannel(ownFront.accept());
@@ -546,7 +557,12 @@
     void setUpsBeyondTheMemoryForThemAreRefusedAndOthersStillTaken() {
         // Guards against a heap full of set-ups with large descriptions that wait for their edge servers.
         RtspFront ownFront = new RtspFront(
-                harness.broker, harness, () -> harness.now, harness.timers, 10, new InputBudget(2 * 200_000));
+                harness.broker,
+                harness,
+                () -> harness.now,
+                harness.timers,
+                10,
+                new InputLimits(new InputBudget(2 * 200_000)));
         EmbeddedChannel heavy = new EmbeddedChannel(ownFront.accept());
         String description = "d".repeat(15_000) + "\n";
         for (int i = 1; i <= 20; i++) {
--- a/src/test/java/dockshed/rtsp/ViewerDisconnectTest.java
+++ b/src/test/java/dockshed/rtsp/ViewerDisconnectTest.java
@@ -5,7 +5,7 @@
 
 import dockshed.core.BrokerHarness;
 import dockshed.core.TimerQueue;
-import dockshed.net.InputBudget;
+import dockshed.net.InputLimits;
 import dockshed.net.LoopBlocker;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
@@ -36,7 +36,7 @@
             LoopClock clock = new LoopClock(net.loop());
             TimerQueue timers = new TimerQueue(clock::wakeAt);
             clock.onWakeUp(timers::runDue);
-            return new RtspFront(harness.broker, harness, clock, timers, 10, InputBudget.unlimited());
+            return new RtspFront(harness.broker, harness, clock, timers, 10, InputLimits.unlimitedMemory());
         });
         address = (InetSocketAddress)
                 net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), front::accept, () -> {}, true)
