Fail a paid request that comes again under its id after it may have run

Callers saw: a paid lesson set up twice, at two edge servers, when a client left before the answer and sent the same set-up again.

Cause: the broker forgot a request once it was over (Broker.removeSession); only the pool of one edge server held its id back, for 5 s, and the second set-up went to another server.

Change: core.AtMostOnceHistory remembers names that may have run, of classes that must not run twice; one that comes again is failed at once. Each set-up has an id of its own, so no usual viewer is affected.

RepeatedRequestTest failed before (2 of 4) and passes; tests of core, rtsp and edge pass.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -46,8 +46,8 @@
     /** Most metrics that are kept for one set-up until its answer arrives; further ones are discarded. */
     private static final int MAX_EARLY_METRICS = 8;
 
-    /** Most log lines a second on cancelled requests: enough to find a single one, few enough to be safe in a flood. */
-    private static final int MAX_CANCEL_LOG_LINES_PER_S = 5;
+    /** Most log lines a second on cancelled or repeated requests: enough to find a single one, few enough to be safe in a flood. */
+    private static final int MAX_REQUEST_LOG_LINES_PER_S = 5;
 
     private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
 
@@ -111,14 +111,15 @@
     private final Map<String, SessionClass> classes = new HashMap<>();
     private final SlotTable<BrokerSession> sessions = new SlotTable<>();
     private final EndNotices endNotices = new EndNotices();
+    private final AtMostOnceHistory atMostOnceHistory = new AtMostOnceHistory();
     private final Map<String, BrokerSession> sessionsByName = new HashMap<>();
     private final LinkedHashMap<String, ServerEntry> servers = new LinkedHashMap<>();
     private final ArrayDeque<LongConsumer> eventQueue = new ArrayDeque<>();
     private boolean dispatching;
     private boolean shuttingDown;
     private long currentTime;
-    private long cancelLogSecond; // the second of currentTime to which cancelLogLines applies
-    private int cancelLogLines;
+    private long requestLogSecond; // the second to which requestLogLines applies
+    private int requestLogLines;
     private int unansweredRequests;
     private final Counts counts = new Counts();
     private final RequestTrace trace = new RequestTrace();
@@ -258,6 +259,15 @@
                 || request.clientDeadline() > MAX_CLIENT_DEADLINE_RATIO * sessionClass.deadline()) {
             return false;
         }
+        if (atMostOnceHistory.contains(now, request.name())) {
+            if (mayLogRequest(now)) {
+                LOG.warn("request failed, it came again and may have run before: session={}", request.name());
+            }
+            counts.requests++;
+            counts.failed++;
+            front.failed(connection, request.name(), false);
+            return true;
+        }
         if (shuttingDown) {
             counts.requests++;
             counts.refused++;
@@ -762,14 +772,18 @@
     private void closeRequest(BrokerSession session) {
         if (session.attemptPending) {
             session.attemptPending = false;
+            session.mayHaveRun = true;
             session.adapter.cancelSetUp(session.server.id, session.request.name());
         }
         markAnswered(session);
         removeSession(session);
     }
 
-    /** Removes a request or session with its timers. */
+    /** Removes a request or session with its timers; one that must not run twice is remembered if it may have run. */
     private void removeSession(BrokerSession session) {
+        if (session.mayHaveRun && session.sessionClass.effect() != Effect.SAFE) {
+            atMostOnceHistory.add(currentTime, session.request.name());
+        }
         timers.cancel(session.attemptTimer);
         timers.cancel(session.clientDeadlineTimer);
         sessions.remove(session.handle);
@@ -779,6 +793,7 @@
     /** Makes a request an active session. */
     private void activate(BrokerSession session, long now) {
         session.active = true;
+        session.mayHaveRun = true;
         session.activeSince = now;
         if (session.server.activeSessions.merge(session.adapter, 1, Integer::sum) == 1) {
             session.adapter.setHasActiveSessions(session.server.id, true);
@@ -823,13 +838,18 @@
         director.requestCancelled(currentTime, session.id);
     }
 
+    /** Counts a log line on a request that a client may send in a flood; whether it may be logged. */
+    private boolean mayLogRequest(long now) {
+        if (now / 1_000_000 != requestLogSecond) {
+            requestLogSecond = now / 1_000_000;
+            requestLogLines = 0;
+        }
+        return requestLogLines++ < MAX_REQUEST_LOG_LINES_PER_S;
+    }
+
     /** Logs a request cancelled unanswered, to distinguish it from one whose answer was lost. */
     private void logCancellation(BrokerSession session, String how) {
-        if (currentTime / 1_000_000 != cancelLogSecond) {
-            cancelLogSecond = currentTime / 1_000_000;
-            cancelLogLines = 0;
-        }
-        if (cancelLogLines++ < MAX_CANCEL_LOG_LINES_PER_S) {
+        if (mayLogRequest(currentTime)) {
             LOG.info(
                     "request cancelled unanswered: session={} how={} ms={} of={} attempts={} out={}",
                     session.request.name(),
