Pass requests on only once all input of their connection is read

Callers saw: set-ups of a client that had closed its connection reached edge servers afterwards.

Cause: set-ups wait for a close that may stand behind them, but one turn reads a connection 16 times at most, and what was read by then was taken for all there was (RtspFront.Connection.onReadComplete); the HLS front did not wait at all.

Change: MessageHandler reports the input as handled once a read has found nothing more, or the end, and looks again in the next turn otherwise. Both fronts pass requests on only then, the RTSP front after 100 ms at the latest.

--- a/src/main/java/dockshed/hls/HlsConnection.java
+++ b/src/main/java/dockshed/hls/HlsConnection.java
@@ -136,8 +136,12 @@
         return !closing;
     }
 
+    /** A request is handled only once all that has arrived is read: the end of the connection may follow it. */
     @Override
-    protected void onTurnEnded() {
+    protected void onInputHandled(boolean ended) {
+        if (ended) {
+            stop();
+        }
         processNext();
     }
 
--- a/src/main/java/dockshed/net/MessageHandler.java
+++ b/src/main/java/dockshed/net/MessageHandler.java
@@ -1,5 +1,6 @@
 package dockshed.net;
 
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 
 /**
@@ -10,6 +11,8 @@
 public abstract class MessageHandler extends ByteHandler {
     private final MessageTurns turns;
     private boolean messagesLeft;
+    private boolean inputCheckScheduled;
+    private int readPasses; // times that the event loop has read from the connection
     private int handledInRead; // messages handled since the event loop began to read from the connection
 
     protected MessageHandler(MessageTurns turns) {
@@ -25,10 +28,7 @@
     /** Handles the next complete message; false if there is none, or if none is to be handled any more. */
     protected abstract boolean handleNext();
 
-    /** The messages that were complete are handled, or are left to a later turn of the event loop. */
-    protected void onTurnEnded() {}
-
-    /** All that was read is handled; {@code ended}: the peer has closed its output. */
+    /** All that had arrived is read and handled; {@code ended}: the peer has closed its output. */
     protected void onInputHandled(boolean ended) {}
 
     @Override
@@ -51,9 +51,39 @@
     @Override
     protected final void onReadComplete(ChannelHandlerContext ctx, boolean ended) {
         handledInRead = 0;
-        if (!messagesLeft) {
+        readPasses++;
+        if (messagesLeft) {
+            return;
+        }
+        if (ended || Net.isInputRead(ctx.channel())) {
             onInputHandled(ended);
+        } else {
+            checkForMoreInput(ctx);
+        }
+    }
+
+    /**
+     * More may have arrived than was read, such as the end of the connection: all is handled only if the event loop
+     * finds nothing to read in its next turn.
+     */
+    private void checkForMoreInput(ChannelHandlerContext ctx) {
+        if (inputCheckScheduled) {
+            return;
         }
+        inputCheckScheduled = true;
+        int passesBefore = readPasses;
+        Channel channel = ctx.channel();
+        Net.inNextTurn(channel.eventLoop(), () -> {
+            inputCheckScheduled = false;
+            if (messagesLeft || !channel.isActive()) {
+                return;
+            }
+            if (readPasses == passesBefore) {
+                onInputHandled(false);
+            } else if (!Net.isInputRead(channel)) {
+                checkForMoreInput(ctx);
+            }
+        });
     }
 
     /** The messages that this connection has received. */
@@ -72,7 +102,6 @@
                     more = handleNext();
                     handledInRead += more ? 1 : 0;
                 }
-                onTurnEnded();
             } catch (RuntimeException e) {
                 more = false;
                 ctx.pipeline().fireExceptionCaught(e);
@@ -95,7 +124,7 @@
             messagesLeft = false;
             handledInRead = 0;
             setReadingPaused(ctx.channel(), ReadPause.MESSAGES_LEFT, false);
-            onInputHandled(false);
+            checkForMoreInput(ctx);
         }
     }
 }
--- a/src/main/java/dockshed/net/Net.java
+++ b/src/main/java/dockshed/net/Net.java
@@ -16,6 +16,7 @@
 import io.netty.channel.DefaultMaxMessagesRecvByteBufAllocator;
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -102,6 +103,12 @@
         });
     }
 
+    /** Whether the last read of a connection has left nothing that had arrived. */
+    static boolean isInputRead(Channel channel) {
+        RecvByteBufAllocator.Handle reads = channel.unsafe().recvBufAllocHandle();
+        return reads.lastBytesRead() <= 0 || reads.lastBytesRead() < reads.attemptedBytesRead();
+    }
+
     /** Accepts connections at an address, each with a handler of its own. */
     public ChannelFuture listen(InetSocketAddress address, Supplier<ChannelHandler> handler) {
         return listen(address, handler, () -> {}, false);
@@ -113,8 +120,7 @@
      * @param handler              creates the handler of each connection
      * @param onDescriptorShortage run when a connection could not be accepted for lack of descriptors: it may free one
      * @param allowHalfClosure     a peer that has closed its output can still be answered, see {@link
-     *                             ByteHandler#onInputEnded}; a connection is then read until nothing is left, so that a
-     *                             close that has already arrived is known when the bytes before it are handled
+     *                             ByteHandler#onInputEnded}
      */
     public ChannelFuture listen(
             InetSocketAddress address,
@@ -133,7 +139,8 @@
                 .childHandler(initializer(handler));
         return bootstrap
                 .childOption(ChannelOption.ALLOW_HALF_CLOSURE, allowHalfClosure)
-                .childOption(ChannelOption.RCVBUF_ALLOCATOR, receiveAllocator().respectMaybeMoreData(!allowHalfClosure))
+                // Read until nothing is left: a close that has arrived is known when the bytes before it are handled.
+                .childOption(ChannelOption.RCVBUF_ALLOCATOR, receiveAllocator().respectMaybeMoreData(false))
                 .bind(address);
     }
 
--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -56,6 +56,9 @@
      */
     static final long LINGER_TIMEOUT_US = 5_000_000;
 
+    /** Set-ups wait no longer than this until all that their connection brings is read. */
+    static final long MAX_PENDING_US = 100_000;
+
     /** Most bytes that are read and discarded on one connection after its last answer. */
     private static final long MAX_DISCARDED_BYTES = 128L << 20;
     /** Faulty but readable messages on one connection before it is closed. */
@@ -201,6 +204,7 @@
         private long lastUsedUs;
         private long discardedBytes;
         private int faultyMessages;
+        private long setUpsPendingSinceUs; // while there are pending set-ups
 
         Connection() {
             super(inputLimits.turns());
@@ -274,6 +278,9 @@
                 memory.setIncomplete(0); // what follows is another message
                 lastUsedUs = clock.now();
                 handleMessage(this, message);
+                if (!pendingSetUps.isEmpty() && lastUsedUs - setUpsPendingSinceUs > MAX_PENDING_US) {
+                    submitPending();
+                }
             } catch (HttpStyleMessage.MalformedMessageException e) {
                 rejectMalformed(e.getMessage());
             }
@@ -547,6 +554,9 @@
             connection.refuse(request.name());
             return;
         }
+        if (connection.pendingSetUps.isEmpty()) {
+            connection.setUpsPendingSinceUs = connection.lastUsedUs;
+        }
         connection.pendingSetUps.put(request.name(), new PendingSetUp(request, message.onlyHeaders(REPEATED_HEADERS)));
     }
 
--- a/src/test/java/dockshed/rtsp/ViewerDisconnectTest.java
+++ b/src/test/java/dockshed/rtsp/ViewerDisconnectTest.java
@@ -9,6 +9,9 @@
 import dockshed.net.LoopBlocker;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.InputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -98,6 +101,76 @@
         }
     }
 
+    @Test
+    void manySetUpsClosedInTheSameReadAreNotAttempted() throws Exception {
+        // Guards against set-ups of a viewer that has gone, sent on because they take several turns to be handled.
+        try (Socket socket = connect()) {
+            CountDownLatch release = LoopBlocker.block(net);
+            StringBuilder setUps = new StringBuilder();
+            for (int i = 0; i < 100; i++) {
+                setUps.append(RtspFrontTest.setUpMessage(RtspFrontTest.sessionId(i), ""));
+            }
+            send(socket, setUps.toString());
+            socket.close();
+            release.countDown();
+            while (net.callOnLoop(net::connectionCount) > 0) {
+                awaitEarlierReads();
+            }
+            assertEquals(0, attempts());
+            assertEquals(0, unanswered());
+        }
+    }
+
+    @Test
+    void setUpsAreNotAttemptedBeforeTheCloseBehindThemIsRead() {
+        // Guards against set-ups sent on while a close, or their TEARDOWN, waits unread because the input is too long
+        // for
+        // one turn of the event loop.
+        RtspFront front = new RtspFront(
+                harness.broker, harness, () -> harness.now, harness.timers, 10, InputLimits.unlimitedMemory());
+        EmbeddedChannel channel = new EmbeddedChannel(front.accept());
+        ReadSizes reads = new ReadSizes();
+        channel.config().setRecvByteBufAllocator(reads);
+        channel.config().setAutoRead(false); // a read would run the next turn of the event loop at once
+        reads.last = ReadSizes.ATTEMPTED; // as much as was asked for: there may be more
+        channel.pipeline()
+                .fireChannelRead(Unpooled.copiedBuffer(
+                        RtspFrontTest.setUpMessage(RtspFrontTest.sessionId(1), ""), StandardCharsets.UTF_8));
+        channel.pipeline().fireChannelReadComplete();
+        assertEquals(0, harness.count("server a setUp"));
+        reads.last = -1; // the next read finds the close
+        channel.pipeline().fireChannelReadComplete();
+        channel.runPendingTasks();
+        assertEquals(0, harness.count("server a setUp"));
+        assertTrue(RtspFrontTest.received(channel).get(0).startsWith("RTSP/1.0 503 "));
+    }
+
+    /** Lets a test say how much the last read of a channel has brought. */
+    private static final class ReadSizes extends FixedRecvByteBufAllocator {
+        static final int ATTEMPTED = 100;
+        int last;
+
+        ReadSizes() {
+            super(ATTEMPTED);
+        }
+
+        @Override
+        @SuppressWarnings("deprecation")
+        public Handle newHandle() {
+            return new DelegatingHandle(super.newHandle()) {
+                @Override
+                public int lastBytesRead() {
+                    return last;
+                }
+
+                @Override
+                public int attemptedBytesRead() {
+                    return ATTEMPTED;
+                }
+            };
+        }
+    }
+
     @Test
     void setUpClosedBeforeItsConnectionIsAcceptedIsNotAttempted() throws Exception {
         CountDownLatch release = LoopBlocker.block(net);
