Tell a new process at an edge server's address from the one that died

Callers saw: sessions cut by a restart within 0.3 s were not told while the list was late, and set-ups went to the new process, also where it was another server's.

Cause: one refused connection was forgotten with the first that came up (ConnectionEvents.onConnected); a server was known by its address only.

Change: edge.ProcessEnd: all connections reset and then one refused show that the process has ended. A close in order or a refusal alone proves nothing.

--- a/src/main/java/dockshed/edge/EdgeServerConnection.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnection.java
@@ -187,7 +187,7 @@
 
     /**
      * Hands the pending set-ups over to the channel, one at a time while the server reads. One that the server no
-     * longer accepts, because it began to drain in the meantime, is ended as not sent.
+     * longer accepts, because it began to drain or its process ended in the meantime, is ended as not sent.
      */
     void writePending() {
         for (Map.Entry<String, PendingSetUp> nameAndSetUp : List.copyOf(pending.entrySet())) {
@@ -198,9 +198,9 @@
             if (attempt.handedOver || pending.get(nameAndSetUp.getKey()) != attempt) {
                 continue;
             }
-            if (!context.broker().acceptsSetUp(context.clock().now(), entry.id)) {
+            if (!mayBeSent()) {
                 pending.remove(nameAndSetUp.getKey());
-                context.broker().trace().add(context.clock().now(), nameAndSetUp.getKey(), "held-back", "drain");
+                context.broker().trace().add(context.clock().now(), nameAndSetUp.getKey(), "held-back", entry.id);
                 context.broker()
                         .ended(context.clock().now(), entry.id, nameAndSetUp.getKey(), Outcome.MOOT, LoadReport.NONE);
             } else if (Net.hasUnwrittenBytes(channel)) {
@@ -211,6 +211,12 @@
         }
     }
 
+    /** Whether the server still accepts set-ups, and its process listens at the address. */
+    private boolean mayBeSent() {
+        long now = context.clock().now();
+        return context.broker().acceptsSetUp(now, entry.id) && !entry.processEnd.isProcessUnknown(now);
+    }
+
     /**
      * Closes the channel and ends the pending set-ups. One that was written completely may have run; any other did
      * not, and ends as {@code outcomeIfUnwritten}, or as not sent where that is RESET.
--- a/src/main/java/dockshed/edge/EdgeServerConnections.java
+++ b/src/main/java/dockshed/edge/EdgeServerConnections.java
@@ -129,6 +129,7 @@
             ServerEntry entry = servers.computeIfAbsent(id, ServerEntry::new);
             if (!address.equals(entry.address)) {
                 entry.address = address;
+                entry.processEnd.listed();
                 close(entry);
                 if (entry.hasSessions) {
                     connectIfNone(entry);
@@ -165,6 +166,7 @@
         ServerEntry entry = servers.get(serverId);
         if (entry != null) {
             entry.connectFailures = 0;
+            entry.processEnd.listed();
             for (EdgeServerConnection connection : List.copyOf(entry.connections)) {
                 if (connection.openedAt < since) {
                     close(connection);
@@ -206,6 +208,12 @@
             reportNotSent(serverId, setUp.name());
             return;
         }
+        if (entry.processEnd.isProcessUnknown(clock.now())) {
+            broker.trace().add(clock.now(), setUp.name(), "held-back", serverId);
+            LOG.debug("set-up held back: server={} why=restarted and not listed yet", serverId);
+            reportNotSent(serverId, setUp.name());
+            return;
+        }
         EdgeServerConnection connection = selectConnection(entry);
         if (connection == null) { // out of descriptors, which says nothing about the server
             LOG.warn("set-up held back: server={} why=out of descriptors: lines={}", serverId, connectionCount);
@@ -690,6 +698,10 @@
             ServerEntry entry = connection.entry;
             entry.connectFailures = 0;
             entry.releaseRecovery.connectionOpened();
+            if (entry.processEnd.connectionOpened(clock.now())) {
+                LOG.warn("edge server restarted, its sessions are over: id={}", entry.id);
+                broker.serverLost(clock.now(), EdgeServerConnections.this, entry.id, clock.now());
+            }
             if (entry.suspectSince >= 0) {
                 probeCoordinator.probeFinished(entry.id, true);
                 clearSuspicion(entry);
@@ -725,6 +737,9 @@
                 return; // another connection is open or being opened, and proves more
             }
             lastConnectFailureAt = clock.now();
+            if (refused) {
+                entry.processEnd.connectionRefused();
+            }
             markSuspect(entry);
             if (++entry.connectFailures >= MAX_CONNECT_FAILURES) {
                 serverLost(entry);
@@ -747,7 +762,10 @@
         @Override
         public void onDisconnected(EdgeServerConnection connection, boolean reset) {
             ServerEntry entry = connection.entry;
-            if (reset && entry.hasSessions && entry.connections.stream().allMatch(c -> c == connection || c.isDead())) {
+            if (!reset) {
+                entry.processEnd.connectionClosedInOrder();
+            } else if (entry.hasSessions && entry.connections.stream().allMatch(c -> c == connection || c.isDead())) {
+                entry.processEnd.allConnectionsReset();
                 markSuspect(entry);
             }
             close(connection);
--- a/src/main/java/dockshed/edge/ServerEntry.java
+++ b/src/main/java/dockshed/edge/ServerEntry.java
@@ -16,6 +16,7 @@
     long lastReceivedAt; // when the server last sent anything
     long lastAttemptAt; // when a connection was last opened on behalf of the server's sessions
     long suspectSince = -1; // since when its process may be gone; -1: not suspect
+    final ProcessEnd processEnd = new ProcessEnd();
     final ReleaseRecovery releaseRecovery = new ReleaseRecovery();
     boolean recoveryScheduled; // recoverReleases is to run
     final ArrayDeque<Message> queuedMessages = new ArrayDeque<>(); // sent once a connection is open again
--- a/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
+++ b/src/test/java/dockshed/edge/EdgeServerConnectionsTest.java
@@ -318,6 +318,43 @@
         assertEquals("front sessionEnded v1 OK", harness.await("front sessionEnded"));
     }
 
+    @Test
+    void sessionsEndWhenAnotherProcessListensAtTheAddressOfOneThatDied() throws Exception {
+        // Guards against sessions of a process that died, kept as active since the next process at its address answers.
+        startSession("v1");
+        int port = serverSocket.getLocalPort();
+        serverSocket.close();
+        resetConnection();
+        awaitProbeEvent("found a false"); // refused
+        serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        serverSocket.setSoTimeout(20_000);
+        accept();
+        assertEquals("front sessionEnded v1 RESET", harness.await("front sessionEnded"));
+    }
+
+    @Test
+    void aProcessThatTheListHasNotToldOfGetsNoSetUp() throws Exception {
+        // Guards against set-ups that reach another server, started at the address of one that died.
+        startSession("v1");
+        int port = serverSocket.getLocalPort();
+        serverSocket.close();
+        resetConnection();
+        awaitProbeEvent("found a false");
+        serverSocket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
+        serverSocket.setSoTimeout(20_000);
+        accept();
+        harness.await("front sessionEnded");
+        request("v2", "safe");
+        assertEquals("module outcome 0 a MOOT", harness.await("module outcome 0 a MOOT"));
+        net.callOnLoop(() -> {
+            edgeConnections.serverRestarted("a", clock.now());
+            return null;
+        });
+        request("v3", "safe");
+        accept(); // the connection from before the list told of the start is closed
+        assertEquals("v3", read().id());
+    }
+
     @Test
     void malformedAnswerEndsOnlyTheSetUpOnItsConnection() throws Exception {
         request("v1", "paid");
