Number a broker's requests for votes and leases by its incarnation, too

Cause: LeasedShares numbered them from the seed alone. With the same seed after a restart, a late vote for the process before was counted by the one after it, which does not know the leases still running.

Change: the first numbers are mixed with the incarnation.

--- a/src/main/java/dockshed/fleet/LeasedShares.java
+++ b/src/main/java/dockshed/fleet/LeasedShares.java
@@ -107,10 +107,15 @@
         preference = preference(scope);
         voters = preference.subList(0, Math.min(VOTER_COUNT, scope.size()));
         voter = new LeaseVoter(me, now);
-        // Numbers start at random: an answer to an earlier incarnation must not be taken for one to this incarnation.
+        // Numbers start at random and differ by incarnation, also where the seed does not: an answer to an earlier
+        // incarnation must not be taken for one to this incarnation.
         double leasable = (1 - guaranteed) * scope.size() / brokers;
-        coordinator = new LeaseCoordinator(quorum(), leasable, random.nextInt());
-        holder = new LeaseHolder(leasable, random.nextInt());
+        coordinator = new LeaseCoordinator(quorum(), leasable, firstNumber(random));
+        holder = new LeaseHolder(leasable, firstNumber(random));
+    }
+
+    private int firstNumber(SplittableRandom random) {
+        return StableHash.mix(random.nextInt(), Long.hashCode(incarnation));
     }
 
     private static List<Integer> preference(Scope scope) {
