Move the questions for single records out of EdgeServerListUpdater

Change: RecordQuestions has the queues, the open questions and their limits; behaviour is unchanged. The tests name the constants and the record where they are now, their assertions are the same.

--- a/src/main/java/dockshed/names/DnsDiscovery.java
+++ b/src/main/java/dockshed/names/DnsDiscovery.java
@@ -4,6 +4,7 @@
 import dockshed.Director.Server;
 import dockshed.core.TimerQueue;
 import dockshed.names.Dns.Answer;
+import dockshed.names.RecordQuestions.Question;
 import dockshed.net.Clock;
 import dockshed.net.Net;
 import io.netty.channel.Channel;
@@ -46,7 +47,7 @@
     }
 
     /** A query without an answer yet; {@code question} is null where it asks for the whole list. */
-    private record PendingQuery(InetSocketAddress sentTo, long sentAt, EdgeServerListUpdater.Question question) {}
+    private record PendingQuery(InetSocketAddress sentTo, long sentAt, Question question) {}
 
     private final EdgeServerList list = new EdgeServerList();
     private final EdgeServerListUpdater updater = new EdgeServerListUpdater(list, SERVICE_NAME);
@@ -136,15 +137,13 @@
 
     /** Asks for records that the list lacks, a few at a time. */
     private void queryOpenQuestions(long now) {
-        for (EdgeServerListUpdater.Question question = updater.nextQuestion(now);
-                question != null;
-                question = updater.nextQuestion(now)) {
+        for (Question question = updater.nextQuestion(now); question != null; question = updater.nextQuestion(now)) {
             sendQuery(question);
         }
     }
 
     /** Sends a query for the question, or for the whole list where it is null. */
-    private void sendQuery(EdgeServerListUpdater.Question question) {
+    private void sendQuery(Question question) {
         int id = random.nextInt(1 << 16);
         pendingQueries.put(id, new PendingQuery(nameServer, clock.now(), question));
         byte[] query = question == null
--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -3,11 +3,10 @@
 import dockshed.Director.Server;
 import dockshed.names.Dns.Answer;
 import dockshed.names.Dns.Record;
+import dockshed.names.RecordQuestions.Question;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,18 +21,9 @@
  * in turn, as it shows a restart.
  */
 final class EdgeServerListUpdater {
-    /** Concurrent questions: all brokers ask the same name server, and its answers to list queries must not wait. */
-    static final int MAX_OPEN_QUESTIONS = 16;
-    /** Questions between two list queries that only refresh records already known. */
-    static final int MAX_REFRESHES_PER_LIST = 4;
-    /** A question unanswered for this long is asked again. */
-    static final long QUESTION_TIMEOUT_US = 1_000_000;
     /** Targets taken from one list: four times as many servers as the broker supports. */
     static final int MAX_TARGETS = 4096;
 
-    /** A question for the records of one type of a server's name. */
-    record Question(String target, int type) {}
-
     /** The records of a server: its SRV record, and the others if they are known. */
     private static final class Target {
         final Record srv;
@@ -48,12 +38,9 @@
     private final EdgeServerList list;
     private final String serviceName;
     private final Map<String, Target> targets = new LinkedHashMap<>();
-    private final Set<Question> neededQuestions = new LinkedHashSet<>();
-    private final Set<Question> refreshQuestions = new LinkedHashSet<>();
-    private final Map<Question, Long> openQuestions = new HashMap<>(); // with the time when each was last asked
+    private final RecordQuestions questions = new RecordQuestions();
     private long serial = -1; // of the list that the targets are from
     private boolean complete; // an answer that was not truncated has shown that list
-    private int refreshesLeft;
 
     EdgeServerListUpdater(EdgeServerList list, String serviceName) {
         this.list = list;
@@ -71,7 +58,7 @@
         if (withoutSerial) {
             answerSerial = Math.max(serial, list.serial()); // the serial may have been cut off
         }
-        refreshesLeft = MAX_REFRESHES_PER_LIST;
+        questions.listAnswered();
         if (answerSerial < list.serial() || answerSerial == serial && complete && isSettled()) {
             return answerSerial < list.serial() ? null : List.of();
         }
@@ -79,8 +66,7 @@
         if (newList) {
             serial = answerSerial;
             complete = false; // until an answer that is not truncated shows all of it
-            neededQuestions.clear();
-            refreshQuestions.clear();
+            questions.clearWaiting();
         }
         Map<String, Record> addresses = EdgeServerList.byName(answer.records(), Dns.A);
         Map<String, Record> texts = EdgeServerList.byName(answer.records(), Dns.TXT);
@@ -97,10 +83,10 @@
             named.add(record.target());
             boolean known = list.get(id(record.target())) != null;
             if (target.address == null && !known) {
-                enqueue(neededQuestions, record.target(), Dns.A);
+                questions.need(new Question(record.target(), Dns.A));
             }
             if (!texts.containsKey(record.target()) && (known ? newList || previous == null : target.txt == null)) {
-                enqueue(known ? refreshQuestions : neededQuestions, record.target(), Dns.TXT);
+                enqueueText(record.target(), known);
             }
         }
         List<ListedServer> servers = new ArrayList<>();
@@ -127,11 +113,12 @@
         return list.replaceAll(answerSerial, servers);
     }
 
-    /** Adds a question to a queue, unless it is open already. */
-    private void enqueue(Set<Question> queue, String target, int type) {
-        Question question = new Question(target, type);
-        if (!openQuestions.containsKey(question)) {
-            queue.add(question);
+    private void enqueueText(String target, boolean known) {
+        Question question = new Question(target, Dns.TXT);
+        if (known) {
+            questions.refresh(question);
+        } else {
+            questions.need(question);
         }
     }
 
@@ -146,14 +133,14 @@
         for (ListedServer server : list.all()) {
             String target = server.server().id() + "." + server.server().zone() + suffix;
             if (!suffix.isEmpty() && !named.contains(target)) {
-                enqueue(refreshQuestions, target, Dns.A);
+                questions.refresh(new Question(target, Dns.A));
             }
         }
     }
 
     /** Applies an answer to a question by name; returns what it changes. */
     List<Server> applyRecordAnswer(Question question, Answer answer) throws Dns.MalformedMessageException {
-        openQuestions.remove(question);
+        questions.answered(question);
         Record record = EdgeServerList.byName(answer.records(), question.type()).get(question.target());
         Target target = targets.get(question.target());
         if (record == null && question.type() == Dns.A) { // a removed server has no records
@@ -175,40 +162,17 @@
 
     /** The next question to be asked now, or null. */
     Question nextQuestion(long now) {
-        for (Map.Entry<Question, Long> open : openQuestions.entrySet()) {
-            if (now - open.getValue() > QUESTION_TIMEOUT_US) {
-                open.setValue(now);
-                return open.getKey();
-            }
-        }
-        if (openQuestions.size() >= MAX_OPEN_QUESTIONS) {
-            return null;
-        }
-        Question question = null;
-        if (!neededQuestions.isEmpty()) {
-            question = neededQuestions.iterator().next();
-            neededQuestions.remove(question);
-        } else if (!refreshQuestions.isEmpty() && refreshesLeft > 0) {
-            refreshesLeft--;
-            question = refreshQuestions.iterator().next();
-            refreshQuestions.remove(question);
-        }
-        if (question != null) {
-            openQuestions.put(question, now);
-        }
-        return question;
+        return questions.next(now);
     }
 
     /** Whether no question about the last list is left to be asked or answered. */
     boolean isSettled() {
-        return serial >= 0 && neededQuestions.isEmpty() && refreshQuestions.isEmpty() && openQuestions.isEmpty();
+        return serial >= 0 && questions.isEmpty();
     }
 
     /** Forgets all open questions and the list's progress: another name server is queried from now on. */
     void reset() {
-        openQuestions.clear();
-        neededQuestions.clear();
-        refreshQuestions.clear();
+        questions.clear();
         serial = -1;
         complete = false;
     }
--- /dev/null
+++ b/src/main/java/dockshed/names/RecordQuestions.java
@@ -0,0 +1,100 @@
+package dockshed.names;
+
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * The questions for single records that the list of edge servers lacks: which of them wait, and which are open. Only a
+ * few are asked at a time. Performs no I/O; times are in microseconds.
+ */
+final class RecordQuestions {
+    /** Concurrent questions: all brokers ask the same name server, and its answers to list queries must not wait. */
+    static final int MAX_OPEN = 16;
+    /** Questions between two list queries that only refresh records already known. */
+    static final int MAX_REFRESHES_PER_LIST = 4;
+    /** A question unanswered for this long is asked again. */
+    static final long TIMEOUT_US = 1_000_000;
+
+    /** A question for the records of one type of a server's name. */
+    record Question(String target, int type) {}
+
+    private final Set<Question> needed = new LinkedHashSet<>();
+    private final Set<Question> refreshes = new LinkedHashSet<>();
+    private final Map<Question, Long> open = new HashMap<>(); // with the time when each was last asked
+    private int refreshesLeft;
+
+    /** Queues a question for a record without which a server cannot be listed, unless it is open already. */
+    void need(Question question) {
+        enqueue(needed, question);
+    }
+
+    /** Queues a question for a record that may have changed, unless it is open already. */
+    void refresh(Question question) {
+        enqueue(refreshes, question);
+    }
+
+    private void enqueue(Set<Question> queue, Question question) {
+        if (!open.containsKey(question)) {
+            queue.add(question);
+        }
+    }
+
+    /** An answer to a list query has come: as many refreshes as that allows may be asked. */
+    void listAnswered() {
+        refreshesLeft = MAX_REFRESHES_PER_LIST;
+    }
+
+    /** The next question to be asked now, or null. */
+    Question next(long now) {
+        for (Map.Entry<Question, Long> asked : open.entrySet()) {
+            if (now - asked.getValue() > TIMEOUT_US) {
+                asked.setValue(now);
+                return asked.getKey();
+            }
+        }
+        if (open.size() >= MAX_OPEN) {
+            return null;
+        }
+        Question question = null;
+        if (!needed.isEmpty()) {
+            question = pollFirst(needed);
+        } else if (!refreshes.isEmpty() && refreshesLeft > 0) {
+            refreshesLeft--;
+            question = pollFirst(refreshes);
+        }
+        if (question != null) {
+            open.put(question, now);
+        }
+        return question;
+    }
+
+    private static Question pollFirst(Set<Question> queue) {
+        Question first = queue.iterator().next();
+        queue.remove(first);
+        return first;
+    }
+
+    /** The question is answered. */
+    void answered(Question question) {
+        open.remove(question);
+    }
+
+    /** Drops the questions that wait; those that are open stay so. */
+    void clearWaiting() {
+        needed.clear();
+        refreshes.clear();
+    }
+
+    /** Drops all questions. */
+    void clear() {
+        clearWaiting();
+        open.clear();
+    }
+
+    /** Whether no question is left to be asked or answered. */
+    boolean isEmpty() {
+        return needed.isEmpty() && refreshes.isEmpty() && open.isEmpty();
+    }
+}
--- a/src/test/java/dockshed/names/EdgeServerListUpdaterTest.java
+++ b/src/test/java/dockshed/names/EdgeServerListUpdaterTest.java
@@ -10,6 +10,7 @@
 import dockshed.Director.Server;
 import dockshed.Director.State;
 import dockshed.names.DnsTest.AnswerBuilder;
+import dockshed.names.RecordQuestions.Question;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -51,17 +52,15 @@
     }
 
     /** All questions that are asked now. */
-    private List<EdgeServerListUpdater.Question> questions() {
-        List<EdgeServerListUpdater.Question> questions = new ArrayList<>();
-        for (EdgeServerListUpdater.Question question = updater.nextQuestion(now);
-                question != null;
-                question = updater.nextQuestion(now)) {
+    private List<Question> questions() {
+        List<Question> questions = new ArrayList<>();
+        for (Question question = updater.nextQuestion(now); question != null; question = updater.nextQuestion(now)) {
             questions.add(question);
         }
         return questions;
     }
 
-    private List<Server> reply(EdgeServerListUpdater.Question question, String... texts) throws Exception {
+    private List<Server> reply(Question question, String... texts) throws Exception {
         AnswerBuilder answer = new AnswerBuilder(1, question.target(), question.type());
         return updater.applyRecordAnswer(
                 question,
@@ -98,12 +97,12 @@
         int asked = 0;
         int listQueries = 0;
         for (; listQueries < 200 && gone.isEmpty(); listQueries++) {
-            List<EdgeServerListUpdater.Question> questions = questions();
+            List<Question> questions = questions();
             assertTrue(
-                    questions.size() <= EdgeServerListUpdater.MAX_REFRESHES_PER_LIST,
+                    questions.size() <= RecordQuestions.MAX_REFRESHES_PER_LIST,
                     "a few per list query: " + questions.size());
             asked += questions.size();
-            for (EdgeServerListUpdater.Question question : questions) {
+            for (Question question : questions) {
                 if (question.target().equals(target(200))) {
                     gone.add(describe(updater.applyRecordAnswer(
                             question,
@@ -133,10 +132,8 @@
         // ignored.
         addKnownServers(300);
         updater.applyListAnswer(Dns.parse(listAnswer(0, 100, 6, -1).truncated(MAX_ANSWER_BYTES)));
-        for (List<EdgeServerListUpdater.Question> questions = questions();
-                !questions.isEmpty();
-                questions = questions()) {
-            for (EdgeServerListUpdater.Question question : questions) {
+        for (List<Question> questions = questions(); !questions.isEmpty(); questions = questions()) {
+            for (Question question : questions) {
                 reply(
                         question,
                         "kind=std",
@@ -180,12 +177,10 @@
                 updater.applyListAnswer(Dns.parse(listAnswer(0, 300, 9, -1).bytes())));
         int asked = 0;
         for (int listQuery = 0; listQuery < 100 && list.all().size() < 300; listQuery++) {
-            List<EdgeServerListUpdater.Question> questions = questions();
-            assertTrue(
-                    questions.size() <= EdgeServerListUpdater.MAX_OPEN_QUESTIONS,
-                    "concurrent questions: " + questions.size());
+            List<Question> questions = questions();
+            assertTrue(questions.size() <= RecordQuestions.MAX_OPEN, "concurrent questions: " + questions.size());
             asked += questions.size();
-            for (EdgeServerListUpdater.Question question : questions) {
+            for (Question question : questions) {
                 reply(question, "kind=std", "cell=4", "started=0");
             }
             updater.applyListAnswer(Dns.parse(
@@ -204,13 +199,13 @@
                 describe(
                         updater.applyListAnswer(Dns.parse(listAnswer(0, 4, 6, 2).bytes()))),
                 "a drain needs no further record");
-        List<EdgeServerListUpdater.Question> questions = questions();
+        List<Question> questions = questions();
         assertTrue(questions.stream().allMatch(question -> question.type() == Dns.TXT), questions.toString());
         List<Server> changes = reply(questions.get(0), "kind=std", "cell=0", "started=1500");
         assertEquals(1_500_000, changes.get(0).upSince());
-        now += EdgeServerListUpdater.QUESTION_TIMEOUT_US + 1;
+        now += RecordQuestions.TIMEOUT_US + 1;
         assertEquals(3, questions().size(), "the unanswered ones once more, and no others");
-        for (EdgeServerListUpdater.Question question : questions.subList(1, 4)) {
+        for (Question question : questions.subList(1, 4)) {
             reply(
                     question,
                     "kind=std",
