Believe the current list where an answer denies a server that it names its records

An outdated answer to a question for one record could remove an edge server that the newest list names, which ends its sessions, or leave a new one unlisted until the next event.

Cause: EdgeServerListUpdater.applyRecordAnswer took an absent A record for a removal whatever the list said, forgot the server, and counted the question as answered. The list then looked settled, and whole lists of the same serial number were passed over.

Evidence: UnusableAnswersTest.recordsThatAreAbsentRemoveNoServerThatTheListNames (GONE) and listIsNotSettledWhileARecordThatItNamesIsMissing (never listed) failed before.

Change: each server is kept with the serial number of the list that named it. Where that is the current one, an absent record removes nothing; if the server cannot be listed without it, it stays asked for.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -25,14 +25,18 @@
     /** Targets taken from one list: four times as many servers as the broker supports. */
     static final int MAX_TARGETS = 4096;
 
+    private static final long UNKNOWN_SERIAL = Long.MIN_VALUE;
+
     /** The records of a server: its SRV record, and the others if they are known. */
     private static final class Target {
         final Record srv;
+        final long namedBySerial; // of the list that the SRV record is from; UNKNOWN_SERIAL: it was cut off
         Record address;
         Record txt;
 
-        Target(Record srv) {
+        Target(Record srv, long namedBySerial) {
             this.srv = srv;
+            this.namedBySerial = namedBySerial;
         }
     }
 
@@ -77,7 +81,7 @@
                 continue;
             }
             Target previous = targets.get(record.target());
-            Target target = new Target(record);
+            Target target = new Target(record, withoutSerial ? UNKNOWN_SERIAL : answerSerial);
             target.address = addresses.getOrDefault(record.target(), previous == null ? null : previous.address);
             target.txt = texts.getOrDefault(record.target(), previous == null ? null : previous.txt);
             targets.put(record.target(), target);
@@ -148,25 +152,44 @@
             questions.answeredUnusably(question);
             return List.of();
         }
+        if (record == null) {
+            return applyAbsence(question);
+        }
         questions.answered(question);
         Target target = targets.get(question.target());
-        if (record == null && question.type() == Dns.A) { // a removed server has no records
-            targets.remove(question.target());
-            return list.remove(id(question.target()));
-        }
         if (target == null) {
             return List.of(); // it was only missing from a truncated answer
         }
         if (question.type() == Dns.A) {
             target.address = record;
         } else {
-            target.txt =
-                    record != null ? record : new Record(question.target(), Dns.TXT, 0, 0, 0, null, null, List.of(), 0);
+            target.txt = record;
         }
         ListedServer server = listedServer(target);
         return server == null ? List.of() : list.merge(serial, List.of(server));
     }
 
+    /**
+     * The name server has no such record. A removed server has none; one that the current list names is not removed, so
+     * an answer that denies it its records is outdated.
+     */
+    private List<Server> applyAbsence(Question question) {
+        Target target = targets.get(question.target());
+        boolean listed = target != null && target.namedBySerial == serial;
+        boolean removal = question.type() == Dns.A && !listed;
+        boolean needed = target != null && !removal && list.get(id(question.target())) == null;
+        if (needed) {
+            questions.answeredUnusably(question);
+            return List.of();
+        }
+        questions.answered(question);
+        if (!removal) {
+            return List.of();
+        }
+        targets.remove(question.target());
+        return list.remove(id(question.target()));
+    }
+
     /** The next question to be asked now, or null. */
     Question nextQuestion(long now) {
         return questions.next(now);
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -181,4 +181,37 @@
         }
         assertEquals(2 * ids.length, askedTargets.stream().distinct().count());
     }
+
+    @Test
+    void listIsNotSettledWhileARecordThatItNamesIsMissing() throws Exception {
+        // Guards against a new edge server that stays unlisted until the next event: an outdated answer said that it
+        // had no address, and the list of the same serial number was taken as settled.
+        applyList(6, "n");
+        for (Question question : ask()) {
+            reply(question, answerTo(question).responseCode(Dns.NXDOMAIN).bytes());
+        }
+        applyList(6, "n");
+        List<Server> listed = new ArrayList<>();
+        for (Question question : ask()) {
+            listed.addAll(
+                    question.type() == Dns.A
+                            ? replyAddress(question)
+                            : replyText(question, "kind=std", "cell=7", "started=0"));
+        }
+        assertEquals("[n UP]", describe(listed));
+        assertTrue(updater.isSettled());
+    }
+
+    @Test
+    void recordsThatAreAbsentRemoveNoServerThatTheListNames() throws Exception {
+        // Guards against a removal by an outdated answer: the list of the newest serial number names the server.
+        addKnownServers();
+        updater.applyListAnswer(Dns.parse(listOf("b").soa(6).truncated(MAX_ANSWER_BYTES)));
+        Question question = askFor("a", Dns.A);
+        assertEquals("[]", describe(applyList(6, "a", "b")));
+        assertEquals(
+                List.of(),
+                reply(question, answerTo(question).responseCode(Dns.NXDOMAIN).bytes()));
+        assertEquals(KNOWN, list.get("a").server());
+    }
 }
