Read lists that are cut off before their serial number, also while the list is settled

A drain that is told by an answer cut off before its serial number was not heeded, so set-ups went on to an edge server that drains.

Cause: EdgeServerListUpdater.applyListAnswer takes such an answer for one of the newest list known. Once that list was whole and its questions answered, the answer was passed over as one that brings nothing.

Evidence: UnusableAnswersTest.drainInACutListIsAppliedThoughTheListIsSettled failed before. The test beside it, whatACutListSaidInErrorIsMendedByTheNextWholeOne, guards the change itself.

Change: only an answer with a serial number is passed over for it. As one without may also be outdated, the next whole answer is applied in full after it, whatever its serial number.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -64,8 +64,12 @@
             answerSerial = Math.max(serial, list.serial()); // the serial may have been cut off
         }
         questions.listAnswered();
-        if (answerSerial < list.serial() || answerSerial == serial && complete && isSettled()) {
-            return answerSerial < list.serial() ? null : List.of();
+        if (answerSerial < list.serial()) {
+            return null;
+        }
+        // An answer whose serial number was cut off may hold the next event.
+        if (!withoutSerial && answerSerial == serial && complete && isSettled()) {
+            return List.of();
         }
         boolean newList = answerSerial != serial;
         if (newList) {
@@ -108,6 +112,7 @@
             }
         }
         if (answer.truncated()) {
+            complete = false; // a whole answer of the same serial number corrects what was outdated in this one
             if (newList) {
                 enqueueAbsent(named);
             }
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -52,6 +52,11 @@
         return updater.applyListAnswer(Dns.parse(listOf(ids).soa(serial).bytes()));
     }
 
+    /** A list that is cut off before its serial number. */
+    private List<Server> applyListWithoutSerial(String... ids) throws Exception {
+        return updater.applyListAnswer(Dns.parse(listOf(ids).truncated(MAX_ANSWER_BYTES)));
+    }
+
     /** All questions that are asked now, each as TYPE ID. */
     private List<Question> ask() {
         List<Question> asked = new ArrayList<>();
@@ -214,4 +219,37 @@
                 reply(question, answerTo(question).responseCode(Dns.NXDOMAIN).bytes()));
         assertEquals(KNOWN, list.get("a").server());
     }
+
+    @Test
+    void drainInACutListIsAppliedThoughTheListIsSettled() throws Exception {
+        // Guards against set-ups at an edge server that drains: cut off before its serial number, the list of the next
+        // event was taken for the one already known, and passed over.
+        addKnownServers();
+        applyList(6, "a", "b");
+        for (Question question : ask()) {
+            replyText(
+                    question,
+                    "kind=std",
+                    "cell=3",
+                    "started=" + (question.target().startsWith("a") ? 1500 : 0));
+        }
+        assertTrue(updater.isSettled());
+        assertEquals("[b DRAINING]", describe(applyListWithoutSerial("a", "-b")));
+    }
+
+    @Test
+    void whatACutListSaidInErrorIsMendedByTheNextWholeOne() throws Exception {
+        // Guards against an outdated drain that stays: the whole list of the same serial number was passed over.
+        addKnownServers();
+        applyList(6, "a", "b");
+        for (Question question : ask()) {
+            replyText(
+                    question,
+                    "kind=std",
+                    "cell=3",
+                    "started=" + (question.target().startsWith("a") ? 1500 : 0));
+        }
+        applyListWithoutSerial("a", "-b");
+        assertEquals("[b UP]", describe(applyList(6, "a", "b")));
+    }
 }
