Keep a drain that an outdated, cut list denies also when a TXT answer follows

An edge server that drains could be listed as up again, so that set-ups went to it.

Cause: a list that is cut off before its serial number may be outdated, and revokes no drain. But its SRV record was kept all the same, and the next answer to a question for that server's TXT record listed it by that.

Evidence: UnusableAnswersTest.cutListWithoutSerialRevokesNoDrainByALaterTextAnswer failed before (b UP).

Change: the rule is applied in listedServer, where lists and answers to questions both make their entries, so that it holds for both. Server.withState serves the three places that copied a server in another state.

--- a/src/main/java/dockshed/Director.java
+++ b/src/main/java/dockshed/Director.java
@@ -318,7 +318,12 @@
      * @param weight of its link, relative to other servers
      * @param upSince when it started; 0: long ago
      */
-    record Server(String id, String zone, String kind, int cell, State state, double weight, long upSince) {}
+    record Server(String id, String zone, String kind, int cell, State state, double weight, long upSince) {
+        /** The same server in another state. */
+        public Server withState(State newState) {
+            return new Server(id, zone, kind, cell, newState, weight, upSince);
+        }
+    }
 
     /**
      * A viewer's request for a session.
--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -494,9 +494,7 @@
                     : worst;
         }
         if (worst == null) {
-            Server last = entry.mergedListing;
-            worst = new Server(
-                    last.id(), last.zone(), last.kind(), last.cell(), State.GONE, last.weight(), last.upSince());
+            worst = entry.mergedListing.withState(State.GONE);
         }
         entry.mergedListing = worst;
         if (worst.state() == State.UP) {
--- a/src/main/java/dockshed/names/EdgeServerList.java
+++ b/src/main/java/dockshed/names/EdgeServerList.java
@@ -100,17 +100,7 @@
 
     /** The server in state GONE. */
     private static ListedServer asGone(ListedServer before) {
-        Server server = before.server();
-        return new ListedServer(
-                new Server(
-                        server.id(),
-                        server.zone(),
-                        server.kind(),
-                        server.cell(),
-                        State.GONE,
-                        server.weight(),
-                        server.upSince()),
-                before.address());
+        return new ListedServer(before.server().withState(State.GONE), before.address());
     }
 
     /** The serial number in an answer's SOA record; -1 if there is none. */
--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -101,13 +101,7 @@
         List<ListedServer> servers = new ArrayList<>();
         for (String name : named) {
             ListedServer listed = listedServer(targets.get(name));
-            ListedServer known =
-                    listed == null ? null : list.get(listed.server().id());
-            // An answer without a serial may be outdated: it does not revoke a drain.
-            if (listed != null
-                    && !(withoutSerial
-                            && known != null
-                            && known.server().state().compareTo(listed.server().state()) > 0)) {
+            if (listed != null) {
                 servers.add(listed);
             }
         }
@@ -218,7 +212,16 @@
         if (known == null && (target.address == null || target.txt == null)) {
             return null;
         }
-        return EdgeServerList.toListedServer(target.srv, target.address, target.txt, known);
+        ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.txt, known);
+        return target.namedBySerial == UNKNOWN_SERIAL && known != null ? withoutRevokedDrain(listed, known) : listed;
+    }
+
+    /** A list whose serial number is not known may be outdated: it does not revoke a drain. */
+    private static ListedServer withoutRevokedDrain(ListedServer listed, ListedServer known) {
+        boolean revoked = known.server().state().compareTo(listed.server().state()) > 0;
+        return revoked
+                ? new ListedServer(listed.server().withState(known.server().state()), listed.address())
+                : listed;
     }
 
     private static String id(String target) {
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -252,4 +252,17 @@
         applyListWithoutSerial("a", "-b");
         assertEquals("[b UP]", describe(applyList(6, "a", "b")));
     }
+
+    @Test
+    void cutListWithoutSerialRevokesNoDrainByALaterTextAnswer() throws Exception {
+        // Guards against a drain revoked by an outdated SRV record that a later TXT answer brought in.
+        addKnownServers();
+        assertEquals("[b DRAINING]", describe(applyList(6, "a", "-b")));
+        Question question = askFor("b", Dns.TXT);
+        applyListWithoutSerial("a", "b");
+        assertEquals(
+                "[b DRAINING]",
+                describe(replyText(question, "kind=std", "cell=3", "started=2500")),
+                "restarted, and draining as before");
+    }
 }
