Keep one faulty record of an edge server from holding up the whole list

A TXT record with a cell that is not a number, or an SRV target without a zone, made the whole list unreadable: drains, new and removed edge servers were not heeded until it was gone. A TXT record without a cell put its server into cell 0.

Cause: TXT records were kept as received and read again for each list, where a fault threw for all of it; what they did not name was taken for 0 or empty, also of a server of which it was known.

Evidence: UnusableAnswersTest.faultyTextRecordHoldsUpNoOtherServer (list not readable), targetWithoutAZoneHoldsUpNoOtherServer (the same) and textWithoutACellChangesNoCellAndListsNoNewServer (cell 0 for 3) failed before.

Change: a TXT record is read once, where it arrives (ServerAttributes). A faulty one counts for none: a known server stays as it is, a new one is not listed and its record is asked for again. So does one that names no cell, since nothing may be sent to a server without one. Each faulty record is logged once: TXT record of edge server not usable.

--- a/src/main/java/dockshed/names/EdgeServerList.java
+++ b/src/main/java/dockshed/names/EdgeServerList.java
@@ -122,48 +122,26 @@
     /**
      * The server that these records describe.
      *
-     * @param service its SRV record
-     * @param address its A record, or null
-     * @param text    its TXT record, or null
-     * @param known   the server as listed so far, which replaces missing records, or null
+     * @param service    its SRV record, whose target has a zone
+     * @param address    its A record, or null
+     * @param attributes from its TXT record, or null
+     * @param known      the server as listed so far, which replaces what is missing; null only where address and cell are
+     *     given
      */
-    static ListedServer toListedServer(Record service, Record address, Record text, ListedServer known)
-            throws Dns.MalformedMessageException {
+    static ListedServer toListedServer(
+            Record service, Record address, ServerAttributes attributes, ListedServer known) {
         String[] labels = service.target().split("\\.");
-        if (labels.length < 2 || address == null && known == null) {
-            throw new Dns.MalformedMessageException(
-                    "expected a target with a zone and an address, got " + service.target());
-        }
-        Map<String, String> attributes = new HashMap<>();
-        if (text != null) {
-            for (String pair : text.texts()) {
-                int equals = pair.indexOf('=');
-                if (equals > 0) {
-                    attributes.put(pair.substring(0, equals), pair.substring(equals + 1));
-                }
-            }
-        }
-        Server before = text != null || known == null ? new Server("", "", "", 0, State.UP, 0, 0) : known.server();
-        try {
-            return new ListedServer(
-                    new Server(
-                            labels[0],
-                            labels[1],
-                            attributes.getOrDefault("kind", before.kind()),
-                            attributes.containsKey("cell") ? Integer.parseInt(attributes.get("cell")) : before.cell(),
-                            service.priority() == 0 ? State.UP : State.DRAINING,
-                            service.weight() / WEIGHT_UNIT,
-                            attributes.containsKey("started")
-                                    ? Math.round(Double.parseDouble(attributes.get("started")) * 1000)
-                                    : before.upSince()),
-                    new InetSocketAddress(
-                            address != null
-                                    ? address.address()
-                                    : known.address().getHostString(),
-                            service.port()));
-        } catch (NumberFormatException e) {
-            throw new Dns.MalformedMessageException(
-                    "expected numbers in the TXT record of " + service.target() + ": " + e.getMessage());
-        }
+        Server before = known == null ? new Server("", "", "", 0, State.UP, 0, 0) : known.server();
+        ServerAttributes told = attributes == null ? new ServerAttributes(null, null, null) : attributes;
+        Server server = new Server(
+                labels[0],
+                labels[1],
+                told.kind() == null ? before.kind() : told.kind(),
+                told.cell() == null ? before.cell() : told.cell(),
+                service.priority() == 0 ? State.UP : State.DRAINING,
+                service.weight() / WEIGHT_UNIT,
+                told.startedUs() == null ? before.upSince() : told.startedUs());
+        String host = address == null ? known.address().getHostString() : address.address();
+        return new ListedServer(server, new InetSocketAddress(host, service.port()));
     }
 }
--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -10,6 +10,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Brings the list of edge servers up to date from DNS answers that may lack records, be truncated or report a failure.
@@ -25,6 +27,7 @@
     /** Targets taken from one list: four times as many servers as the broker supports. */
     static final int MAX_TARGETS = 4096;
 
+    private static final Logger LOG = LoggerFactory.getLogger(EdgeServerListUpdater.class);
     private static final long UNKNOWN_SERIAL = Long.MIN_VALUE;
 
     /** The records of a server: its SRV record, and the others if they are known. */
@@ -32,7 +35,8 @@
         final Record srv;
         final long namedBySerial; // of the list that the SRV record is from; UNKNOWN_SERIAL: it was cut off
         Record address;
-        Record txt;
+        ServerAttributes attributes;
+        Record faultyText; // logged already
 
         Target(Record srv, long namedBySerial) {
             this.srv = srv;
@@ -84,17 +88,23 @@
             if (record.type() != Dns.SRV || !record.name().equals(serviceName) || targets.size() >= MAX_TARGETS) {
                 continue;
             }
+            if (!hasZone(record.target())) {
+                continue;
+            }
             Target previous = targets.get(record.target());
             Target target = new Target(record, withoutSerial ? UNKNOWN_SERIAL : answerSerial);
             target.address = addresses.getOrDefault(record.target(), previous == null ? null : previous.address);
-            target.txt = texts.getOrDefault(record.target(), previous == null ? null : previous.txt);
+            target.attributes = previous == null ? null : previous.attributes;
+            target.faultyText = previous == null ? null : previous.faultyText;
+            boolean known = list.get(id(record.target())) != null;
+            Record text = texts.get(record.target());
+            boolean told = text != null && applyText(target, text, known);
             targets.put(record.target(), target);
             named.add(record.target());
-            boolean known = list.get(id(record.target())) != null;
             if (target.address == null && !known) {
                 questions.need(new Question(record.target(), Dns.A));
             }
-            if (!texts.containsKey(record.target()) && (known ? newList || previous == null : target.txt == null)) {
+            if (!told && (known ? newList || previous == null : target.attributes == null)) {
                 enqueueText(record.target(), known);
             }
         }
@@ -143,7 +153,7 @@
     }
 
     /** Applies an answer to a question by name; returns what it changes. */
-    List<Server> applyRecordAnswer(Question question, Answer answer) throws Dns.MalformedMessageException {
+    List<Server> applyRecordAnswer(Question question, Answer answer) {
         Record record = answer.isFailure()
                 ? null
                 : EdgeServerList.byName(answer.records(), question.type()).get(question.target());
@@ -154,20 +164,44 @@
         if (record == null) {
             return applyAbsence(question);
         }
-        questions.answered(question);
         Target target = targets.get(question.target());
         if (target == null) {
+            questions.answered(question);
             return List.of(); // it was only missing from a truncated answer
         }
+        boolean known = list.get(id(question.target())) != null;
         if (question.type() == Dns.A) {
             target.address = record;
-        } else {
-            target.txt = record;
+        } else if (!applyText(target, record, known) && !known) {
+            questions.answeredUnusably(question);
+            return List.of();
         }
+        questions.answered(question);
         ListedServer server = listedServer(target);
         return server == null ? List.of() : list.merge(serial, List.of(server));
     }
 
+    /**
+     * Takes over what a TXT record tells of a server. Returns false if it is faulty, or does not tell the cell of a
+     * server of which it is not known: nothing may be sent to that.
+     */
+    private boolean applyText(Target target, Record text, boolean known) {
+        try {
+            ServerAttributes attributes = ServerAttributes.parse(text);
+            if (attributes.cell() == null && !known) {
+                throw new Dns.MalformedMessageException("expected a cell in the TXT record of " + text.name());
+            }
+            target.attributes = attributes;
+            return true;
+        } catch (Dns.MalformedMessageException e) {
+            if (!text.equals(target.faultyText)) {
+                LOG.warn("TXT record of edge server not usable: why={}", e.getMessage());
+            }
+            target.faultyText = text;
+            return false;
+        }
+    }
+
     /**
      * The name server has no such record. A removed server has none; one that the current list names is not removed, so
      * an answer that denies it its records is outdated.
@@ -207,12 +241,12 @@
     }
 
     /** The server that the target describes; null while required records are missing. */
-    private ListedServer listedServer(Target target) throws Dns.MalformedMessageException {
+    private ListedServer listedServer(Target target) {
         ListedServer known = list.get(id(target.srv.target()));
-        if (known == null && (target.address == null || target.txt == null)) {
+        if (known == null && (target.address == null || target.attributes == null)) {
             return null;
         }
-        ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.txt, known);
+        ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.attributes, known);
         return target.namedBySerial == UNKNOWN_SERIAL && known != null ? withoutRevokedDrain(listed, known) : listed;
     }
 
@@ -224,6 +258,11 @@
                 : listed;
     }
 
+    /** Whether a target has a second label, which is the zone of its server. */
+    private static boolean hasZone(String target) {
+        return target.split("\\.").length >= 2;
+    }
+
     private static String id(String target) {
         return target.split("\\.", 2)[0];
     }
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -265,4 +265,44 @@
                 describe(replyText(question, "kind=std", "cell=3", "started=2500")),
                 "restarted, and draining as before");
     }
+
+    @Test
+    void faultyTextRecordHoldsUpNoOtherServer() throws Exception {
+        // Guards against drains that are not heeded, as one faulty TXT record made the whole list unreadable.
+        addKnownServers();
+        applyList(6, "a", "b");
+        Question question = askFor("a", Dns.TXT);
+        assertEquals(List.of(), replyText(question, "kind=std", "cell=x", "started=0"));
+        assertEquals(KNOWN, list.get("a").server());
+        assertEquals("[b DRAINING]", describe(applyList(7, "a", "-b")));
+        AnswerBuilder withText =
+                listOf("-a", "-b").soa(8).a(target("a"), 1).txt(target("a"), "kind=std", "cell=", "started=0");
+        assertEquals("[a DRAINING]", describe(updater.applyListAnswer(Dns.parse(withText.bytes()))));
+        assertEquals(3, list.get("a").server().cell());
+    }
+
+    @Test
+    void targetWithoutAZoneHoldsUpNoOtherServer() throws Exception {
+        // Guards against drains that are not heeded, as one faulty SRV record made the whole list unreadable.
+        addKnownServers();
+        AnswerBuilder answer = listOf("a", "-b").srv("lost", 0, 40, 5000).soa(6);
+        answer.a("lost", 9).txt("lost", "kind=std", "cell=1", "started=0");
+        assertEquals("[b DRAINING]", describe(updater.applyListAnswer(Dns.parse(answer.bytes()))));
+    }
+
+    @Test
+    void textWithoutACellChangesNoCellAndListsNoNewServer() throws Exception {
+        // Guards against cell 0 for an edge server whose TXT record does not name its cell.
+        addKnownServers();
+        applyList(6, "a", "b", "n");
+        for (Question question : ask()) {
+            if (question.type() == Dns.A) {
+                replyAddress(question);
+            } else {
+                replyText(question, "kind=std", "started=" + (question.target().startsWith("a") ? 1500 : 0));
+            }
+        }
+        assertEquals(3, list.get("a").server().cell());
+        assertEquals(null, list.get("n"));
+    }
 }
