Tell answers to questions of an earlier list from those of the current one

A restart of an edge server that a new list tells could stay unnoticed until the next event, so that the sessions that it cut were not told and it was not paced as cold.

Cause: a question that was still open when the list changed was not asked again, and its answer, which may be older than the new list, counted for it. Nor was an answer that came late told from the newer one that had overtaken it.

Evidence: UnusableAnswersTest.answerToAQuestionOfAnEarlierListDoesNotSettleTheNewOne failed before (not asked for). The test beside it, answerToAQuestionOfAnEarlierListStillTellsWhatIsNotKnown, passed before and guards against lists that change more often than answers arrive.

Change: a question carries the serial number of the list that raised it. A new list drops all open questions and raises its own. A late answer still tells what is not known, but neither replaces what was asked for later nor shows that a record is absent. applyListAnswer is split: what a list tells of one server, and what it lacks.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -4,11 +4,11 @@
 import dockshed.names.Dns.Answer;
 import dockshed.names.Dns.Record;
 import dockshed.names.RecordQuestions.Question;
-import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -30,17 +30,18 @@
     private static final Logger LOG = LoggerFactory.getLogger(EdgeServerListUpdater.class);
     private static final long UNKNOWN_SERIAL = Long.MIN_VALUE;
 
-    /** The records of a server: its SRV record, and the others if they are known. */
+    /** What is known of a server by its records; null: not known. */
     private static final class Target {
-        final Record srv;
-        final long namedBySerial; // of the list that the SRV record is from; UNKNOWN_SERIAL: it was cut off
+        Record srv;
+        boolean mayBeOutdated; // the serial number of the list that the SRV record is from was cut off
+        long namedBySerial = UNKNOWN_SERIAL; // of the newest list known to name it
         Record address;
         ServerAttributes attributes;
+        long attributesSerial = UNKNOWN_SERIAL; // of the newest list known when the attributes were asked for
         Record faultyText; // logged already
 
-        Target(Record srv, long namedBySerial) {
-            this.srv = srv;
-            this.namedBySerial = namedBySerial;
+        String name() {
+            return srv.target();
         }
     }
 
@@ -79,42 +80,13 @@
         if (newList) {
             serial = answerSerial;
             complete = false; // until an answer that is not truncated shows all of it
-            questions.clearWaiting();
-        }
-        Map<String, Record> addresses = EdgeServerList.byName(answer.records(), Dns.A);
-        Map<String, Record> texts = EdgeServerList.byName(answer.records(), Dns.TXT);
-        Set<String> named = new HashSet<>();
-        for (Record record : answer.records()) {
-            if (record.type() != Dns.SRV || !record.name().equals(serviceName) || targets.size() >= MAX_TARGETS) {
-                continue;
-            }
-            if (!hasZone(record.target())) {
-                continue;
-            }
-            Target previous = targets.get(record.target());
-            Target target = new Target(record, withoutSerial ? UNKNOWN_SERIAL : answerSerial);
-            target.address = addresses.getOrDefault(record.target(), previous == null ? null : previous.address);
-            target.attributes = previous == null ? null : previous.attributes;
-            target.faultyText = previous == null ? null : previous.faultyText;
-            boolean known = list.get(id(record.target())) != null;
-            Record text = texts.get(record.target());
-            boolean told = text != null && applyText(target, text, known);
-            targets.put(record.target(), target);
-            named.add(record.target());
-            if (target.address == null && !known) {
-                questions.need(new Question(record.target(), Dns.A));
-            }
-            if (!told && (known ? newList || previous == null : target.attributes == null)) {
-                enqueueText(record.target(), known);
-            }
-        }
-        List<ListedServer> servers = new ArrayList<>();
-        for (String name : named) {
-            ListedServer listed = listedServer(targets.get(name));
-            if (listed != null) {
-                servers.add(listed);
-            }
+            questions.clear(); // an answer to one of them may be older than this list
         }
+        Set<String> named = applyRecords(answer, withoutSerial, newList);
+        List<ListedServer> servers = named.stream()
+                .map(name -> listedServer(targets.get(name)))
+                .filter(Objects::nonNull)
+                .toList();
         if (answer.truncated()) {
             complete = false; // a whole answer of the same serial number corrects what was outdated in this one
             if (newList) {
@@ -127,12 +99,53 @@
         return list.replaceAll(answerSerial, servers);
     }
 
-    private void enqueueText(String target, boolean known) {
-        Question question = new Question(target, Dns.TXT);
-        if (known) {
-            questions.refresh(question);
-        } else {
-            questions.need(question);
+    /** Takes over the records of a list, and queues questions for those it lacks; returns the targets that it names. */
+    private Set<String> applyRecords(Answer answer, boolean withoutSerial, boolean newList) {
+        Map<String, Record> addresses = EdgeServerList.byName(answer.records(), Dns.A);
+        Map<String, Record> texts = EdgeServerList.byName(answer.records(), Dns.TXT);
+        Set<String> named = new HashSet<>();
+        for (Record record : answer.records()) {
+            if (!isEdgeServer(record) || !targets.containsKey(record.target()) && targets.size() >= MAX_TARGETS) {
+                continue;
+            }
+            boolean firstNamed = !targets.containsKey(record.target());
+            Target target = targets.computeIfAbsent(record.target(), name -> new Target());
+            target.srv = record;
+            target.mayBeOutdated = withoutSerial;
+            target.namedBySerial = withoutSerial ? target.namedBySerial : serial;
+            target.address = addresses.getOrDefault(record.target(), target.address);
+            Record text = texts.get(record.target());
+            boolean textMayBeOutdated = withoutSerial && (isListed(target) || target.attributes != null);
+            boolean told = text != null && !textMayBeOutdated && applyText(target, text, serial);
+            enqueueMissing(target, told, newList || firstNamed);
+            named.add(record.target());
+        }
+        return named;
+    }
+
+    /** Whether a record names an edge server; the second label of its target is the zone. */
+    private boolean isEdgeServer(Record record) {
+        return record.type() == Dns.SRV
+                && record.name().equals(serviceName)
+                && record.target().split("\\.").length >= 2;
+    }
+
+    /**
+     * Queues questions for the records that a list lacks of a server.
+     *
+     * @param told       whether the list holds its TXT record
+     * @param mayBeNewer whether that record may have changed since it was last known
+     */
+    private void enqueueMissing(Target target, boolean told, boolean mayBeNewer) {
+        boolean listed = isListed(target);
+        if (target.address == null && !listed) {
+            questions.need(new Question(target.name(), Dns.A, serial));
+        }
+        Question textQuestion = new Question(target.name(), Dns.TXT, serial);
+        if (listed && !told && mayBeNewer) {
+            questions.refresh(textQuestion);
+        } else if (!listed && target.attributes == null) {
+            questions.need(textQuestion);
         }
     }
 
@@ -147,7 +160,7 @@
         for (ListedServer server : list.all()) {
             String target = server.server().id() + "." + server.server().zone() + suffix;
             if (!suffix.isEmpty() && !named.contains(target)) {
-                questions.refresh(new Question(target, Dns.A));
+                questions.refresh(new Question(target, Dns.A, serial));
             }
         }
     }
@@ -169,10 +182,11 @@
             questions.answered(question);
             return List.of(); // it was only missing from a truncated answer
         }
-        boolean known = list.get(id(question.target())) != null;
         if (question.type() == Dns.A) {
             target.address = record;
-        } else if (!applyText(target, record, known) && !known) {
+        } else if (question.listSerial() < target.attributesSerial) {
+            return List.of(); // asked before what is known
+        } else if (!applyText(target, record, question.listSerial()) && !isListed(target)) {
             questions.answeredUnusably(question);
             return List.of();
         }
@@ -182,16 +196,17 @@
     }
 
     /**
-     * Takes over what a TXT record tells of a server. Returns false if it is faulty, or does not tell the cell of a
-     * server of which it is not known: nothing may be sent to that.
+     * Takes over what a TXT record tells of a server, which is no older than the list of the serial number. Returns false
+     * if it is faulty, or does not tell the cell of a server of which it is not known: nothing may be sent to that.
      */
-    private boolean applyText(Target target, Record text, boolean known) {
+    private boolean applyText(Target target, Record text, long listSerial) {
         try {
             ServerAttributes attributes = ServerAttributes.parse(text);
-            if (attributes.cell() == null && !known) {
+            if (attributes.cell() == null && !isListed(target)) {
                 throw new Dns.MalformedMessageException("expected a cell in the TXT record of " + text.name());
             }
             target.attributes = attributes;
+            target.attributesSerial = listSerial;
             return true;
         } catch (Dns.MalformedMessageException e) {
             if (!text.equals(target.faultyText)) {
@@ -207,16 +222,18 @@
      * an answer that denies it its records is outdated.
      */
     private List<Server> applyAbsence(Question question) {
+        if (question.listSerial() != serial) {
+            return List.of(); // it may have records by the list that has come since
+        }
         Target target = targets.get(question.target());
-        boolean listed = target != null && target.namedBySerial == serial;
-        boolean removal = question.type() == Dns.A && !listed;
-        boolean needed = target != null && !removal && list.get(id(question.target())) == null;
-        if (needed) {
-            questions.answeredUnusably(question);
+        boolean named = target != null && target.namedBySerial == serial;
+        boolean removed = question.type() == Dns.A && !named;
+        if (!removed && target != null && !isListed(target)) {
+            questions.answeredUnusably(question); // it cannot be listed without the record
             return List.of();
         }
         questions.answered(question);
-        if (!removal) {
+        if (!removed) {
             return List.of();
         }
         targets.remove(question.target());
@@ -242,12 +259,12 @@
 
     /** The server that the target describes; null while required records are missing. */
     private ListedServer listedServer(Target target) {
-        ListedServer known = list.get(id(target.srv.target()));
+        ListedServer known = list.get(id(target.name()));
         if (known == null && (target.address == null || target.attributes == null)) {
             return null;
         }
         ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.attributes, known);
-        return target.namedBySerial == UNKNOWN_SERIAL && known != null ? withoutRevokedDrain(listed, known) : listed;
+        return target.mayBeOutdated && known != null ? withoutRevokedDrain(listed, known) : listed;
     }
 
     /** A list whose serial number is not known may be outdated: it does not revoke a drain. */
@@ -258,9 +275,8 @@
                 : listed;
     }
 
-    /** Whether a target has a second label, which is the zone of its server. */
-    private static boolean hasZone(String target) {
-        return target.split("\\.").length >= 2;
+    private boolean isListed(Target target) {
+        return list.get(id(target.name())) != null;
     }
 
     private static String id(String target) {
--- a/src/main/java/dockshed/names/RecordQuestions.java
+++ b/src/main/java/dockshed/names/RecordQuestions.java
@@ -17,8 +17,12 @@
     /** A question unanswered for this long is asked again. */
     static final long TIMEOUT_US = 1_000_000;
 
-    /** A question for the records of one type of a server's name. */
-    record Question(String target, int type) {}
+    /**
+     * A question for the records of one type of a server's name.
+     *
+     * @param listSerial serial number of the newest list known when it was raised: the answer is no older than that
+     */
+    record Question(String target, int type, long listSerial) {}
 
     /** What is kept of an open question: the queue that it is from, and when it was last asked. */
     private record Asked(Set<Question> queue, long at) {}
@@ -100,15 +104,10 @@
         }
     }
 
-    /** Drops the questions that wait; those that are open stay so. */
-    void clearWaiting() {
+    /** Drops all questions; an answer to one of them counts as to none that is raised later. */
+    void clear() {
         needed.clear();
         refreshes.clear();
-    }
-
-    /** Drops all questions. */
-    void clear() {
-        clearWaiting();
         open.clear();
         unusablyAnswered.clear();
     }
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -305,4 +305,35 @@
         assertEquals(3, list.get("a").server().cell());
         assertEquals(null, list.get("n"));
     }
+
+    @Test
+    void answerToAQuestionOfAnEarlierListDoesNotSettleTheNewOne() throws Exception {
+        // Guards against a restart that is not noticed: it was told by the newer list, and the answer to the question
+        // that was asked before it counted for both.
+        addKnownServers();
+        applyList(6, "a", "b");
+        Question early = askFor("a", Dns.TXT);
+        applyList(7, "a", "b");
+        Question late = askFor("a", Dns.TXT);
+        replyText(late, "kind=std", "cell=3", "started=2500");
+        assertEquals(2_500_000, list.get("a").server().upSince());
+        assertEquals(List.of(), replyText(early, "kind=std", "cell=3", "started=1500"), "outdated");
+        assertEquals(2_500_000, list.get("a").server().upSince());
+    }
+
+    @Test
+    void answerToAQuestionOfAnEarlierListStillTellsWhatIsNotKnown() throws Exception {
+        // Guards against a new edge server that is never listed, as the list changes more often than answers arrive.
+        applyList(6, "n");
+        List<Question> early = ask();
+        applyList(7, "n");
+        List<Server> listed = new ArrayList<>();
+        for (Question question : early) {
+            listed.addAll(
+                    question.type() == Dns.A
+                            ? replyAddress(question)
+                            : replyText(question, "kind=std", "cell=7", "started=0"));
+        }
+        assertEquals("[n UP]", describe(listed));
+    }
 }
