Ask for restarts also of servers that only the whole list after a cut one names

A restart could stay unnoticed until the next event where lists come without TXT records.

Cause: EdgeServerListUpdater asked for the TXT records of the servers that the first answer with a new serial number named. If that answer was cut off before a server, the whole answer after it had the same serial number and raised no question for it.

Evidence: UnusableAnswersTest.restartIsAskedForAlsoWhereOnlyTheWholeListNamesTheServer failed before (not asked for).

Change: each server is marked as asked for under the current serial number, instead of the list as a whole.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -39,6 +39,7 @@
         ServerAttributes attributes;
         long attributesSerial = UNKNOWN_SERIAL; // of the newest list known when the attributes were asked for
         Record faultyText; // logged already
+        boolean textAskedFor; // since the list has its serial number
 
         String name() {
             return srv.target();
@@ -81,8 +82,9 @@
             serial = answerSerial;
             complete = false; // until an answer that is not truncated shows all of it
             questions.clear(); // an answer to one of them may be older than this list
+            targets.values().forEach(target -> target.textAskedFor = false);
         }
-        Set<String> named = applyRecords(answer, withoutSerial, newList);
+        Set<String> named = applyRecords(answer, withoutSerial);
         List<ListedServer> servers = named.stream()
                 .map(name -> listedServer(targets.get(name)))
                 .filter(Objects::nonNull)
@@ -100,7 +102,7 @@
     }
 
     /** Takes over the records of a list, and queues questions for those it lacks; returns the targets that it names. */
-    private Set<String> applyRecords(Answer answer, boolean withoutSerial, boolean newList) {
+    private Set<String> applyRecords(Answer answer, boolean withoutSerial) {
         Map<String, Record> addresses = EdgeServerList.byName(answer.records(), Dns.A);
         Map<String, Record> texts = EdgeServerList.byName(answer.records(), Dns.TXT);
         Set<String> named = new HashSet<>();
@@ -108,7 +110,6 @@
             if (!isEdgeServer(record) || !targets.containsKey(record.target()) && targets.size() >= MAX_TARGETS) {
                 continue;
             }
-            boolean firstNamed = !targets.containsKey(record.target());
             Target target = targets.computeIfAbsent(record.target(), name -> new Target());
             target.srv = record;
             target.mayBeOutdated = withoutSerial;
@@ -117,7 +118,7 @@
             Record text = texts.get(record.target());
             boolean textMayBeOutdated = withoutSerial && (isListed(target) || target.attributes != null);
             boolean told = text != null && !textMayBeOutdated && applyText(target, text, serial);
-            enqueueMissing(target, told, newList || firstNamed);
+            enqueueMissing(target, told);
             named.add(record.target());
         }
         return named;
@@ -131,18 +132,17 @@
     }
 
     /**
-     * Queues questions for the records that a list lacks of a server.
-     *
-     * @param told       whether the list holds its TXT record
-     * @param mayBeNewer whether that record may have changed since it was last known
+     * Queues questions for the records that a list lacks of a server; {@code told}: it holds its TXT record. That of a
+     * server which is listed already is asked for once for each serial number, as it may have restarted.
      */
-    private void enqueueMissing(Target target, boolean told, boolean mayBeNewer) {
+    private void enqueueMissing(Target target, boolean told) {
         boolean listed = isListed(target);
         if (target.address == null && !listed) {
             questions.need(new Question(target.name(), Dns.A, serial));
         }
         Question textQuestion = new Question(target.name(), Dns.TXT, serial);
-        if (listed && !told && mayBeNewer) {
+        if (listed && !told && !target.textAskedFor) {
+            target.textAskedFor = true;
             questions.refresh(textQuestion);
         } else if (!listed && target.attributes == null) {
             questions.need(textQuestion);
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -306,6 +306,19 @@
         assertEquals(null, list.get("n"));
     }
 
+    @Test
+    void restartIsAskedForAlsoWhereOnlyTheWholeListNamesTheServer() throws Exception {
+        // Guards against a restart that is not noticed: the first answer with the newest serial number was cut off
+        // before the server, and the whole one after it counted as the same list.
+        addKnownServers();
+        applyList(5, "a", "b");
+        ask();
+        updater.applyListAnswer(Dns.parse(listOf("b").soa(6).truncated(MAX_ANSWER_BYTES)));
+        ask();
+        applyList(6, "a", "b");
+        assertEquals(6, askFor("a", Dns.TXT).listSerial());
+    }
+
     @Test
     void answerToAQuestionOfAnEarlierListDoesNotSettleTheNewOne() throws Exception {
         // Guards against a restart that is not noticed: it was told by the newer list, and the answer to the question
