Hold what a list cut off before its serial number told against whole ones that are late

A drain that a cut list had told was revoked, or a new edge server that it had named was removed with its sessions, by a whole list of an earlier event that arrived after it.

Cause: such a list counts as one of the newest serial number known, but may hold a later event.

Change: what a list without its serial number told of a drain or of a server that no other list named holds for 10 s, as long as a late answer counts; after that, whole lists decide, also one of the same serial number.

--- a/src/main/java/dockshed/names/DnsDiscovery.java
+++ b/src/main/java/dockshed/names/DnsDiscovery.java
@@ -29,11 +29,10 @@
     static final String SERVICE_NAME = "_work._tcp.fleet.local";
 
     static final long QUERY_INTERVAL_US = 250_000;
-    /**
-     * The delay within which an answer is expected. After twice this time without any answer the name server counts as
-     * unreachable; a query is only forgotten after ten times, so that a late answer still counts.
-     */
-    private static final long ANSWER_TIMEOUT_US = 1_000_000;
+    /** After this long without any answer the name server counts as unreachable. */
+    private static final long UNREACHABLE_AFTER_US = 2_000_000;
+    /** An answer that comes later than this after its query does not count. */
+    static final long LATE_ANSWER_LIMIT_US = 10_000_000;
 
     /** The logger keeps its earlier name, by which operators filter log lines. */
     private static final Logger LOG = LoggerFactory.getLogger("dockshed.names.Names");
@@ -125,9 +124,9 @@
     private void queryList(long due) {
         long now = clock.now();
         timers.schedule(now + QUERY_INTERVAL_US, this::queryList);
-        pendingQueries.values().removeIf(q -> now - q.sentAt() > 10 * ANSWER_TIMEOUT_US);
+        pendingQueries.values().removeIf(q -> now - q.sentAt() > LATE_ANSWER_LIMIT_US);
         boolean wasReachable = reachable;
-        reachable = now - lastAnswerAt < 2 * ANSWER_TIMEOUT_US;
+        reachable = now - lastAnswerAt < UNREACHABLE_AFTER_US;
         if (wasReachable != reachable) {
             LOG.warn("name server {}", reachable ? "reached again" : "unreachable, the last list stays in force");
         }
@@ -179,13 +178,14 @@
                     answer.truncated(),
                     answer.responseCode());
         }
+        long now = clock.now();
         if (!answer.isFailure()) {
-            lastAnswerAt = clock.now();
+            lastAnswerAt = now;
         }
         long serialBefore = list.serial();
         List<Server> changes = query.question() == null
-                ? updater.applyListAnswer(answer)
-                : updater.applyRecordAnswer(query.question(), answer);
+                ? updater.applyListAnswer(answer, now)
+                : updater.applyRecordAnswer(query.question(), answer, now);
         boolean settled = updater.isSettled();
         if (changes != null && (!changes.isEmpty() || settled && (list.serial() != serialBefore || !listConfirmed))) {
             listConfirmed |= settled;
--- a/src/main/java/dockshed/names/EdgeServerList.java
+++ b/src/main/java/dockshed/names/EdgeServerList.java
@@ -64,7 +64,7 @@
         List<ListedServer> changes = new ArrayList<>();
         for (ListedServer before : List.copyOf(current.values())) {
             if (!next.containsKey(before.server().id())) {
-                changes.add(asGone(before));
+                changes.add(before.withState(State.GONE));
             }
         }
         for (ListedServer listed : servers) {
@@ -86,7 +86,7 @@
     /** Removes a server that has no records any more. */
     List<Server> remove(String id) {
         ListedServer before = current.get(id);
-        return before == null ? List.of() : apply(List.of(asGone(before)));
+        return before == null ? List.of() : apply(List.of(before.withState(State.GONE)));
     }
 
     /** The server with this id, or null. */
@@ -98,11 +98,6 @@
         return List.copyOf(current.values());
     }
 
-    /** The server in state GONE. */
-    private static ListedServer asGone(ListedServer before) {
-        return new ListedServer(before.server().withState(State.GONE), before.address());
-    }
-
     /** The serial number in an answer's SOA record; -1 if there is none. */
     static long serial(List<Record> records) {
         return records.stream()
--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -1,9 +1,11 @@
 package dockshed.names;
 
 import dockshed.Director.Server;
+import dockshed.Director.State;
 import dockshed.names.Dns.Answer;
 import dockshed.names.Dns.Record;
 import dockshed.names.RecordQuestions.Question;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -27,6 +29,12 @@
     /** Targets taken from one list: four times as many servers as the broker supports. */
     static final int MAX_TARGETS = 4096;
 
+    /**
+     * For this long no whole list revokes what one without its serial number told: that may have held a later event than
+     * those that are still on their way.
+     */
+    static final long HOLD_US = DnsDiscovery.LATE_ANSWER_LIMIT_US;
+
     private static final Logger LOG = LoggerFactory.getLogger(EdgeServerListUpdater.class);
     private static final long UNKNOWN_SERIAL = Long.MIN_VALUE;
 
@@ -34,6 +42,9 @@
     private static final class Target {
         Record srv;
         boolean mayBeOutdated; // the serial number of the list that the SRV record is from was cut off
+        boolean confirmed; // named by the configuration, or by a list with a serial number
+        long heldUntil; // a list without a serial number told of it, and none with one had
+        long drainHeldUntil; // a list without a serial number told that it drains
         long namedBySerial = UNKNOWN_SERIAL; // of the newest list known to name it
         Record address;
         ServerAttributes attributes;
@@ -59,7 +70,7 @@
     }
 
     /** Applies an answer to a list query; returns what it changes, or null where it is older than the current list. */
-    List<Server> applyListAnswer(Answer answer) throws Dns.MalformedMessageException {
+    List<Server> applyListAnswer(Answer answer, long now) throws Dns.MalformedMessageException {
         long answerSerial = EdgeServerList.serial(answer.records());
         boolean withoutSerial = answerSerial < 0;
         if (withoutSerial && !answer.truncated()) {
@@ -84,9 +95,13 @@
             questions.clear(); // an answer to one of them may be older than this list
             targets.values().forEach(target -> target.textAskedFor = false);
         }
-        Set<String> named = applyRecords(answer, withoutSerial);
-        List<ListedServer> servers = named.stream()
-                .map(name -> listedServer(targets.get(name)))
+        Set<String> named = applyRecords(answer, withoutSerial, now);
+        if (!answer.truncated()) {
+            targets.keySet().removeIf(name -> !named.contains(name) && targets.get(name).heldUntil <= now);
+        }
+        Collection<String> shown = answer.truncated() ? named : targets.keySet();
+        List<ListedServer> servers = shown.stream()
+                .map(name -> listedServer(targets.get(name), now))
                 .filter(Objects::nonNull)
                 .toList();
         if (answer.truncated()) {
@@ -96,13 +111,12 @@
             }
             return list.merge(answerSerial, servers);
         }
-        targets.keySet().retainAll(named);
-        complete = true;
+        complete = targets.values().stream().noneMatch(target -> target.heldUntil > now || target.drainHeldUntil > now);
         return list.replaceAll(answerSerial, servers);
     }
 
     /** Takes over the records of a list, and queues questions for those it lacks; returns the targets that it names. */
-    private Set<String> applyRecords(Answer answer, boolean withoutSerial) {
+    private Set<String> applyRecords(Answer answer, boolean withoutSerial, long now) {
         Map<String, Record> addresses = EdgeServerList.byName(answer.records(), Dns.A);
         Map<String, Record> texts = EdgeServerList.byName(answer.records(), Dns.TXT);
         Set<String> named = new HashSet<>();
@@ -110,10 +124,8 @@
             if (!isEdgeServer(record) || !targets.containsKey(record.target()) && targets.size() >= MAX_TARGETS) {
                 continue;
             }
-            Target target = targets.computeIfAbsent(record.target(), name -> new Target());
-            target.srv = record;
-            target.mayBeOutdated = withoutSerial;
-            target.namedBySerial = withoutSerial ? target.namedBySerial : serial;
+            Target target = targets.computeIfAbsent(record.target(), this::newTarget);
+            applyService(target, record, withoutSerial, now);
             target.address = addresses.getOrDefault(record.target(), target.address);
             Record text = texts.get(record.target());
             boolean textMayBeOutdated = withoutSerial && (isListed(target) || target.attributes != null);
@@ -124,6 +136,28 @@
         return named;
     }
 
+    private Target newTarget(String name) {
+        Target target = new Target();
+        target.confirmed = list.get(id(name)) != null;
+        return target;
+    }
+
+    /** Takes over the SRV record of a server. */
+    private void applyService(Target target, Record service, boolean withoutSerial, long now) {
+        boolean drains = service.priority() != 0;
+        target.srv = service;
+        target.mayBeOutdated = withoutSerial;
+        if (withoutSerial) {
+            target.heldUntil = target.confirmed ? 0 : now + HOLD_US;
+            target.drainHeldUntil = drains ? now + HOLD_US : target.drainHeldUntil;
+            return;
+        }
+        target.namedBySerial = serial;
+        target.confirmed = true;
+        target.heldUntil = 0;
+        target.drainHeldUntil = drains ? 0 : target.drainHeldUntil;
+    }
+
     /** Whether a record names an edge server; the second label of its target is the zone. */
     private boolean isEdgeServer(Record record) {
         return record.type() == Dns.SRV
@@ -166,7 +200,7 @@
     }
 
     /** Applies an answer to a question by name; returns what it changes. */
-    List<Server> applyRecordAnswer(Question question, Answer answer) {
+    List<Server> applyRecordAnswer(Question question, Answer answer, long now) {
         Record record = answer.isFailure()
                 ? null
                 : EdgeServerList.byName(answer.records(), question.type()).get(question.target());
@@ -191,7 +225,7 @@
             return List.of();
         }
         questions.answered(question);
-        ListedServer server = listedServer(target);
+        ListedServer server = listedServer(target, now);
         return server == null ? List.of() : list.merge(serial, List.of(server));
     }
 
@@ -258,21 +292,19 @@
     }
 
     /** The server that the target describes; null while required records are missing. */
-    private ListedServer listedServer(Target target) {
+    private ListedServer listedServer(Target target, long now) {
         ListedServer known = list.get(id(target.name()));
         if (known == null && (target.address == null || target.attributes == null)) {
             return null;
         }
         ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.attributes, known);
-        return target.mayBeOutdated && known != null ? withoutRevokedDrain(listed, known) : listed;
+        return drains(target, known, now) ? listed.withState(State.DRAINING) : listed;
     }
 
-    /** A list whose serial number is not known may be outdated: it does not revoke a drain. */
-    private static ListedServer withoutRevokedDrain(ListedServer listed, ListedServer known) {
-        boolean revoked = known.server().state().compareTo(listed.server().state()) > 0;
-        return revoked
-                ? new ListedServer(listed.server().withState(known.server().state()), listed.address())
-                : listed;
+    /** Whether a server drains, whatever its SRV record says: an outdated list revokes no drain. */
+    private static boolean drains(Target target, ListedServer known, long now) {
+        boolean wasDraining = known != null && known.server().state() == State.DRAINING;
+        return target.drainHeldUntil > now || target.mayBeOutdated && wasDraining;
     }
 
     private boolean isListed(Target target) {
