--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -1,7 +1,6 @@
 package dockshed.names;
 
 import dockshed.Director.Server;
-import dockshed.Director.State;
 import dockshed.names.Dns.Answer;
 import dockshed.names.Dns.Record;
 import dockshed.names.RecordQuestions.Question;
@@ -12,8 +11,6 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /**
  * Brings the list of edge servers up to date from DNS answers that may lack records, be truncated or report a failure.
@@ -29,37 +26,9 @@
     /** Targets taken from one list: four times as many servers as the broker supports. */
     static final int MAX_TARGETS = 4096;
 
-    /**
-     * For this long no whole list revokes what one without its serial number told: that may have held a later event than
-     * those that are still on their way.
-     */
-    static final long HOLD_US = DnsDiscovery.LATE_ANSWER_LIMIT_US;
-
-    private static final Logger LOG = LoggerFactory.getLogger(EdgeServerListUpdater.class);
-    private static final long UNKNOWN_SERIAL = Long.MIN_VALUE;
-
-    /** What is known of a server by its records; null: not known. */
-    private static final class Target {
-        Record srv;
-        boolean mayBeOutdated; // the serial number of the list that the SRV record is from was cut off
-        boolean confirmed; // named by the configuration, or by a list with a serial number
-        long heldUntil; // a list without a serial number told of it, and none with one had
-        long drainHeldUntil; // a list without a serial number told that it drains
-        long namedBySerial = UNKNOWN_SERIAL; // of the newest list known to name it
-        Record address;
-        ServerAttributes attributes;
-        long attributesSerial = UNKNOWN_SERIAL; // of the newest list known when the attributes were asked for
-        Record faultyText; // logged already
-        boolean textAskedFor; // since the list has its serial number
-
-        String name() {
-            return srv.target();
-        }
-    }
-
     private final EdgeServerList list;
     private final String serviceName;
-    private final Map<String, Target> targets = new LinkedHashMap<>();
+    private final Map<String, ServerRecords> targets = new LinkedHashMap<>();
     private final RecordQuestions questions = new RecordQuestions();
     private long serial = -1; // of the list that the targets are from
     private boolean complete; // an answer that was not truncated has shown that list
@@ -97,7 +66,9 @@
         }
         Set<String> named = applyRecords(answer, withoutSerial, now);
         if (!answer.truncated()) {
-            targets.keySet().removeIf(name -> !named.contains(name) && targets.get(name).heldUntil <= now);
+            targets.keySet()
+                    .removeIf(
+                            name -> !named.contains(name) && !targets.get(name).isHeld(now));
         }
         Collection<String> shown = answer.truncated() ? named : targets.keySet();
         List<ListedServer> servers = shown.stream()
@@ -111,7 +82,7 @@
             }
             return list.merge(answerSerial, servers);
         }
-        complete = targets.values().stream().noneMatch(target -> target.heldUntil > now || target.drainHeldUntil > now);
+        complete = targets.values().stream().noneMatch(target -> target.isHeld(now) || target.isDrainHeld(now));
         return list.replaceAll(answerSerial, servers);
     }
 
@@ -124,38 +95,20 @@
             if (!isEdgeServer(record) || !targets.containsKey(record.target()) && targets.size() >= MAX_TARGETS) {
                 continue;
             }
-            Target target = targets.computeIfAbsent(record.target(), this::newTarget);
-            applyService(target, record, withoutSerial, now);
-            target.address = addresses.getOrDefault(record.target(), target.address);
+            ServerRecords target = targets.computeIfAbsent(record.target(), this::newTarget);
+            target.applyService(record, withoutSerial ? ServerRecords.UNKNOWN_SERIAL : serial, now);
+            target.applyAddress(addresses.get(record.target()));
             Record text = texts.get(record.target());
-            boolean textMayBeOutdated = withoutSerial && (isListed(target) || target.attributes != null);
-            boolean told = text != null && !textMayBeOutdated && applyText(target, text, serial);
+            boolean textMayBeOutdated = withoutSerial && (isListed(target) || target.hasAttributes());
+            boolean told = text != null && !textMayBeOutdated && target.applyText(text, serial, isListed(target));
             enqueueMissing(target, told);
             named.add(record.target());
         }
         return named;
     }
 
-    private Target newTarget(String name) {
-        Target target = new Target();
-        target.confirmed = list.get(id(name)) != null;
-        return target;
-    }
-
-    /** Takes over the SRV record of a server. */
-    private void applyService(Target target, Record service, boolean withoutSerial, long now) {
-        boolean drains = service.priority() != 0;
-        target.srv = service;
-        target.mayBeOutdated = withoutSerial;
-        if (withoutSerial) {
-            target.heldUntil = target.confirmed ? 0 : now + HOLD_US;
-            target.drainHeldUntil = drains ? now + HOLD_US : target.drainHeldUntil;
-            return;
-        }
-        target.namedBySerial = serial;
-        target.confirmed = true;
-        target.heldUntil = 0;
-        target.drainHeldUntil = drains ? 0 : target.drainHeldUntil;
+    private ServerRecords newTarget(String name) {
+        return new ServerRecords(list.get(id(name)) != null);
     }
 
     /** Whether a record names an edge server; the second label of its target is the zone. */
@@ -169,16 +122,16 @@
      * Queues questions for the records that a list lacks of a server; {@code told}: it holds its TXT record. That of a
      * server which is listed already is asked for once for each serial number, as it may have restarted.
      */
-    private void enqueueMissing(Target target, boolean told) {
+    private void enqueueMissing(ServerRecords target, boolean told) {
         boolean listed = isListed(target);
-        if (target.address == null && !listed) {
+        if (!target.hasAddress() && !listed) {
             questions.need(new Question(target.name(), Dns.A, serial));
         }
         Question textQuestion = new Question(target.name(), Dns.TXT, serial);
         if (listed && !told && !target.textAskedFor) {
             target.textAskedFor = true;
             questions.refresh(textQuestion);
-        } else if (!listed && target.attributes == null) {
+        } else if (!listed && !target.hasAttributes()) {
             questions.need(textQuestion);
         }
     }
@@ -211,16 +164,16 @@
         if (record == null) {
             return applyAbsence(question);
         }
-        Target target = targets.get(question.target());
+        ServerRecords target = targets.get(question.target());
         if (target == null) {
             questions.answered(question);
             return List.of(); // it was only missing from a truncated answer
         }
         if (question.type() == Dns.A) {
-            target.address = record;
-        } else if (question.listSerial() < target.attributesSerial) {
+            target.applyAddress(record);
+        } else if (target.isAskedLater(question.listSerial())) {
             return List.of(); // asked before what is known
-        } else if (!applyText(target, record, question.listSerial()) && !isListed(target)) {
+        } else if (!target.applyText(record, question.listSerial(), isListed(target)) && !isListed(target)) {
             questions.answeredUnusably(question);
             return List.of();
         }
@@ -229,28 +182,6 @@
         return server == null ? List.of() : list.merge(serial, List.of(server));
     }
 
-    /**
-     * Takes over what a TXT record tells of a server, which is no older than the list of the serial number. Returns false
-     * if it is faulty, or does not tell the cell of a server of which it is not known: nothing may be sent to that.
-     */
-    private boolean applyText(Target target, Record text, long listSerial) {
-        try {
-            ServerAttributes attributes = ServerAttributes.parse(text);
-            if (attributes.cell() == null && !isListed(target)) {
-                throw new Dns.MalformedMessageException("expected a cell in the TXT record of " + text.name());
-            }
-            target.attributes = attributes;
-            target.attributesSerial = listSerial;
-            return true;
-        } catch (Dns.MalformedMessageException e) {
-            if (!text.equals(target.faultyText)) {
-                LOG.warn("TXT record of edge server not usable: why={}", e.getMessage());
-            }
-            target.faultyText = text;
-            return false;
-        }
-    }
-
     /**
      * The name server has no such record. A removed server has none; one that the current list names is not removed, so
      * an answer that denies it its records is outdated.
@@ -259,8 +190,8 @@
         if (question.listSerial() != serial) {
             return List.of(); // it may have records by the list that has come since
         }
-        Target target = targets.get(question.target());
-        boolean named = target != null && target.namedBySerial == serial;
+        ServerRecords target = targets.get(question.target());
+        boolean named = target != null && target.isNamedBy(serial);
         boolean removed = question.type() == Dns.A && !named;
         if (!removed && target != null && !isListed(target)) {
             questions.answeredUnusably(question); // it cannot be listed without the record
@@ -291,23 +222,11 @@
         complete = false;
     }
 
-    /** The server that the target describes; null while required records are missing. */
-    private ListedServer listedServer(Target target, long now) {
-        ListedServer known = list.get(id(target.name()));
-        if (known == null && (target.address == null || target.attributes == null)) {
-            return null;
-        }
-        ListedServer listed = EdgeServerList.toListedServer(target.srv, target.address, target.attributes, known);
-        return drains(target, known, now) ? listed.withState(State.DRAINING) : listed;
-    }
-
-    /** Whether a server drains, whatever its SRV record says: an outdated list revokes no drain. */
-    private static boolean drains(Target target, ListedServer known, long now) {
-        boolean wasDraining = known != null && known.server().state() == State.DRAINING;
-        return target.drainHeldUntil > now || target.mayBeOutdated && wasDraining;
+    private ListedServer listedServer(ServerRecords target, long now) {
+        return target.toListedServer(list.get(id(target.name())), now);
     }
 
-    private boolean isListed(Target target) {
+    private boolean isListed(ServerRecords target) {
         return list.get(id(target.name())) != null;
     }
 
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -261,7 +261,7 @@
         assertEquals("[]", describe(applyList(6, "a", "b")));
         assertEquals("[]", describe(applyList(7, "a", "b")));
         assertEquals(State.DRAINING, list.get("b").server().state());
-        now += EdgeServerListUpdater.HOLD_US;
+        now += ServerRecords.HOLD_US;
         assertEquals("[b UP]", describe(applyList(7, "a", "b")), "the cut list was outdated, or the drain was revoked");
     }
 
@@ -281,7 +281,7 @@
         }
         assertEquals("[]", describe(applyList(6, "a", "b")));
         assertEquals(7, list.get("n").server().cell());
-        now += EdgeServerListUpdater.HOLD_US;
+        now += ServerRecords.HOLD_US;
         assertEquals("[n GONE]", describe(applyList(6, "a", "b")));
     }
 
