Answer 502 where an edge server's playlist consists of line breaks only

A lesson whose multivariant playlist was like that was answered only at its deadline.

Cause: Playlists.lines splits the text at its line breaks, which leaves no line at all here, and read the first one.

PlaylistsTest.playlistsOfLineBreaksOnlyAreUnusable (the exception), PlaylistsTest.anyTextIsRewrittenOrUnusable (the same) and HlsEndToEndTest.playlistsOfLineBreaksOnlyLeadTo502 (no answer within 20 s) failed before.

Change: a text without lines is unusable like any other that does not begin with #EXTM3U. A seeded property over 3,000 texts made of a playlist's parts shows no other unexpected exception.

--- a/src/main/java/dockshed/hls/Playlists.java
+++ b/src/main/java/dockshed/hls/Playlists.java
@@ -218,8 +218,8 @@
 
     /** Splits a playlist into lines, the first of which must be #EXTM3U. */
     private static List<String> lines(String text) throws UnusablePlaylistException {
-        List<String> lines = List.of(text.split("\r?\n"));
-        if (!lines.get(0).equals("#EXTM3U")) {
+        List<String> lines = List.of(text.split("\r?\n")); // empty for a text of line breaks only
+        if (lines.isEmpty() || !lines.get(0).equals("#EXTM3U")) {
             throw new UnusablePlaylistException("first line is not #EXTM3U");
         }
         return lines;
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -371,6 +371,15 @@
         assertEquals(502, get(uris(get(lessonPath("paid", "v"))).get(0)).status());
     }
 
+    @Test
+    void playlistsOfLineBreaksOnlyLeadTo502() throws Exception {
+        // Guards against a player whose fetch is never answered, and against a connection that stays open for ever.
+        String media = uris(get(lessonPath("paid", "v"))).get(0);
+        edgeServer.responder = path -> ok("\n");
+        assertEquals(502, get(media).status());
+        assertEquals(502, get(lessonPath("paid", "w")).status());
+    }
+
     @Test
     void mediaPlaylistOnAnotherServerIsNotFetched() throws Exception {
         edgeServer.responder = path -> ok("#EXTM3U\n#EXT-X-STREAM-INF:BANDWIDTH=1\nx\n"
--- a/src/test/java/dockshed/hls/PlaylistsTest.java
+++ b/src/test/java/dockshed/hls/PlaylistsTest.java
@@ -88,6 +88,56 @@
         }
     }
 
+    @Test
+    void playlistsOfLineBreaksOnlyAreUnusable() {
+        // Guards against a player that is never answered: reading such a playlist failed with an unexpected exception.
+        for (String blank : List.of("\n", "\r\n", "\n\n\r\n\n")) {
+            assertThrows(UnusablePlaylistException.class, () -> Playlists.rewriteMediaPlaylist(blank, BASE));
+            assertThrows(UnusablePlaylistException.class, () -> MultivariantPlaylist.parse(blank));
+            assertEquals(0, Playlists.playDurationUs(blank));
+        }
+    }
+
+    /** Whatever an edge server sends, it is rewritten or unusable. */
+    @Property(seed = "20261207", tries = 3000)
+    void anyTextIsRewrittenOrUnusable(@ForAll @Size(max = 12) List<@IntRange(max = 19) Integer> parts) {
+        List<String> fragments = List.of(
+                "#EXTM3U",
+                "\n",
+                "\r\n",
+                "\r",
+                " ",
+                "#EXT-X-STREAM-INF:",
+                "#EXT-X-MEDIA:",
+                "#EXT-X-I-FRAME-STREAM-INF:",
+                "#EXTINF:",
+                "#EXT-X-TARGETDURATION:",
+                "#EXT-X-ENDLIST",
+                "BANDWIDTH=",
+                "URI=",
+                "\"",
+                "TYPE=AUDIO,GROUP-ID=\"g\",",
+                ",",
+                "9",
+                "a.m3u8",
+                "http://[",
+                "\u0000");
+        StringBuilder text = new StringBuilder("#EXTM3U\n".repeat(parts.size() % 2));
+        parts.forEach(part -> text.append(fragments.get(part)));
+        assertTrue(Playlists.playDurationUs(text.toString()) >= 0);
+        try {
+            assertTrue(Playlists.rewriteMediaPlaylist(text.toString(), BASE).startsWith("#EXTM3U"));
+        } catch (UnusablePlaylistException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+        try {
+            MultivariantPlaylist playlist = MultivariantPlaylist.parse(text.toString());
+            assertTrue(playlist.rewrite(0, 9, BASE, number -> "n").startsWith("#EXTM3U"));
+        } catch (UnusablePlaylistException e) {
+            assertFalse(e.getMessage().isEmpty());
+        }
+    }
+
     @Test
     void mediaPlaylistUrisAreMadeAbsolute() throws Exception {
         String text = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXT-X-MAP:URI=\"init.mp4\",BYTERANGE=\"1@0\"\n"
