Report a response whose handling throws to whoever waits for it, and end each fetch once

A list from Eureka whose handling threw was the last one: no further query was scheduled.

Cause: HttpFetch counted a request as finished and then called its listener. An exception there ended as a line in the log of the fetch's connection, and the listener, whose timer was cancelled by then, heard nothing more. The timers stood at the callers, beside the fetch: one that failed at once, for lack of a descriptor, left a timer that would answer a second time, or poll twice, and HlsEdgeServers kept an entry for it.

Failing at once was read, not run: a test has no way to be short of descriptors.

Change: a fetch owns its timer (timeOutAt) and releases timer, memory and connection before its listener is called. If onResponse throws, onFailure is called with the request as one that may have run, so that a paid set-up is not repeated. Why a fetch failed is one of three values instead of a flag. StubHttpServer is a file of its own.

--- a/src/main/java/dockshed/eureka/EurekaClient.java
+++ b/src/main/java/dockshed/eureka/EurekaClient.java
@@ -50,7 +50,6 @@
     /** Requests a delta if there is a list to apply it to, otherwise the full list. */
     private void fetch(long due) {
         boolean delta = fullListReceived;
-        TimerQueue.Timer[] timeout = {null};
         HttpFetch request = HttpFetch.get(
                 net,
                 config.address(),
@@ -61,20 +60,15 @@
                 new HttpFetch.Listener() {
                     @Override
                     public void onResponse(HttpStyleMessage response) {
-                        timers.cancel(timeout[0]);
                         listReceived(delta, response);
                     }
 
                     @Override
-                    public void onFailure(boolean maybeProcessed, String why) {
-                        timers.cancel(timeout[0]);
+                    public void onFailure(HttpFetch.Failure failure, String why) {
                         fetchFailed(why);
                     }
                 });
-        timeout[0] = timers.schedule(clock.now() + RESPONSE_TIMEOUT_US, expired -> {
-            request.cancel();
-            fetchFailed("no response in time");
-        });
+        request.timeOutAt(timers, clock.now() + RESPONSE_TIMEOUT_US);
     }
 
     private void listReceived(boolean delta, HttpStyleMessage response) {
--- a/src/main/java/dockshed/hls/HlsEdgeServers.java
+++ b/src/main/java/dockshed/hls/HlsEdgeServers.java
@@ -79,67 +79,62 @@
                 setUp.name(),
                 "Rung",
                 Integer.toString(setUp.highestRendition()));
-        setUpFetches.put(
-                setUp.name(),
-                HttpFetch.get(
-                        net,
-                        address,
-                        multivariantPlaylistPath(setUp.title()),
-                        headers,
-                        connectTimeoutMs,
-                        MAX_PLAYLIST_BYTES,
-                        new HttpFetch.Listener() {
-                            @Override
-                            public void onResponse(HttpStyleMessage response) {
-                                setUpFetches.remove(setUp.name());
-                                try {
-                                    if (response.status() != 200) {
-                                        throw new Playlists.UnusablePlaylistException(
-                                                "HTTP status " + response.status());
-                                    }
-                                    Playlists.MultivariantPlaylist playlist =
-                                            Playlists.MultivariantPlaylist.parse(response.bodyText());
-                                    if (!playlist.hasVariant(setUp.lowestRendition(), setUp.highestRendition())) {
-                                        throw new Playlists.UnusablePlaylistException("no variant from rendition "
-                                                + setUp.lowestRendition() + " to " + setUp.highestRendition());
-                                    }
-                                    loadReporter.loadHeaderReceived(
-                                            clock.now(), server, response.header(OrcaReport.HEADER));
-                                    broker.setUpAnswered(clock.now(), server, setUp.name(), response.bodyText());
-                                    if (broker.isActive(setUp.name())) { // the front may have ended it at once
-                                        loadReporter.sessionStarted(
-                                                clock.now(),
-                                                server,
-                                                setUp.name(),
-                                                setUp.className(),
-                                                setUp.highestRendition());
-                                    }
-                                } catch (Playlists.UnusablePlaylistException e) {
-                                    LOG.warn(
-                                            "multivariant playlist unusable: server={} title={} why={}",
-                                            server,
-                                            setUp.title(),
-                                            e.getMessage());
-                                    broker.ended(clock.now(), server, setUp.name(), Outcome.ERROR, LoadReport.NONE);
-                                }
+        HttpFetch fetch = HttpFetch.get(
+                net,
+                address,
+                multivariantPlaylistPath(setUp.title()),
+                headers,
+                connectTimeoutMs,
+                MAX_PLAYLIST_BYTES,
+                new HttpFetch.Listener() {
+                    @Override
+                    public void onResponse(HttpStyleMessage response) {
+                        setUpFetches.remove(setUp.name());
+                        try {
+                            if (response.status() != 200) {
+                                throw new Playlists.UnusablePlaylistException("HTTP status " + response.status());
                             }
-
-                            @Override
-                            public void onFailure(boolean ran, String why) {
-                                setUpFetches.remove(setUp.name());
-                                LOG.info(
-                                        "multivariant playlist not fetched: server={} title={} why={}",
-                                        server,
-                                        setUp.title(),
-                                        why);
-                                broker.ended(
-                                        clock.now(),
-                                        server,
-                                        setUp.name(),
-                                        ran ? Outcome.RESET : Outcome.CONNECT_FAILED,
-                                        LoadReport.NONE);
+                            Playlists.MultivariantPlaylist playlist =
+                                    Playlists.MultivariantPlaylist.parse(response.bodyText());
+                            if (!playlist.hasVariant(setUp.lowestRendition(), setUp.highestRendition())) {
+                                throw new Playlists.UnusablePlaylistException("no variant from rendition "
+                                        + setUp.lowestRendition() + " to " + setUp.highestRendition());
+                            }
+                            loadReporter.loadHeaderReceived(clock.now(), server, response.header(OrcaReport.HEADER));
+                            broker.setUpAnswered(clock.now(), server, setUp.name(), response.bodyText());
+                            if (broker.isActive(setUp.name())) { // the front may have ended it at once
+                                loadReporter.sessionStarted(
+                                        clock.now(), server, setUp.name(), setUp.className(), setUp.highestRendition());
                             }
-                        }));
+                        } catch (Playlists.UnusablePlaylistException e) {
+                            LOG.warn(
+                                    "multivariant playlist unusable: server={} title={} why={}",
+                                    server,
+                                    setUp.title(),
+                                    e.getMessage());
+                            broker.ended(clock.now(), server, setUp.name(), Outcome.ERROR, LoadReport.NONE);
+                        }
+                    }
+
+                    @Override
+                    public void onFailure(HttpFetch.Failure failure, String why) {
+                        setUpFetches.remove(setUp.name());
+                        LOG.info(
+                                "multivariant playlist not fetched: server={} title={} why={}",
+                                server,
+                                setUp.title(),
+                                why);
+                        broker.ended(
+                                clock.now(),
+                                server,
+                                setUp.name(),
+                                failure == HttpFetch.Failure.NOT_SENT ? Outcome.CONNECT_FAILED : Outcome.RESET,
+                                LoadReport.NONE);
+                    }
+                });
+        if (!fetch.isFinished()) {
+            setUpFetches.put(setUp.name(), fetch);
+        }
     }
 
     @Override
@@ -179,8 +174,8 @@
             }
 
             @Override
-            public void onFailure(boolean ran, String why) {
-                listener.onFailure(ran, why);
+            public void onFailure(HttpFetch.Failure failure, String why) {
+                listener.onFailure(failure, why);
             }
         };
         return HttpFetch.get(
--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -317,11 +317,9 @@
 
     /** Fetches a media playlist from the session's edge server; answers 504 after the deadline of its class. */
     private void fetchMediaPlaylist(Exchange exchange, Session session, int number, URI uri, String path) {
-        TimerQueue.Timer[] timeout = {null};
         HttpFetch fetch = edgeServers.fetchMediaPlaylist(session.server, path, new HttpFetch.Listener() {
             @Override
             public void onResponse(HttpStyleMessage response) {
-                timers.cancel(timeout[0]);
                 try {
                     if (response.status() != 200) {
                         throw new UnusablePlaylistException("HTTP status " + response.status());
@@ -337,17 +335,13 @@
             }
 
             @Override
-            public void onFailure(boolean ran, String why) {
-                timers.cancel(timeout[0]);
+            public void onFailure(HttpFetch.Failure failure, String why) {
                 LOG.info("media playlist not fetched: session={} why={}", session.name, why);
-                exchange.answerError(502, "Bad Gateway");
+                boolean late = failure == HttpFetch.Failure.TIMED_OUT;
+                exchange.answerError(late ? 504 : 502, late ? "Gateway Timeout" : "Bad Gateway");
             }
         });
-        long timeoutUs = classOf(session).deadline();
-        timeout[0] = timers.schedule(clock.now() + timeoutUs, dueAt -> {
-            fetch.cancel();
-            exchange.answerError(504, "Gateway Timeout");
-        });
+        fetch.timeOutAt(timers, clock.now() + classOf(session).deadline());
     }
 
     // ---- Calls from the broker.
--- a/src/main/java/dockshed/net/HttpFetch.java
+++ b/src/main/java/dockshed/net/HttpFetch.java
@@ -1,39 +1,59 @@
 package dockshed.net;
 
+import dockshed.core.TimerQueue;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** One HTTP/1.1 GET request on a connection of its own. */
+/**
+ * One HTTP/1.1 GET request on a connection of its own. Whatever ends it, it releases its connection, its memory and its
+ * timer before the listener is called.
+ */
 public final class HttpFetch {
-    /** Receives the result: exactly one of these is called, unless the request is cancelled first. */
+    /** Why there is no usable response. */
+    public enum Failure {
+        /** The request never reached the server. */
+        NOT_SENT,
+        /** The server may have handled the request. */
+        MAYBE_PROCESSED,
+        /** The time for the response is over; the server may have handled the request. */
+        TIMED_OUT
+    }
+
+    /** Receives the result, unless the request is cancelled first. */
     public interface Listener {
-        /** A complete response, whatever its status. */
+        /** A complete response, whatever its status. If this throws, {@link #onFailure} is called for it. */
         void onResponse(HttpStyleMessage response);
 
-        /** There is no usable response; {@code maybeProcessed}: the request may have reached the server. */
-        void onFailure(boolean maybeProcessed, String why);
+        /** There is no usable response, or handling it failed. Called once at most, and last. */
+        void onFailure(Failure failure, String why);
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(HttpFetch.class);
+
     private final Listener listener;
     private final InputBudget.Account memory;
     private Channel channel;
+    private TimerQueue timers; // null: the time is not limited
+    private TimerQueue.Timer timeout;
     private boolean finished;
     private boolean written;
 
     private HttpFetch(Listener listener, InputBudget budget) {
         this.listener = listener;
-        memory = budget.open(() -> fail(true, "too many responses are incomplete"));
+        memory = budget.open(() -> fail(Failure.MAYBE_PROCESSED, "too many responses are incomplete"));
     }
 
     /**
      * Sends the request.
      *
      * @param headers       in addition to Host and Connection
-     * @param connectMillis limit for connecting; the caller limits the rest by {@link #cancel}
+     * @param connectMillis limit for connecting; the caller limits the rest by {@link #timeOutAt} or {@link #cancel}
      * @param maxBytes      size of the largest response accepted
      */
     public static HttpFetch get(
@@ -59,7 +79,7 @@
         fetch.channel = connecting.channel();
         net.whenDone(connecting, done -> {
             if (!done.isSuccess()) {
-                fetch.fail(false, "not connected: " + done.cause().getMessage());
+                fetch.fail(Failure.NOT_SENT, "not connected: " + done.cause().getMessage());
             } else if (!fetch.finished) {
                 fetch.channel
                         .writeAndFlush(Net.toByteBuf(request))
@@ -69,18 +89,46 @@
         return fetch;
     }
 
-    /** Closes the connection without calling the listener. */
+    /** Ends the request at that time if it has not ended before. */
+    public void timeOutAt(TimerQueue timerQueue, long at) {
+        if (finished) {
+            return;
+        }
+        timers = timerQueue;
+        timeout = timerQueue.schedule(at, dueAt -> fail(Failure.TIMED_OUT, "no response in time"));
+    }
+
+    /** Whether the request has ended: the listener is not called any more. */
+    public boolean isFinished() {
+        return finished;
+    }
+
+    /** Ends the request without calling the listener. */
     public void cancel() {
         finished = true;
         memory.close();
+        if (timers != null) {
+            timers.cancel(timeout);
+        }
         channel.close();
     }
 
-    /** Cancels and reports a failure, unless the request is finished. */
-    private void fail(boolean maybeProcessed, String why) {
+    /** Ends the request and reports a failure, unless it has ended. */
+    private void fail(Failure failure, String why) {
         if (!finished) {
             cancel();
-            listener.onFailure(maybeProcessed, why);
+            listener.onFailure(failure, why);
+        }
+    }
+
+    /** Ends the request with its response. Whoever waits for the result hears of it also if handling it fails. */
+    private void succeed(HttpStyleMessage response) {
+        cancel();
+        try {
+            listener.onResponse(response);
+        } catch (RuntimeException e) {
+            LOG.error("internal error while handling a response; its request counts as failed", e);
+            listener.onFailure(Failure.MAYBE_PROCESSED, "internal error while handling the response");
         }
     }
 
@@ -107,19 +155,20 @@
                             "expected an HTTP/1.x response with a status code");
                 }
                 if (message != null) {
-                    cancel();
-                    listener.onResponse(message);
+                    succeed(message);
                 } else {
                     memory.setIncomplete(decoder.incompleteBytes());
                 }
             } catch (HttpStyleMessage.MalformedMessageException e) {
-                fail(true, e.getMessage());
+                fail(Failure.MAYBE_PROCESSED, e.getMessage());
             }
         }
 
         @Override
         protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
-            fail(written, "connection closed before the response was complete");
+            fail(
+                    written ? Failure.MAYBE_PROCESSED : Failure.NOT_SENT,
+                    "connection closed before the response was complete");
         }
     }
 }
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -21,13 +21,12 @@
 import dockshed.net.InputLimits;
 import dockshed.net.LoopClock;
 import dockshed.net.Net;
+import dockshed.net.StubHttpServer;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -37,7 +36,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Function;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -48,68 +46,10 @@
             + "#EXT-X-STREAM-INF:BANDWIDTH=100\nlow.m3u8\n#EXT-X-STREAM-INF:BANDWIDTH=2000\ntop.m3u8\n";
     private static final String MEDIA = "#EXTM3U\n#EXT-X-TARGETDURATION:4\n#EXTINF:4,\n0.ts\n#EXT-X-ENDLIST\n";
 
-    /** An HTTP server that answers with the text that a function gives for the path; null leaves it unanswered. */
-    static final class StubHttpServer implements AutoCloseable {
-        final ServerSocket socket;
-        final List<String> requestedPaths = java.util.Collections.synchronizedList(new ArrayList<>());
-        final BlockingQueue<String> arrivals = new LinkedBlockingQueue<>();
-        volatile Function<String, String> responder;
-
-        StubHttpServer(Function<String, String> answers) throws IOException {
-            this.responder = answers;
-            socket = new ServerSocket(0, 50, java.net.InetAddress.getLoopbackAddress());
-            Thread thread = new Thread(this::serve, "stand-in");
-            thread.setDaemon(true);
-            thread.start();
-        }
-
-        private void serve() {
-            while (!socket.isClosed()) {
-                try {
-                    Socket connection = socket.accept();
-                    HttpStyleMessage request = read(connection.getInputStream(), new HttpStyleMessageDecoder(1 << 16));
-                    requestedPaths.add(request.startLinePart(1));
-                    arrivals.add(request.startLinePart(1));
-                    String response = responder.apply(request.startLinePart(1));
-                    if (response != null) {
-                        connection.getOutputStream().write(response.getBytes(StandardCharsets.UTF_8));
-                        connection.close();
-                    }
-                } catch (IOException | HttpStyleMessage.MalformedMessageException e) {
-                    arrivals.add("broken");
-                }
-            }
-        }
-
-        InetSocketAddress address() {
-            return new InetSocketAddress("127.0.0.1", socket.getLocalPort());
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     private static String ok(String body) {
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    private static HttpStyleMessage read(InputStream in, HttpStyleMessageDecoder decoder)
-            throws IOException, HttpStyleMessage.MalformedMessageException {
-        byte[] buffer = new byte[4096];
-        for (HttpStyleMessage message = decoder.next(); ; message = decoder.next()) {
-            if (message != null) {
-                return message;
-            }
-            int count = in.read(buffer);
-            if (count < 0) {
-                throw new IOException("closed before a whole message");
-            }
-            decoder.add(buffer, 0, count);
-        }
-    }
-
     private final Net net = new Net();
     private final BrokerHarness harness = new BrokerHarness(); // plays the director, with decisions that each test sets
     private Director.Actions actions;
@@ -187,7 +127,8 @@
             socket.setSoTimeout(20_000);
             socket.getOutputStream()
                     .write((method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.UTF_8));
-            HttpStyleMessage response = read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20));
+            HttpStyleMessage response =
+                    StubHttpServer.read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20));
             assertEquals(
                     response.body().length, Integer.parseInt(response.header("content-length")), "truncated response");
             return response;
@@ -246,7 +187,8 @@
                 actions.send(paidRequest, "a", 0);
                 return null;
             });
-            assertWithinClassTerms(read(returning.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
+            assertWithinClassTerms(
+                    StubHttpServer.read(returning.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
         }
         assertEquals(1, edgeServer.requestedPaths.size());
         assertEquals(0, requests.size());
@@ -437,9 +379,9 @@
                             .getBytes(StandardCharsets.UTF_8));
             HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(1 << 20);
             InputStream in = socket.getInputStream();
-            assertEquals(200, read(in, decoder).status());
-            assertEquals(404, read(in, decoder).status());
-            assertEquals(400, read(in, decoder).status());
+            assertEquals(200, StubHttpServer.read(in, decoder).status());
+            assertEquals(404, StubHttpServer.read(in, decoder).status());
+            assertEquals(400, StubHttpServer.read(in, decoder).status());
             assertEquals(-1, in.read());
         }
     }
@@ -463,7 +405,7 @@
                     .write(("GET " + lessonPath("paid", "v") + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.UTF_8));
             assertEquals(404, get("/other").status());
             response.complete(ok(MASTER));
-            assertWithinClassTerms(read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
+            assertWithinClassTerms(StubHttpServer.read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
         }
         assertWithinClassTerms(first.get(20, TimeUnit.SECONDS));
         assertEquals(1, requests.size());
@@ -590,6 +532,31 @@
         }
     }
 
+    @Test
+    void eurekaIsQueriedFurtherAfterAListWhoseHandlingThrew() throws Exception {
+        // Guards against a list that stays as it is for ever: the next query was scheduled only by a list handled well.
+        int[] lists = {0};
+        BlockingQueue<Integer> handled = new LinkedBlockingQueue<>();
+        try (StubHttpServer eureka = new StubHttpServer(path -> ok(apps("")))) {
+            net.callOnLoop(() -> {
+                new EurekaClient(
+                                new HlsConfig.Eureka(eureka.address(), "/eureka", "BOXES", 1000),
+                                net,
+                                clock,
+                                timers,
+                                list -> {
+                                    if (lists[0]++ == 0) {
+                                        throw new IllegalStateException("thrown by the test");
+                                    }
+                                    handled.add(list.size());
+                                })
+                        .start();
+                return null;
+            });
+            assertEquals(0, handled.poll(20, TimeUnit.SECONDS));
+        }
+    }
+
     @Test
     void lastEurekaListIsKeptWhileEurekaIsUnreachable() throws Exception {
         BlockingQueue<Integer> sizes = new LinkedBlockingQueue<>();
