Answer each HLS request once, also where its handling throws

What callers saw: a request whose handling met an unexpected exception was never answered behind another one, and its connection stayed open; as the first of its connection it was closed without an answer, with the requests behind it. A request could also get two responses, of which the player takes the second for that to its next request.

Cause: nobody owned the answer. HlsConnection marked the connection as answering and called the front; an exception there ended in the event loop's log.

Change: the exchange is the owner. It is answered once, and the step of handling that runs in its name ends with a 500 if it throws. An internal error while a request is read is answered in its turn, behind those before it, and then the connection is closed.

--- a/src/main/java/dockshed/hls/Exchange.java
+++ b/src/main/java/dockshed/hls/Exchange.java
@@ -4,14 +4,22 @@
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** A request that awaits its response, which is written to its connection. */
+/**
+ * A request that awaits its response, which is written to its connection. It gets exactly one, also where handling it
+ * throws.
+ */
 final class Exchange {
     private static final String PLAYLIST_CONTENT_TYPE = "application/vnd.apple.mpegurl";
     private static final long MICROS_PER_SECOND = 1_000_000;
 
+    private static final Logger LOG = LoggerFactory.getLogger(HlsFront.class);
+
     private final HlsConnection connection;
     private final boolean closeAfter; // the connection is closed after this response
+    private boolean answered;
 
     Exchange(HlsConnection connection, boolean closeAfter) {
         this.connection = connection;
@@ -22,7 +30,23 @@
         return connection;
     }
 
+    /** Handles the request, or does a step of that; if it throws, the request is answered with an error. */
+    void handle(Runnable step) {
+        try {
+            step.run();
+        } catch (RuntimeException e) {
+            LOG.error("internal error while handling an HLS request", e);
+            answerError(500, "Internal Server Error");
+        }
+    }
+
+    /** Writes the response; does nothing if there is one already. */
     void answer(int code, String phrase, String contentType, String body, Map<String, String> extraHeaders) {
+        if (answered) {
+            LOG.warn("second response to an HLS request not sent: code={}", code);
+            return;
+        }
+        answered = true;
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("Content-Type", contentType);
         headers.put("Cache-Control", "no-store");
--- a/src/main/java/dockshed/hls/HlsConnection.java
+++ b/src/main/java/dockshed/hls/HlsConnection.java
@@ -51,7 +51,8 @@
         HANDLE,
         REFUSE,
         TIMED_OUT,
-        MALFORMED
+        MALFORMED,
+        FAILED
     }
 
     /** A request that waits for its turn; {@code bytes} of memory are reserved for it. */
@@ -212,10 +213,11 @@
         boolean closeAfter = next.request().lastOnConnection() || closing && waiting.isEmpty();
         Exchange exchange = new Exchange(this, closeAfter);
         switch (next.verdict()) {
-            case HANDLE -> requestHandler.handle(exchange, next.request());
-            case REFUSE -> requestHandler.refuse(exchange);
+            case HANDLE -> exchange.handle(() -> requestHandler.handle(exchange, next.request()));
+            case REFUSE -> exchange.handle(() -> requestHandler.refuse(exchange));
             case TIMED_OUT -> exchange.answerError(408, "Request Timeout");
             case MALFORMED -> exchange.answerError(400, "Bad Request");
+            case FAILED -> exchange.answerError(500, "Internal Server Error");
         }
     }
 
@@ -249,6 +251,15 @@
         memory.close();
     }
 
+    /** Reading a request has failed: those before it are still answered. */
+    @Override
+    protected void onInternalError(ChannelHandlerContext ctx) {
+        if (!closing) {
+            endInput(Verdict.FAILED);
+            processNext();
+        }
+    }
+
     @Override
     protected void onClosed(ChannelHandlerContext ctx, boolean reset) {
         stop();
