Reject a lesson request without a title instead of failing on it

Cause: the two ends of the path overlap there, and cutting the title out of it threw.

Evidence: HlsEndToEndTest.lessonRequestWithoutATitleIsRejectedWhereverItStandsOnItsConnection failed before.

Change: such a path has an empty title, which is rejected with 400 like every request without one.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -173,10 +173,7 @@
             if (!get && !delete) {
                 exchange.answer(405, "Method Not Allowed", "text/plain", "", Map.of("Allow", "GET, DELETE"));
             } else if (path.startsWith(LESSONS_PATH) && path.endsWith(MASTER_PLAYLIST_SUFFIX) && get) {
-                handleLessonRequest(
-                        exchange,
-                        target,
-                        path.substring(LESSONS_PATH.length(), path.length() - MASTER_PLAYLIST_SUFFIX.length()));
+                handleLessonRequest(exchange, target, rawTitle(path));
             } else if (path.startsWith(SESSIONS_PATH)) {
                 handleSessionRequest(exchange, delete, path.substring(SESSIONS_PATH.length()));
             } else {
@@ -188,6 +185,12 @@
         }
     }
 
+    /** The encoded title in the path of a lesson's multivariant playlist; empty where the path has none. */
+    private static String rawTitle(String path) {
+        int end = path.length() - MASTER_PLAYLIST_SUFFIX.length();
+        return path.substring(Math.min(LESSONS_PATH.length(), end), end);
+    }
+
     /**
      * Requests a session for a lesson. A viewer that already has one for this lesson and class, or waits for one,
      * gets the same session again.
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -345,6 +345,24 @@
         assertEquals(0, requests.size());
     }
 
+    @Test
+    void lessonRequestWithoutATitleIsRejectedWhereverItStandsOnItsConnection() throws Exception {
+        // Guards against a request that is never answered and a connection that stays open: reading the title threw.
+        assertEquals(400, get("/lessons/master.m3u8").status());
+        try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
+            socket.setSoTimeout(20_000);
+            socket.getOutputStream()
+                    .write(
+                            "GET /other HTTP/1.1\r\n\r\nGET /lessons/master.m3u8 HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
+                                    .getBytes(StandardCharsets.UTF_8));
+            HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(1 << 20);
+            InputStream in = socket.getInputStream();
+            assertEquals(404, StubHttpServer.read(in, decoder).status());
+            assertEquals(400, StubHttpServer.read(in, decoder).status());
+            assertEquals(404, StubHttpServer.read(in, decoder).status());
+        }
+    }
+
     @Test
     void aRejectedRequestDoesNotBlockLaterOnesOfTheSameViewer() throws Exception {
         // Guards against viewers that are never answered again: a request with a faulty figure got its 400 but left an
