--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -46,7 +46,7 @@
     /** Most metrics that are kept for one set-up until its answer arrives; further ones are discarded. */
     private static final int MAX_EARLY_METRICS = 8;
 
-    /** Most log lines a second on cancelled or repeated requests: enough to find a single one, few enough to be safe in a flood. */
+    /** Log lines a second on cancelled or repeated requests: enough to find a single one, safe in a flood. */
     private static final int MAX_REQUEST_LOG_LINES_PER_S = 5;
 
     private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
@@ -118,8 +118,7 @@
     private boolean dispatching;
     private boolean shuttingDown;
     private long currentTime;
-    private long requestLogSecond; // the second to which requestLogLines applies
-    private int requestLogLines;
+    private final LogLimit requestLog = new LogLimit(MAX_REQUEST_LOG_LINES_PER_S);
     private int unansweredRequests;
     private final Counts counts = new Counts();
     private final RequestTrace trace = new RequestTrace();
@@ -260,7 +259,7 @@
             return false;
         }
         if (atMostOnceHistory.contains(now, request.name())) {
-            if (mayLogRequest(now)) {
+            if (requestLog.mayLog(now)) {
                 LOG.warn("request failed, it came again and may have run before: session={}", request.name());
             }
             counts.requests++;
@@ -836,18 +835,9 @@
         director.requestCancelled(currentTime, session.id);
     }
 
-    /** Counts a log line on a request that a client may send in a flood; whether it may be logged. */
-    private boolean mayLogRequest(long now) {
-        if (now / 1_000_000 != requestLogSecond) {
-            requestLogSecond = now / 1_000_000;
-            requestLogLines = 0;
-        }
-        return requestLogLines++ < MAX_REQUEST_LOG_LINES_PER_S;
-    }
-
     /** Logs a request cancelled unanswered, to distinguish it from one whose answer was lost. */
     private void logCancellation(BrokerSession session, String how) {
-        if (mayLogRequest(currentTime)) {
+        if (requestLog.mayLog(currentTime)) {
             LOG.info(
                     "request cancelled unanswered: session={} how={} ms={} of={} attempts={} out={}",
                     session.request.name(),
--- a/src/main/java/dockshed/core/RequestTrace.java
+++ b/src/main/java/dockshed/core/RequestTrace.java
@@ -5,7 +5,8 @@
 
 /**
  * Ring buffer of the latest steps of all requests. Recording a step costs a few stores; the steps of a request are
- * formatted and logged only if it fails. What is kept of a text is bounded, as peers may send any. Times are in microseconds of the broker's clock. Not thread-safe.
+ * formatted and logged only if it fails. What is kept of a text is bounded, as peers may send any. Times are in
+ * microseconds of the broker's clock. Not thread-safe.
  */
 public final class RequestTrace {
     /** Most steps kept: those of the last ten seconds, at some tens of requests a second with eight steps each. */
@@ -19,8 +20,6 @@
     /** Most failures logged a second: each is searched for in the whole buffer, and may come by the thousand. */
     static final int MAX_FAILURES_LOGGED_PER_S = 20;
 
-    private static final long SECOND_US = 1_000_000;
-
     private static final Logger LOG = LoggerFactory.getLogger("dockshed.core.Trail");
 
     private final long[] times = new long[MAX_STEPS];
@@ -29,8 +28,7 @@
     private final String[] details = new String[MAX_STEPS];
     private int next;
     private long latestAt; // time of the latest step
-    private long failureSecond; // the second to which failuresLogged applies
-    private int failuresLogged;
+    private final LogLimit failureLog = new LogLimit(MAX_FAILURES_LOGGED_PER_S);
 
     /**
      * Records a step of a request. Texts of usual length are not copied; to keep this cheap, pass existing strings, and
@@ -85,10 +83,6 @@
 
     /** Counts a failure; whether it is to be logged. */
     boolean mayLogFailure() {
-        if (latestAt / SECOND_US != failureSecond) {
-            failureSecond = latestAt / SECOND_US;
-            failuresLogged = 0;
-        }
-        return failuresLogged++ < MAX_FAILURES_LOGGED_PER_S;
+        return failureLog.mayLog(latestAt);
     }
 }
