Answer every request and notify every end, also where one step of an event throws

An exception in the decision module, a front or the adapter of a server could leave a request unanswered for ever, or the viewers of other sessions untold of their end.

Cause: Broker.dispatch keeps an event that throws from stopping those after it, but the rest of that event was lost. At a request's deadline that was its answer, and no timer was left for it. Where an event is about several sessions (shutdown, lost server, closed connection), it was all sessions behind the one that threw. An answer that the front could not pass on left a session that plays without a player.

Change: calls to the decision module, the cancelling and releasing at servers, and the handling of each of several sessions are steps of their own, with one catch for all in FaultBarrier. A session whose answer cannot be passed on is released and its request failed.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import java.util.function.LongConsumer;
 import java.util.function.Predicate;
@@ -166,20 +167,17 @@
     }
 
     /** Handles an event now, or queues it while another one is being handled. */
-    private void dispatch(long eventTime, LongConsumer event) {
-        eventQueue.add(event);
+    private void dispatch(long eventTime, LongConsumer newEvent) {
+        eventQueue.add(newEvent);
         if (dispatching) {
             return;
         }
         dispatching = true;
         try {
             currentTime = Math.max(currentTime, eventTime);
-            for (LongConsumer next = eventQueue.poll(); next != null; next = eventQueue.poll()) {
-                try {
-                    next.accept(currentTime);
-                } catch (RuntimeException e) { // an error on one request must not affect the other viewers
-                    LOG.error("internal error while handling an event; continuing with the next one", e);
-                }
+            while (!eventQueue.isEmpty()) {
+                LongConsumer event = eventQueue.poll();
+                FaultBarrier.run(() -> event.accept(currentTime));
             }
         } finally {
             dispatching = false;
@@ -209,8 +207,8 @@
             return;
         }
         dispatch(now, eventTime -> {
-            sessionsWhere(session -> session.connection == connection && !session.active)
-                    .forEach(this::cancelRequest);
+            handleEach(
+                    sessionsWhere(session -> session.connection == connection && !session.active), this::cancelRequest);
             sendLostNotices.accept(eventTime);
         });
     }
@@ -222,22 +220,25 @@
      */
     public void halfClosed(long now, long connection) {
         dispatch(now, eventTime -> {
-            for (BrokerSession session :
-                    sessionsWhere(candidate -> candidate.connection == connection && !candidate.answered)) {
-                logCancellation(session, "half-closed");
-                boolean mayHaveRun = session.attemptPending || session.mayHaveRun;
-                closeRequest(session);
-                counts.gone++;
-                if (mayHaveRun && session.sessionClass.effect() != Effect.SAFE) {
-                    session.front.failed(connection, session.request.name(), false);
-                } else {
-                    session.front.refused(connection, session.request.name(), maxRetryAfter());
-                }
-                director.requestCancelled(eventTime, session.id);
-            }
+            handleEach(
+                    sessionsWhere(session -> session.connection == connection && !session.answered),
+                    session -> answerHalfClosed(eventTime, session));
         });
     }
 
+    private void answerHalfClosed(long now, BrokerSession session) {
+        logCancellation(session, "half-closed");
+        boolean mayHaveRun = session.attemptPending || session.mayHaveRun;
+        closeRequest(session);
+        counts.gone++;
+        if (mayHaveRun && session.sessionClass.effect() != Effect.SAFE) {
+            session.front.failed(session.connection, session.request.name(), false);
+        } else {
+            session.front.refused(session.connection, session.request.name(), maxRetryAfter());
+        }
+        tellDirector(module -> module.requestCancelled(now, session.id));
+    }
+
     /** The viewer has confirmed the end notice of the session {@code name}. */
     public void endConfirmed(long handle, String name) {
         endNotices.confirmed(handle, name);
@@ -280,7 +281,7 @@
         dispatch(now, eventTime -> {
             session.clientDeadlineTimer = timers.schedule(
                     answerDue(session), dueAt -> dispatch(dueAt, dueTime -> clientDeadlineReached(session)));
-            director.request(eventTime, request.toDirectorRequest(session.id));
+            tellDirector(module -> module.request(eventTime, request.toDirectorRequest(session.id)));
         });
         return true;
     }
@@ -321,7 +322,7 @@
         counts.opened++;
         dispatch(now, eventTime -> {
             activate(session, eventTime);
-            director.adoptSession(eventTime, request.toDirectorRequest(session.id), server);
+            tellDirector(module -> module.adoptSession(eventTime, request.toDirectorRequest(session.id), server));
             adapter.sessionAdopted(server, request.name());
         });
         return true;
@@ -332,7 +333,7 @@
         dispatch(now, eventTime -> {
             BrokerSession session = sessionsByName.get(name);
             if (session != null && session.active) {
-                session.adapter.release(session.server.id, name);
+                releaseAtServer(session);
                 endSession(session, Outcome.CANCELLED, LoadReport.NONE);
             } else if (session != null) {
                 cancelRequest(session);
@@ -345,7 +346,7 @@
         dispatch(now, eventTime -> {
             BrokerSession session = sessionsByName.get(name);
             if (session != null && session.active) {
-                session.adapter.release(session.server.id, name);
+                releaseAtServer(session);
                 endSession(session, Outcome.OK, LoadReport.NONE);
             }
         });
@@ -370,22 +371,33 @@
             timers.cancel(session.clientDeadlineTimer);
             markAnswered(session);
             session.request = session.request.withoutDescription();
-            counts.served++;
             endNotices.sessionStarted(session.connection);
             activate(session, eventTime);
-            session.front.served(
-                    session.connection,
-                    name,
-                    new Front.Grant(server, description, session.sessionClass.lowestRendition(), session.rendition));
+            Front.Grant grant =
+                    new Front.Grant(server, description, session.sessionClass.lowestRendition(), session.rendition);
+            boolean passedOn = FaultBarrier.run(() -> session.front.served(session.connection, name, grant));
             if (session.rendition != session.sentRendition) {
                 applyRendition(session); // set while the set-up was pending
             }
-            director.sessionStarted(eventTime, session.id, session.attempts - 1, server);
+            tellDirector(module -> module.sessionStarted(eventTime, session.id, session.attempts - 1, server));
             session.earlyMetrics.forEach(metric -> metric.accept(eventTime));
             session.earlyMetrics.clear();
+            if (passedOn) {
+                counts.served++;
+            } else {
+                failGranted(session);
+            }
         });
     }
 
+    /** The answer of a request could not be passed on: its session has no player, and the request has failed. */
+    private void failGranted(BrokerSession session) {
+        releaseAtServer(session);
+        endSession(session, Outcome.RESET, LoadReport.NONE);
+        counts.failed++;
+        session.front.failed(session.connection, session.request.name(), false);
+    }
+
     /** An attempt has ended without an answer, or an active session has ended at its server. */
     public void ended(long now, String server, String name, Outcome outcome, LoadReport report) {
         dispatch(now, eventTime -> {
@@ -423,7 +435,7 @@
                 if (metric == Metric.RENDITION) {
                     session.rendition = (int) value; // was in force when the server sent this
                 }
-                director.metricReceived(eventTime, session.id, server, metric, value);
+                tellDirector(module -> module.metricReceived(eventTime, session.id, server, metric, value));
             }
         });
     }
@@ -438,10 +450,10 @@
             if (!lost.isEmpty()) {
                 LOG.warn("server process lost, ending its sessions: id={} sessions={}", server, lost.size());
             }
-            for (BrokerSession session : lost) {
+            handleEach(lost, session -> {
                 notifyEnd(session, Outcome.RESET);
                 endSession(session, Outcome.RESET, LoadReport.NONE);
-            }
+            });
         });
     }
 
@@ -474,7 +486,7 @@
             boolean onlySource = servers.values().stream()
                     .allMatch(entry -> entry.listings.keySet().stream().allMatch(source::equals));
             ListScope reportedScope = scope == ListScope.SNAPSHOT && !onlySource ? ListScope.CHANGES : scope;
-            director.serversChanged(eventTime, reportedScope, merged);
+            tellDirector(module -> module.serversChanged(eventTime, reportedScope, merged));
             servers.values()
                     .removeIf(entry -> entry.notUpSince < eventTime - GONE_SERVER_RETENTION_US
                             && entry.mergedListing.state() == State.GONE
@@ -562,21 +574,21 @@
     public void releaseAll(long now) {
         dispatch(now, eventTime -> {
             shuttingDown = true;
-            for (BrokerSession session : sessionsWhere(candidate -> candidate.active)) {
-                session.adapter.release(session.server.id, session.request.name());
+            handleEach(sessionsWhere(candidate -> candidate.active), session -> {
+                releaseAtServer(session);
                 notifyEnd(session, Outcome.RESET);
                 endSession(session, Outcome.RESET, LoadReport.NONE);
-            }
+            });
         });
     }
 
     /** Last step of a shutdown: fails the unanswered requests, so that no viewer waits for an answer in vain. */
     public void failAll(long now) {
         dispatch(now, eventTime -> {
-            for (BrokerSession session : sessionsWhere(candidate -> !candidate.answered)) {
+            handleEach(sessionsWhere(candidate -> !candidate.answered), session -> {
                 fail(session.id);
-                director.requestCancelled(eventTime, session.id);
-            }
+                tellDirector(module -> module.requestCancelled(eventTime, session.id));
+            });
         });
     }
 
@@ -695,7 +707,7 @@
         } else {
             endNotices.notifyEnd(currentTime, session.front, session.request.name(), Outcome.RESET, 0);
         }
-        session.adapter.release(session.server.id, session.request.name());
+        releaseAtServer(session);
         eventQueue.add(eventTime -> endSession(session, Outcome.CANCELLED, LoadReport.NONE));
     }
 
@@ -732,6 +744,25 @@
         return session;
     }
 
+    /** Passes an event to the decision module. */
+    private void tellDirector(Consumer<Director> event) {
+        FaultBarrier.run(() -> event.accept(director));
+    }
+
+    /** Ends an active session at its server. */
+    private static void releaseAtServer(BrokerSession session) {
+        FaultBarrier.run(() -> session.adapter.release(session.server.id, session.request.name()));
+    }
+
+    /** Cancels a set-up at its server. */
+    private static void cancelAtServer(BrokerSession session) {
+        FaultBarrier.run(() -> session.adapter.cancelSetUp(session.server.id, session.request.name()));
+    }
+
+    private static void handleEach(List<BrokerSession> affected, Consumer<BrokerSession> action) {
+        affected.forEach(session -> FaultBarrier.run(() -> action.accept(session)));
+    }
+
     /** Copies the sessions that meet a condition, as the caller may remove sessions while it iterates. */
     private List<BrokerSession> sessionsWhere(Predicate<BrokerSession> condition) {
         List<BrokerSession> matching = new ArrayList<>();
@@ -770,7 +801,7 @@
         if (session.attemptPending) {
             session.attemptPending = false;
             session.mayHaveRun = true;
-            session.adapter.cancelSetUp(session.server.id, session.request.name());
+            cancelAtServer(session);
         }
         markAnswered(session);
         removeSession(session);
@@ -812,7 +843,8 @@
         if (outcome == Outcome.RESET) {
             counts.reset++;
         }
-        director.outcome(currentTime, session.id, session.attempts - 1, session.server.id, outcome, true, report);
+        tellDirector(module -> module.outcome(
+                currentTime, session.id, session.attempts - 1, session.server.id, outcome, true, report));
     }
 
     /**
@@ -832,7 +864,7 @@
         closeRequest(session);
         counts.gone++;
         session.front.setUpCancelled(session.connection, session.request.name());
-        director.requestCancelled(currentTime, session.id);
+        tellDirector(module -> module.requestCancelled(currentTime, session.id));
     }
 
     /** Logs a request cancelled unanswered, to distinguish it from one whose answer was lost. */
@@ -852,7 +884,7 @@
     /** The time of a pending attempt is over: cancels it at the server. */
     private void attemptTimedOut(BrokerSession session) {
         if (session.attemptPending) {
-            session.adapter.cancelSetUp(session.server.id, session.request.name());
+            cancelAtServer(session);
             attemptEnded(session, Outcome.TIMEOUT, LoadReport.NONE);
         }
     }
@@ -863,7 +895,8 @@
         timers.cancel(session.attemptTimer);
         boolean provenNotRun = outcome == Outcome.FULL || outcome == Outcome.CONNECT_FAILED || outcome == Outcome.MOOT;
         session.mayHaveRun |= !provenNotRun;
-        director.outcome(currentTime, session.id, session.attempts - 1, session.server.id, outcome, false, report);
+        tellDirector(module -> module.outcome(
+                currentTime, session.id, session.attempts - 1, session.server.id, outcome, false, report));
     }
 
     /** The answer is due: ends a pending attempt and, unless the decision module then answers, fails the request. */
@@ -880,7 +913,7 @@
                 trace.logFailure(session.request.name(), "held by the decision module until its answer was due");
             }
             fail(session.id);
-            director.requestCancelled(currentTime, session.id);
+            tellDirector(module -> module.requestCancelled(currentTime, session.id));
         }
     }
 
--- a/src/test/java/dockshed/core/BrokerHarness.java
+++ b/src/test/java/dockshed/core/BrokerHarness.java
@@ -41,6 +41,8 @@
 
     /** What the decision module does with the id of a request whose attempt ended unanswered; default: fails it. */
     public Consumer<String> onOutcome = id -> this.actions.fail(id);
+    /** A recorded call that begins with this throws; null: none does. */
+    public String throwOn;
     /** Whether viewers poll, so that the front needs no connection for an end notice. */
     public boolean frontPolls;
     /** The virtual time in microseconds. */
@@ -130,6 +132,9 @@
     private void addLine(String line) {
         log.add(line);
         unreadLines.add(line);
+        if (throwOn != null && line.startsWith(throwOn)) {
+            throw new IllegalStateException("thrown by the test: " + line);
+        }
     }
 
     /** Waits for a line with a prefix, up to 20 s for each line, skipping others; for tests on real sockets. */
