Answer a viewer's message also where handling it throws

A SETUP or TEARDOWN whose handling met an unexpected exception was not answered: its connection ended with the answers to the other set-ups only.

Cause: RtspFront handled an internal error as one of the connection, when the message was no longer at hand.

Change: where a message is handled, an exception answers it with 500; then the connection ends as before. A set-up that has its answer gets no second one if what follows the answer fails.

--- a/src/main/java/dockshed/rtsp/RtspFront.java
+++ b/src/main/java/dockshed/rtsp/RtspFront.java
@@ -273,11 +273,7 @@
                     awaitRest();
                     return false;
                 }
-                sentRequest = true;
-                pendingSinceUs = -1;
-                memory.setIncomplete(0); // what follows is another message
-                lastUsedUs = clock.now();
-                handleMessage(this, message);
+                handleRead(message);
                 if (!pendingSetUps.isEmpty() && lastUsedUs - setUpsPendingSinceUs > MAX_PENDING_US) {
                     submitPending();
                 }
@@ -287,6 +283,23 @@
             return !ending;
         }
 
+        /** Handles a message; one whose handling throws is answered with an error, and the connection closed. */
+        private void handleRead(HttpStyleMessage message) throws HttpStyleMessage.MalformedMessageException {
+            sentRequest = true;
+            pendingSinceUs = -1;
+            memory.setIncomplete(0); // what follows is another message
+            try {
+                lastUsedUs = clock.now();
+                handleMessage(this, message);
+            } catch (RuntimeException e) {
+                LOG.error("internal error while handling a viewer's message: remote={}", channel.remoteAddress(), e);
+                if (!isResponse(message)) {
+                    reply(channel, 500, "Internal Server Error", message);
+                }
+                closeAfterAnswers();
+            }
+        }
+
         /** Limits time and memory of a message of which only a part has arrived. */
         private void awaitRest() {
             if (sentRequest && pendingSinceUs < 0 && decoder.hasPartialMessage()) {
@@ -483,10 +496,14 @@
         }
     }
 
+    private static boolean isResponse(HttpStyleMessage message) {
+        return message.startLine().startsWith("RTSP/");
+    }
+
     private void handleMessage(Connection connection, HttpStyleMessage message)
             throws HttpStyleMessage.MalformedMessageException {
         Channel channel = connection.channel;
-        if (message.startLine().startsWith("RTSP/")) {
+        if (isResponse(message)) {
             if ("2".equals(message.header("cseq"))) { // answers a TEARDOWN of ours, see sendRequest
                 broker.endConfirmed(connection.handle, message.header("session", ""));
             }
@@ -607,6 +624,10 @@
 
     @Override
     public void failed(long connection, String name, boolean late) {
+        Connection open = connectionsByHandle.get(connection);
+        if (open != null && !open.openSetUps.contains(name)) {
+            return; // answered, though what was to follow the answer failed
+        }
         answer(
                 connection,
                 name,
@@ -655,24 +676,22 @@
             String phrase,
             byte[] body,
             Map<String, String> extraHeaders) {
-        connection.setUpClosed(name);
         connection.lastUsedUs = clock.now();
         broker.trace().add(connection.lastUsedUs, name, "answered", phrase);
         Map<String, String> headers = new LinkedHashMap<>();
         headers.put("CSeq", "1");
         headers.put("Session", name);
         headers.putAll(extraHeaders);
-        connection
-                .channel
-                .writeAndFlush(Net.toByteBuf(HttpStyleMessage.encode("RTSP/1.0 " + code + " " + phrase, headers, body)))
-                .addListener(done -> {
-                    if (!done.isSuccess()) {
-                        broker.trace().logFailure(name, "answer could not be written to the viewer's connection");
-                        if (code == 200) {
-                            broker.answerUndelivered(clock.now(), name);
-                        }
-                    }
-                });
+        byte[] response = HttpStyleMessage.encode("RTSP/1.0 " + code + " " + phrase, headers, body);
+        connection.setUpClosed(name);
+        connection.channel.writeAndFlush(Net.toByteBuf(response)).addListener(done -> {
+            if (!done.isSuccess()) {
+                broker.trace().logFailure(name, "answer could not be written to the viewer's connection");
+                if (code == 200) {
+                    broker.answerUndelivered(clock.now(), name);
+                }
+            }
+        });
         connection.closeOutputOnceAnswered();
     }
 
