Answer all players that wait for a session, also where answering one throws

Of several players that wait for one session, those behind one whose answer met an unexpected exception were never answered.

Cause: HlsFront took all waiting requests off the session and answered them in one loop.

Evidence: HlsEndToEndTest.allPlayersThatWaitForASessionAreAnsweredThoughAnsweringOneThrows failed before (no answer within 20 s).

Change: each is answered as a step of its own exchange, which ends with a 500 if it throws.

--- a/src/main/java/dockshed/hls/HlsFront.java
+++ b/src/main/java/dockshed/hls/HlsFront.java
@@ -384,7 +384,8 @@
         }
         extendActivity(session, 0);
         scheduleIdleCheck(session);
-        takePendingExchanges(session).forEach(exchange -> answerMultivariantPlaylist(exchange, session));
+        takePendingExchanges(session)
+                .forEach(exchange -> exchange.handle(() -> answerMultivariantPlaylist(exchange, session)));
     }
 
     @Override
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -36,6 +36,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -65,6 +66,16 @@
     private volatile int grantedRendition = 2;
     private volatile long clockOffsetUs; // added to the real time for the front
 
+    /** Calls of the front's clock until one throws, which stands for any internal error; negative: none does. */
+    private final AtomicInteger clockCallsUntilError = new AtomicInteger(-1);
+
+    private long frontNow() {
+        if (clockCallsUntilError.get() >= 0 && clockCallsUntilError.getAndDecrement() == 0) {
+            throw new IllegalStateException("thrown by the test");
+        }
+        return clock.now() + clockOffsetUs;
+    }
+
     @BeforeEach
     void start() throws Exception {
         edgeServer = new StubHttpServer(path -> ok(path.endsWith("master.m3u8") ? MASTER : MEDIA));
@@ -85,7 +96,7 @@
             front = new HlsFront(
                     broker,
                     edgeServers,
-                    () -> clock.now() + clockOffsetUs,
+                    this::frontNow,
                     timers,
                     harness.settings,
                     60_000_000,
@@ -430,6 +441,28 @@
         assertEquals(1, edgeServer.requestedPaths.size());
     }
 
+    @Test
+    void allPlayersThatWaitForASessionAreAnsweredThoughAnsweringOneThrows() throws Exception {
+        // Guards against players that are never answered, since one before them met an internal error.
+        CompletableFuture<String> response = new CompletableFuture<>();
+        edgeServer.responder = path -> response.join();
+        try (Socket first = sendGet(lessonPath("paid", "v"))) {
+            edgeServer.arrivals.poll(20, TimeUnit.SECONDS);
+            try (Socket second = sendGet(lessonPath("paid", "v"))) {
+                assertEquals(404, get("/other").status(), "the front has read the request before this one");
+                net.callOnLoop(() -> null);
+                clockCallsUntilError.set(1); // the first is to start the session, the next to answer the first player
+                response.complete(ok(MASTER));
+                assertEquals(
+                        500,
+                        StubHttpServer.read(first.getInputStream(), new HttpStyleMessageDecoder(1 << 20))
+                                .status());
+                assertWithinClassTerms(
+                        StubHttpServer.read(second.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
+            }
+        }
+    }
+
     @Test
     void edgeServerRemovedDuringTheSetUpLeadsTo502() throws Exception {
         edgeServer.responder = path -> {
