Move the broker's entries and the listener of HLS set-ups out of large classes

Change: BrokerSession and ServerEntry are files of their own, SetUpListener a class in HlsEdgeServers. Behaviour is unchanged.

--- a/src/main/java/dockshed/core/Broker.java
+++ b/src/main/java/dockshed/core/Broker.java
@@ -10,7 +10,6 @@
 import dockshed.Director.SessionClass;
 import dockshed.Director.Settings;
 import dockshed.Director.State;
-import dockshed.core.TimerQueue.Timer;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -52,59 +51,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(Broker.class);
 
-    /** A request and, once a server has answered its set-up, the session that it became. */
-    private static final class BrokerSession {
-        long handle;
-        String id;
-        SessionRequest request;
-        final Front front;
-        final ServerAdapter adapter;
-        final SessionClass sessionClass;
-        final long receivedAt;
-        long connection;
-        ServerEntry server; // of the pending or latest attempt, or of the active session; null before the first
-        int attempts;
-        boolean attemptPending;
-        boolean active;
-        boolean mayHaveRun;
-        boolean answered;
-        int rendition;
-        int sentRendition;
-        long activeSince;
-        Timer attemptTimer;
-        Timer clientDeadlineTimer;
-        final List<LongConsumer> earlyMetrics = new ArrayList<>(1); // received before the answer to the set-up
-
-        BrokerSession(
-                SessionRequest request,
-                Front front,
-                ServerAdapter adapter,
-                SessionClass sessionClass,
-                long connection,
-                long now) {
-            this.request = request;
-            this.front = front;
-            this.adapter = adapter;
-            this.sessionClass = sessionClass;
-            this.connection = connection;
-            receivedAt = now;
-            rendition = sessionClass.lowestRendition();
-        }
-    }
-
-    /** What the broker knows of a server. */
-    private static final class ServerEntry {
-        final String id;
-        final Map<ServerAdapter, Integer> activeSessions = new HashMap<>(); // number of sessions by adapter
-        final Map<String, Server> listings = new LinkedHashMap<>(); // latest entry by source of the list
-        Server mergedListing;
-        long notUpSince = TimerQueue.NEVER; // when it was first listed as draining or gone; NEVER: it is up
-
-        ServerEntry(String id) {
-            this.id = id;
-        }
-    }
-
     private final Settings settings;
     private final Director director;
     private final Peers peers;
--- a/src/main/java/dockshed/hls/HlsEdgeServers.java
+++ b/src/main/java/dockshed/hls/HlsEdgeServers.java
@@ -86,57 +86,65 @@
                 headers,
                 connectTimeoutMs,
                 MAX_PLAYLIST_BYTES,
-                new HttpFetch.Listener() {
-                    @Override
-                    public void onResponse(HttpStyleMessage response) {
-                        setUpFetches.remove(setUp.name());
-                        try {
-                            if (response.status() != 200) {
-                                throw new Playlists.UnusablePlaylistException("HTTP status " + response.status());
-                            }
-                            Playlists.MultivariantPlaylist playlist =
-                                    Playlists.MultivariantPlaylist.parse(response.bodyText());
-                            if (!playlist.hasVariant(setUp.lowestRendition(), setUp.highestRendition())) {
-                                throw new Playlists.UnusablePlaylistException("no variant from rendition "
-                                        + setUp.lowestRendition() + " to " + setUp.highestRendition());
-                            }
-                            loadReporter.loadHeaderReceived(clock.now(), server, response.header(OrcaReport.HEADER));
-                            broker.setUpAnswered(clock.now(), server, setUp.name(), response.bodyText());
-                            if (broker.isActive(setUp.name())) { // the front may have ended it at once
-                                loadReporter.sessionStarted(
-                                        clock.now(), server, setUp.name(), setUp.className(), setUp.highestRendition());
-                            }
-                        } catch (Playlists.UnusablePlaylistException e) {
-                            LOG.warn(
-                                    "multivariant playlist unusable: server={} title={} why={}",
-                                    server,
-                                    setUp.title(),
-                                    e.getMessage());
-                            broker.ended(clock.now(), server, setUp.name(), Outcome.ERROR, LoadReport.NONE);
-                        }
-                    }
-
-                    @Override
-                    public void onFailure(HttpFetch.Failure failure, String why) {
-                        setUpFetches.remove(setUp.name());
-                        LOG.info(
-                                "multivariant playlist not fetched: server={} title={} why={}",
-                                server,
-                                setUp.title(),
-                                why);
-                        broker.ended(
-                                clock.now(),
-                                server,
-                                setUp.name(),
-                                failure == HttpFetch.Failure.NOT_SENT ? Outcome.CONNECT_FAILED : Outcome.RESET,
-                                LoadReport.NONE);
-                    }
-                });
+                new SetUpListener(server, setUp));
         if (!fetch.isFinished()) {
             setUpFetches.put(setUp.name(), fetch);
         }
     }
 
+    /** Reports the result of a set-up to the broker. */
+    private final class SetUpListener implements HttpFetch.Listener {
+        private final String server;
+        private final SetUp setUp;
+
+        SetUpListener(String server, SetUp setUp) {
+            this.server = server;
+            this.setUp = setUp;
+        }
+
+        @Override
+        public void onResponse(HttpStyleMessage response) {
+            setUpFetches.remove(setUp.name());
+            try {
+                checkPlaylist(response);
+            } catch (Playlists.UnusablePlaylistException e) {
+                LOG.warn(
+                        "multivariant playlist unusable: server={} title={} why={}",
+                        server,
+                        setUp.title(),
+                        e.getMessage());
+                broker.ended(clock.now(), server, setUp.name(), Outcome.ERROR, LoadReport.NONE);
+                return;
+            }
+            loadReporter.loadHeaderReceived(clock.now(), server, response.header(OrcaReport.HEADER));
+            broker.setUpAnswered(clock.now(), server, setUp.name(), response.bodyText());
+            if (broker.isActive(setUp.name())) { // the front may have ended it at once
+                loadReporter.sessionStarted(
+                        clock.now(), server, setUp.name(), setUp.className(), setUp.highestRendition());
+            }
+        }
+
+        /** Checks that the response is a playlist from which the session can be given something. */
+        private void checkPlaylist(HttpStyleMessage response) throws Playlists.UnusablePlaylistException {
+            if (response.status() != 200) {
+                throw new Playlists.UnusablePlaylistException("HTTP status " + response.status());
+            }
+            Playlists.MultivariantPlaylist playlist = Playlists.MultivariantPlaylist.parse(response.bodyText());
+            if (!playlist.hasVariant(setUp.lowestRendition(), setUp.highestRendition())) {
+                throw new Playlists.UnusablePlaylistException(
+                        "no variant from rendition " + setUp.lowestRendition() + " to " + setUp.highestRendition());
+            }
+        }
+
+        @Override
+        public void onFailure(HttpFetch.Failure failure, String why) {
+            setUpFetches.remove(setUp.name());
+            LOG.info("multivariant playlist not fetched: server={} title={} why={}", server, setUp.title(), why);
+            Outcome outcome = failure == HttpFetch.Failure.NOT_SENT ? Outcome.CONNECT_FAILED : Outcome.RESET;
+            broker.ended(clock.now(), server, setUp.name(), outcome, LoadReport.NONE);
+        }
+    }
+
     @Override
     public void cancelSetUp(String server, String name) {
         HttpFetch fetch = setUpFetches.remove(name);
