Keep one faulty Eureka instance from holding up the whole list

A box marked down or out of service went on being used while any instance of the application had a value that could not be read.

Cause: EurekaRegistry.servers threw for the list as a whole.

Evidence: EurekaRegistryTest.faultyInstanceHoldsUpNoOther failed before (instance a: For input string: "x").

Change: a faulty instance keeps what was last known of it but for its status, or is left out if it was never usable. A list in which no instance is usable is refused as before. New log line, once for each fault: Eureka instance not usable.

--- a/src/main/java/dockshed/eureka/EurekaRegistry.java
+++ b/src/main/java/dockshed/eureka/EurekaRegistry.java
@@ -10,10 +10,13 @@
 import dockshed.names.ListedServer;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * The instances registered with Eureka, from the JSON of its REST API: a full list, then deltas, each checked against
@@ -29,7 +32,11 @@
         }
     }
 
+    private static final Logger LOG = LoggerFactory.getLogger(EurekaRegistry.class);
+
     private Map<String, JsonObject> instances = new LinkedHashMap<>();
+    private final Map<String, ListedServer> usable = new HashMap<>(); // as last read without a fault, by key
+    private Map<String, String> loggedFaults = Map.of(); // why, by key
 
     /**
      * Replaces all instances. The hash code is not checked: there is nothing better to ask for if it does not match.
@@ -80,42 +87,68 @@
         return out.toString();
     }
 
-    /** The instances of an application as edge servers; one that is not UP is draining. */
+    /**
+     * The instances of an application as edge servers; one that is not UP is draining. An instance with a faulty value
+     * keeps what was last known of it but for its status, or is left out; it does not affect the others.
+     *
+     * @throws UnusableAnswerException if there are instances and none of them can be used
+     */
     List<ListedServer> servers(String app) throws UnusableAnswerException {
-        List<ListedServer> out = new ArrayList<>();
-        for (JsonObject instance : instances.values()) {
-            if (!textOr(instance, "app", "").equalsIgnoreCase(app)) {
+        List<ListedServer> servers = new ArrayList<>();
+        Map<String, String> faults = new HashMap<>();
+        usable.keySet().retainAll(instances.keySet());
+        for (Map.Entry<String, JsonObject> entry : instances.entrySet()) {
+            if (!textOr(entry.getValue(), "app", "").equalsIgnoreCase(app)) {
                 continue;
             }
             try {
-                JsonObject metadata =
-                        instance.has("metadata") ? instance.getAsJsonObject("metadata") : new JsonObject();
-                JsonObject lease = instance.has("leaseInfo") ? instance.getAsJsonObject("leaseInfo") : new JsonObject();
-                State state = textOr(instance, "status", "").equals("UP") ? State.UP : State.DRAINING;
-                long upSince = metadata.has("started")
-                        ? Math.round(Double.parseDouble(textOr(metadata, "started", "0")) * 1000)
-                        : lease.has("serviceUpTimestamp")
-                                ? lease.get("serviceUpTimestamp").getAsLong() * 1000
-                                : 0;
-                out.add(new ListedServer(
-                        new Server(
-                                textOr(
-                                        metadata,
-                                        "box",
-                                        textOr(instance, "instanceId", textOr(instance, "hostName", ""))),
-                                textOr(metadata, "zone", ""),
-                                textOr(metadata, "kind", ""),
-                                Integer.parseInt(textOr(metadata, "cell", "0")),
-                                state,
-                                Double.parseDouble(textOr(metadata, "weight", "1")),
-                                upSince),
-                        new InetSocketAddress(address(textOr(instance, "ipAddr", "")), port(instance))));
+                usable.put(entry.getKey(), listedServer(entry.getValue()));
             } catch (RuntimeException e) {
-                throw new UnusableAnswerException(
-                        "instance " + textOr(instance, "instanceId", "?") + ": " + e.getMessage());
+                faults.put(entry.getKey(), String.valueOf(e.getMessage()));
+                usable.computeIfPresent(entry.getKey(), (key, before) -> before.withState(state(entry.getValue())));
+            }
+            if (usable.containsKey(entry.getKey())) {
+                servers.add(usable.get(entry.getKey()));
             }
         }
-        return out;
+        logNew(faults);
+        if (servers.isEmpty() && !faults.isEmpty()) {
+            throw new UnusableAnswerException("no usable instance: " + faults);
+        }
+        return servers;
+    }
+
+    private void logNew(Map<String, String> faults) {
+        faults.forEach((instance, why) -> {
+            if (!why.equals(loggedFaults.get(instance))) {
+                LOG.warn("Eureka instance not usable: instance={} why={}", instance, why);
+            }
+        });
+        loggedFaults = faults;
+    }
+
+    private static State state(JsonObject instance) {
+        return textOr(instance, "status", "").equals("UP") ? State.UP : State.DRAINING;
+    }
+
+    private static ListedServer listedServer(JsonObject instance) {
+        JsonObject metadata = instance.has("metadata") ? instance.getAsJsonObject("metadata") : new JsonObject();
+        JsonObject lease = instance.has("leaseInfo") ? instance.getAsJsonObject("leaseInfo") : new JsonObject();
+        long upSince = metadata.has("started")
+                ? Math.round(Double.parseDouble(textOr(metadata, "started", "0")) * 1000)
+                : lease.has("serviceUpTimestamp")
+                        ? lease.get("serviceUpTimestamp").getAsLong() * 1000
+                        : 0;
+        return new ListedServer(
+                new Server(
+                        textOr(metadata, "box", textOr(instance, "instanceId", textOr(instance, "hostName", ""))),
+                        textOr(metadata, "zone", ""),
+                        textOr(metadata, "kind", ""),
+                        Integer.parseInt(textOr(metadata, "cell", "0")),
+                        state(instance),
+                        Double.parseDouble(textOr(metadata, "weight", "1")),
+                        upSince),
+                new InetSocketAddress(address(textOr(instance, "ipAddr", "")), port(instance)));
     }
 
     private static String address(String ip) {
--- a/src/test/java/dockshed/eureka/EurekaRegistryTest.java
+++ b/src/test/java/dockshed/eureka/EurekaRegistryTest.java
@@ -75,6 +75,21 @@
         assertEquals(List.of("a UP"), states(registry));
     }
 
+    @Test
+    void faultyInstanceHoldsUpNoOther() throws Exception {
+        // Guards against boxes that go down unnoticed, since one faulty value made the whole list unusable.
+        EurekaRegistry registry = new EurekaRegistry();
+        registry.applyFull(apps("UP_2_", instance("a", "UP", "ADDED"), instance("b", "UP", "ADDED")));
+        assertEquals(List.of("a UP", "b UP"), states(registry));
+        String faulty = instance("a", "DOWN", "MODIFIED").replace("\"cell\":\"2\"", "\"cell\":\"x\"");
+        String neverUsable = instance("c", "UP", "ADDED").replace("127.0.0.1", "some.host");
+        registry.applyDelta(apps("DOWN_2_UP_1_", faulty, instance("b", "DOWN", "MODIFIED"), neverUsable));
+        assertEquals(List.of("a DRAINING", "b DRAINING"), states(registry));
+        assertEquals(2, registry.servers("BOXES").get(0).server().cell(), "as last known");
+        registry.applyDelta(apps("DOWN_1_", instance("a", "", "DELETED"), instance("c", "", "DELETED")));
+        assertEquals(List.of("b DRAINING"), states(registry));
+    }
+
     @Test
     void otherResponsesAreUnusable() {
         for (String bad :
