Keep a confirmed drain also of a server that is not listed yet against an outdated cut list

A new edge server that drains by the current list could be listed as up, so that set-ups went to it.

Cause: an outdated list, cut off before its serial number, came while the server's address was still asked for. Its SRV record replaced the newer one, and the rule that it revokes no drain looked only at servers that are listed.

Evidence: UnusableAnswersTest.cutListWithoutSerialRevokesNoDrainOfAServerThatIsNotListedYet failed before (n UP).

Change: what the newest list with a serial number said of a drain is kept beside the SRV record.

--- a/src/main/java/dockshed/names/ServerRecords.java
+++ b/src/main/java/dockshed/names/ServerRecords.java
@@ -27,6 +27,7 @@
     private Record faultyText; // logged already
     private boolean mayBeOutdated; // the serial number of the list that the SRV record is from was cut off
     private boolean confirmed; // named by the configuration, or by a list with a serial number
+    private boolean drainConfirmed; // by the newest list with a serial number that named the server
     private long heldUntil; // a list without a serial number told of the server, and none with one had
     private long drainHeldUntil; // a list without a serial number told that the server drains
     private long namedBySerial = UNKNOWN_SERIAL; // of the newest list known to name it
@@ -78,6 +79,7 @@
         }
         namedBySerial = serial;
         confirmed = true;
+        drainConfirmed = drains;
         heldUntil = 0;
         drainHeldUntil = drains ? 0 : drainHeldUntil;
     }
@@ -126,6 +128,6 @@
     /** Whether the server drains, whatever its SRV record says: an outdated list revokes no drain. */
     private boolean drains(ListedServer known, long now) {
         boolean wasDraining = known != null && known.server().state() == State.DRAINING;
-        return isDrainHeld(now) || mayBeOutdated && wasDraining;
+        return isDrainHeld(now) || mayBeOutdated && (wasDraining || drainConfirmed);
     }
 }
--- a/src/test/java/dockshed/names/DiscoveryFaultsTest.java
+++ b/src/test/java/dockshed/names/DiscoveryFaultsTest.java
@@ -45,6 +45,7 @@
         final List<Event> events = new ArrayList<>();
         final List<Delivery> deliveries = new ArrayList<>();
         final Set<String> toldDraining = new HashSet<>();
+        final Set<String> toldGone = new HashSet<>();
         int created;
         long now = 10_000_000;
         boolean faults = true;
@@ -191,7 +192,9 @@
                 Server actual = latest().servers().get(change.id());
                 if (change.state() == State.GONE) {
                     assertEquals(null, actual, "removed, and still there");
+                    toldGone.add(change.id());
                 } else {
+                    assertFalse(toldGone.contains(change.id()), () -> "listed again after its removal: " + change);
                     Server ever = everKnown(change.id());
                     assertEquals(ever.cell(), change.cell(), "cell of " + change);
                     assertEquals("std", change.kind(), "kind of " + change);
@@ -242,7 +245,7 @@
             }
             Map<String, Server> listed = new LinkedHashMap<>();
             run.list.all().forEach(entry -> listed.put(entry.server().id(), entry.server()));
-            assertEquals(run.latest().servers(), listed, "run " + run);
+            assertEquals(run.latest().servers(), listed, "run " + i);
             assertTrue(run.updater.isSettled());
         }
     }
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -298,6 +298,23 @@
                 "restarted, and draining as before");
     }
 
+    @Test
+    void cutListWithoutSerialRevokesNoDrainOfAServerThatIsNotListedYet() throws Exception {
+        // Guards against a new edge server listed as up though the list says that it drains: an outdated one, cut off
+        // before its serial number, came before the server's address was known.
+        applyList(6, "-n");
+        List<Question> asked = ask();
+        applyListWithoutSerial("n");
+        List<Server> listed = new ArrayList<>();
+        for (Question question : asked) {
+            listed.addAll(
+                    question.type() == Dns.A
+                            ? replyAddress(question)
+                            : replyText(question, "kind=std", "cell=7", "started=0"));
+        }
+        assertEquals("[n DRAINING]", describe(listed));
+    }
+
     @Test
     void faultyTextRecordHoldsUpNoOtherServer() throws Exception {
         // Guards against drains that are not heeded, as one faulty TXT record made the whole list unreadable.
