Ask for restarts also of servers that are not listed yet

A new edge server that had restarted could count as warm, so that it was not paced.

Cause: a server is listed once its TXT record and its address are known. Where the TXT record came first, and the address under a later list, the record was not asked for again.

Evidence: UnusableAnswersTest.restartIsAskedForAlsoOfAServerThatIsNotListedYet failed before (only the address is asked for).

Change: the TXT record of each server that a list names is asked for once for each serial number, listed or not.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -119,21 +119,24 @@
     }
 
     /**
-     * Queues questions for the records that a list lacks of a server; {@code told}: it holds its TXT record. That of a
-     * server which is listed already is asked for once for each serial number, as it may have restarted.
+     * Queues questions for the records that a list lacks of a server; {@code told}: it holds its TXT record. That is
+     * asked for once for each serial number, as the server may have restarted, or until it is known.
      */
     private void enqueueMissing(ServerRecords target, boolean told) {
         boolean listed = isListed(target);
         if (!target.hasAddress() && !listed) {
             questions.need(new Question(target.name(), Dns.A, serial));
         }
+        if (told) {
+            return;
+        }
         Question textQuestion = new Question(target.name(), Dns.TXT, serial);
-        if (listed && !told && !target.textAskedFor) {
-            target.textAskedFor = true;
-            questions.refresh(textQuestion);
-        } else if (!listed && !target.hasAttributes()) {
+        if (!listed && !target.hasAttributes()) {
             questions.need(textQuestion);
+        } else if (!target.textAskedFor) {
+            questions.refresh(textQuestion);
         }
+        target.textAskedFor = true;
     }
 
     /** Queues questions whether the servers that a truncated answer does not name still have an address. */
--- a/src/test/java/dockshed/names/UnusableAnswersTest.java
+++ b/src/test/java/dockshed/names/UnusableAnswersTest.java
@@ -368,6 +368,21 @@
         assertEquals(6, askFor("a", Dns.TXT).listSerial());
     }
 
+    @Test
+    void restartIsAskedForAlsoOfAServerThatIsNotListedYet() throws Exception {
+        // Guards against a new edge server that counts as warm though it has restarted: its TXT record was known from
+        // before, and it was listed by the address that came later.
+        applyList(6, "n");
+        List<Question> asked = ask();
+        for (Question question : asked) {
+            if (question.type() == Dns.TXT) {
+                replyText(question, "kind=std", "cell=7", "started=0");
+            }
+        }
+        applyList(7, "n");
+        assertEquals(7, askFor("n", Dns.TXT).listSerial());
+    }
+
     @Test
     void answerToAQuestionOfAnEarlierListDoesNotSettleTheNewOne() throws Exception {
         // Guards against a restart that is not noticed: it was told by the newer list, and the answer to the question
