Share the opening of connections in HlsEndToEndTest, and close a field of ServerRecords

Change: one method sends on a new connection; textAskedFor is private. Assertions and behaviour are the same.

--- a/src/main/java/dockshed/names/EdgeServerListUpdater.java
+++ b/src/main/java/dockshed/names/EdgeServerListUpdater.java
@@ -62,7 +62,7 @@
             serial = answerSerial;
             complete = false; // until an answer that is not truncated shows all of it
             questions.clear(); // an answer to one of them may be older than this list
-            targets.values().forEach(target -> target.textAskedFor = false);
+            targets.values().forEach(ServerRecords::listChanged);
         }
         Set<String> named = applyRecords(answer, withoutSerial, now);
         if (!answer.truncated()) {
@@ -131,12 +131,12 @@
             return;
         }
         Question textQuestion = new Question(target.name(), Dns.TXT, serial);
+        boolean first = target.markTextAskedFor();
         if (!listed && !target.hasAttributes()) {
             questions.need(textQuestion);
-        } else if (!target.textAskedFor) {
+        } else if (first) {
             questions.refresh(textQuestion);
         }
-        target.textAskedFor = true;
     }
 
     /** Queues questions whether the servers that a truncated answer does not name still have an address. */
--- a/src/main/java/dockshed/names/ServerRecords.java
+++ b/src/main/java/dockshed/names/ServerRecords.java
@@ -31,9 +31,7 @@
     private long heldUntil; // a list without a serial number told of the server, and none with one had
     private long drainHeldUntil; // a list without a serial number told that the server drains
     private long namedBySerial = UNKNOWN_SERIAL; // of the newest list known to name it
-
-    /** Whether the TXT record was asked for since the list has its serial number. */
-    boolean textAskedFor;
+    private boolean textAskedFor; // since the list has its serial number
 
     /** Creates the records of a server; {@code listed}: it is on the list already. */
     ServerRecords(boolean listed) {
@@ -52,6 +50,18 @@
         return attributes != null;
     }
 
+    /** A list with another serial number has come: the TXT record may be asked for again. */
+    void listChanged() {
+        textAskedFor = false;
+    }
+
+    /** Marks the TXT record as asked for; returns whether it was not before. */
+    boolean markTextAskedFor() {
+        boolean first = !textAskedFor;
+        textAskedFor = true;
+        return first;
+    }
+
     /** Whether the list with this serial number names the server. */
     boolean isNamedBy(long serial) {
         return namedBySerial == serial;
--- a/src/test/java/dockshed/hls/HlsEndToEndTest.java
+++ b/src/test/java/dockshed/hls/HlsEndToEndTest.java
@@ -134,10 +134,7 @@
 
     /** Sends one request as a player and returns the whole response. */
     private HttpStyleMessage fetch(String method, String target) throws Exception {
-        try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
-            socket.setSoTimeout(20_000);
-            socket.getOutputStream()
-                    .write((method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+        try (Socket socket = send(method + " " + target + " HTTP/1.1\r\nHost: x\r\n\r\n")) {
             HttpStyleMessage response =
                     StubHttpServer.read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20));
             assertEquals(
@@ -167,10 +164,14 @@
 
     /** Sends a GET and leaves the connection open; the caller reads the response. */
     private Socket sendGet(String target) throws Exception {
+        return send("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+
+    /** Sends bytes on a new connection and leaves it open; the caller reads the responses. */
+    private Socket send(String requests) throws Exception {
         Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort());
         socket.setSoTimeout(20_000);
-        socket.getOutputStream()
-                .write(("GET " + target + " HTTP/1.1\r\nHost: x\r\n\r\n").getBytes(StandardCharsets.UTF_8));
+        socket.getOutputStream().write(requests.getBytes(StandardCharsets.UTF_8));
         return socket;
     }
 
@@ -360,12 +361,8 @@
     void lessonRequestWithoutATitleIsRejectedWhereverItStandsOnItsConnection() throws Exception {
         // Guards against a request that is never answered and a connection that stays open: reading the title threw.
         assertEquals(400, get("/lessons/master.m3u8").status());
-        try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
-            socket.setSoTimeout(20_000);
-            socket.getOutputStream()
-                    .write(
-                            "GET /other HTTP/1.1\r\n\r\nGET /lessons/master.m3u8 HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
-                                    .getBytes(StandardCharsets.UTF_8));
+        try (Socket socket = send(
+                "GET /other HTTP/1.1\r\n\r\nGET /lessons/master.m3u8 HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n")) {
             HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(1 << 20);
             InputStream in = socket.getInputStream();
             assertEquals(404, StubHttpServer.read(in, decoder).status());
@@ -400,12 +397,8 @@
 
     @Test
     void pipelinedRequestsAreAnsweredInOrderAndMalformedOneClosesTheConnection() throws Exception {
-        try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
-            socket.setSoTimeout(20_000);
-            socket.getOutputStream()
-                    .write(("GET " + lessonPath("paid", "v") + " HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
-                                    + "no header line\r\nat all\r\n\r\n")
-                            .getBytes(StandardCharsets.UTF_8));
+        try (Socket socket = send("GET " + lessonPath("paid", "v") + " HTTP/1.1\r\n\r\nGET /other HTTP/1.1\r\n\r\n"
+                + "no header line\r\nat all\r\n\r\n")) {
             HttpStyleMessageDecoder decoder = new HttpStyleMessageDecoder(1 << 20);
             InputStream in = socket.getInputStream();
             assertEquals(200, StubHttpServer.read(in, decoder).status());
@@ -427,11 +420,8 @@
             }
         });
         edgeServer.arrivals.poll(20, TimeUnit.SECONDS);
-        try (Socket socket = new Socket("127.0.0.1", ((InetSocketAddress) listener.localAddress()).getPort())) {
-            socket.setSoTimeout(20_000);
+        try (Socket socket = send("GET " + lessonPath("paid", "v") + " HTTP/1.1\r\n\r\n")) {
             // The answer for the unknown path shows that the front has read the lesson's request before it.
-            socket.getOutputStream()
-                    .write(("GET " + lessonPath("paid", "v") + " HTTP/1.1\r\n\r\n").getBytes(StandardCharsets.UTF_8));
             assertEquals(404, get("/other").status());
             response.complete(ok(MASTER));
             assertWithinClassTerms(StubHttpServer.read(socket.getInputStream(), new HttpStyleMessageDecoder(1 << 20)));
